feat(workspace): lay out the crates, the protocols and a thin fan-out engine

Before: nothing. Conclusion: the interfaces are settled enough for the parts to be built side by side; the engine is the baseline that hedging must beat.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# The few commands of each day. `make help` lists them.
+
+.PHONY: help build test lint docs demo format generate
+
+help: ## Lists the commands.
+	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
+
+build: ## Builds every program.
+	cargo build --workspace --release
+
+test: ## Runs every test but those listed in KNOWN-RED.txt, which it prints.
+	./tools/test
+
+lint: ## Checks format and lints.
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets -- -D warnings
+
+docs: ## Builds the documentation.
+	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps
+
+demo: ## Serves both deployments in one process for a few seconds.
+	cargo run --release --bin oleanderwind-load -- demo
+
+format: ## Formats every file.
+	cargo fmt --all
+
+generate: ## Writes the peer protocol's Rust code from its .proto file.
+	cargo run --manifest-path tools/generate/Cargo.toml --target-dir target/generate
+	cargo fmt --all
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The services of the oleanderwind daemon.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/crates/policy/src/contract/mod.rs
@@ -0,0 +1,16 @@
+//! Contracts: the one object an operator writes for each customer.
+
+mod class;
+mod customer_contract;
+mod placement;
+mod raw;
+
+pub use class::ClassPriority;
+pub use class::ClassTerms;
+pub use class::OperationKind;
+pub use customer_contract::AnswerPreference;
+pub use customer_contract::CustomerContract;
+pub use placement::PlacementShare;
+pub use raw::RawClass;
+pub use raw::RawContract;
+pub use raw::RawPlacement;
--- /dev/null
+++ b/crates/policy/src/fanout/mod.rs
@@ -0,0 +1,20 @@
+//! Fan-out: one query becomes one call a shard, and their answers one result.
+//!
+//! [`FanoutEngine`] holds every running query of a VM. Events and the time go in, actions come
+//! out; the caller carries the actions out and holds the answers' bytes.
+
+mod action;
+mod engine;
+mod event;
+mod plan;
+mod result;
+mod settings;
+
+pub use action::FanoutAction;
+pub use engine::FanoutEngine;
+pub use event::FanoutEvent;
+pub use plan::FanoutPlan;
+pub use plan::QueryId;
+pub use result::FanoutResult;
+pub use result::FinishReason;
+pub use settings::FanoutSettings;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the platform and of the searchers.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,28 @@
+//! Message types of every oleanderwind interface: callers, platform, searchers and peers.
+//!
+//! The JSON types deny nothing and default nothing silently unless a field says so; the peer
+//! types in [`peer`] are generated from `proto/peer.proto` by `tools/generate` and committed.
+
+mod caller;
+pub mod peer;
+mod platform;
+mod searcher;
+
+pub use caller::AddressAnswer;
+pub use caller::CallerAnswer;
+pub use caller::CoverageReport;
+pub use caller::RefusalReport;
+pub use platform::API_PREFIX;
+pub use platform::ObjectDocument;
+pub use platform::ObjectList;
+pub use platform::ObjectMetadata;
+pub use platform::PlatformStatus;
+pub use platform::WatchEvent;
+pub use platform::WatchKind;
+pub use searcher::CancelCall;
+pub use searcher::ExecuteAnswer;
+pub use searcher::ExecuteCall;
+pub use searcher::SearchHit;
+pub use searcher::SearcherRefusal;
+pub use searcher::ShardAnswer;
+pub use searcher::ShardCall;
--- /dev/null
+++ b/crates/wire/src/peer/mod.rs
@@ -0,0 +1,4 @@
+//! Generated types of the protocol between VMs, see `proto/peer.proto`.
+#![allow(missing_docs, unreachable_pub, clippy::all)]
+
+include!("oleanderwind.peer.v1.rs");
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! oleanderwind.
