feat(standin): serve the platform and every searcher on one thread

Cause: nothing yet answers the tier's calls to the platform and to the searchers. Change: the Object API, the searchers of both example deployments and a control port, all on one actix system over connections that can go silent or break at a chosen byte.

--- /dev/null
+++ b/crates/standin/src/control/mod.rs
@@ -0,0 +1,83 @@
+//! The control port.
+//!
+//! | call | body | reply |
+//! |---|---|---|
+//! | `POST /control/faults` | [`FaultOrder`] | [`crate::OrderReport`] |
+//! | `POST /control/snapshots` | [`SnapshotOrder`] | [`crate::OrderReport`] |
+//! | `POST /control/platform` | [`PlatformFault`] | 204 |
+//! | `GET /control/platform` | none | [`crate::PlatformReport`] |
+//! | `GET /control/executions` | none | list of [`crate::ExecutionRecord`] |
+//! | `GET /control/calls` | none | list of [`crate::CallReport`] |
+//! | `GET /control/searchers` | none | list of [`oleanderwind_policy::TargetSpec`] |
+
+use std::rc::Rc;
+
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::StatusCode;
+use oleanderwind_policy::FindingList;
+
+use crate::net::HttpReply;
+use crate::net::empty_reply;
+use crate::net::json_reply;
+use crate::net::parse_body;
+use crate::platform::PlatformFault;
+use crate::server::FaultOrder;
+use crate::server::ServerState;
+use crate::server::SnapshotOrder;
+
+/// Largest body of an order in bytes.
+const MAX_ORDER_BYTES: usize = 64 * 1_024;
+
+/// Answers one request at the control port.
+pub(crate) async fn answer_control(state: &Rc<ServerState>, mut request: Request) -> HttpReply {
+    let method = request.method().clone();
+    let path = request.path().to_owned();
+    match (&method, path.as_str()) {
+        (&Method::POST, "/control/faults") => order_fault(state, &mut request).await,
+        (&Method::POST, "/control/snapshots") => order_snapshot(state, &mut request).await,
+        (&Method::POST, "/control/platform") => order_platform(state, &mut request).await,
+        (&Method::GET, "/control/platform") => json_reply(StatusCode::OK, &state.platform.report()),
+        (&Method::GET, "/control/executions") => json_reply(StatusCode::OK, &state.executions()),
+        (&Method::GET, "/control/calls") => json_reply(StatusCode::OK, &state.calls()),
+        (&Method::GET, "/control/searchers") => json_reply(StatusCode::OK, &state.targets()),
+        _ => empty_reply(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Puts a fault of searchers in force.
+async fn order_fault(state: &Rc<ServerState>, request: &mut Request) -> HttpReply {
+    match parse_body::<FaultOrder>(request, MAX_ORDER_BYTES).await {
+        Err(problem) => refuse(&problem),
+        Ok(order) => match state.apply(&order) {
+            Ok(report) => json_reply(StatusCode::OK, &report),
+            Err(error) => refuse(&error.to_string()),
+        },
+    }
+}
+
+/// Makes a new snapshot.
+async fn order_snapshot(state: &Rc<ServerState>, request: &mut Request) -> HttpReply {
+    match parse_body::<SnapshotOrder>(request, MAX_ORDER_BYTES).await {
+        Err(problem) => refuse(&problem),
+        Ok(order) => json_reply(StatusCode::OK, &state.change_snapshot(&order)),
+    }
+}
+
+/// Puts a fault of the platform in force.
+async fn order_platform(state: &Rc<ServerState>, request: &mut Request) -> HttpReply {
+    match parse_body::<PlatformFault>(request, MAX_ORDER_BYTES).await {
+        Err(problem) => refuse(&problem),
+        Ok(fault) => {
+            state.platform.apply(fault);
+            empty_reply(StatusCode::NO_CONTENT)
+        }
+    }
+}
+
+/// Refuses an order that can't be read or carried out.
+fn refuse(problem: &str) -> HttpReply {
+    let mut findings = FindingList::default();
+    findings.add("body", problem);
+    json_reply(StatusCode::BAD_REQUEST, &findings)
+}
--- /dev/null
+++ b/crates/standin/src/net/mod.rs
@@ -0,0 +1,17 @@
+//! Listeners and connections that can be made to fail.
+
+mod fault_stream;
+mod http;
+mod listener;
+
+pub(crate) use fault_stream::FaultStream;
+pub(crate) use fault_stream::StreamControl;
+pub(crate) use http::HttpReply;
+pub(crate) use http::empty_reply;
+pub(crate) use http::json_reply;
+pub(crate) use http::parse_body;
+pub(crate) use http::read_body;
+pub(crate) use listener::ConnectionGate;
+pub(crate) use listener::EndpointListener;
+pub(crate) use listener::bind;
+pub(crate) use listener::serve;
--- /dev/null
+++ b/crates/standin/src/platform/error.rs
@@ -0,0 +1,72 @@
+//! Failures of Object API calls.
+
+use actix_http::StatusCode;
+use oleanderwind_wire::ObjectDocument;
+use oleanderwind_wire::PlatformStatus;
+use serde::Serialize;
+
+use crate::net::HttpReply;
+use crate::net::json_reply;
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum PlatformError {
+    /// The call can't be read.
+    Invalid(String),
+    /// No such object.
+    NotFound,
+    /// The name is taken.
+    AlreadyExists,
+    /// The object changed; carries its present state.
+    Conflict(Box<ObjectDocument>),
+    /// The version is no longer in the history.
+    Expired,
+    /// The body is over the limit.
+    TooLarge,
+    /// A rate limit is used up.
+    TooManyRequests,
+    /// The store is down.
+    Unavailable,
+}
+
+/// Body of a failed call; `current` comes with a conflict.
+#[derive(Serialize)]
+struct ErrorBody {
+    #[serde(flatten)]
+    status: PlatformStatus,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    current: Option<Box<ObjectDocument>>,
+}
+
+impl PlatformError {
+    /// The failure as a reply.
+    pub(crate) fn into_reply(self) -> HttpReply {
+        let (code, reason, message) = match &self {
+            PlatformError::Invalid(message) => (400, "Invalid", message.clone()),
+            PlatformError::NotFound => (404, "NotFound", "no object of that name".to_owned()),
+            PlatformError::AlreadyExists => (409, "AlreadyExists", "the name is taken".to_owned()),
+            PlatformError::Conflict(current) => (
+                409,
+                "Conflict",
+                format!("the object is at version {}", current.metadata.resource_version),
+            ),
+            PlatformError::Expired => {
+                (410, "Expired", "the version is too old; list again".to_owned())
+            }
+            PlatformError::TooLarge => {
+                (413, "RequestEntityTooLarge", "the object is over 1 MiB".to_owned())
+            }
+            PlatformError::TooManyRequests => {
+                (429, "TooManyRequests", "the rate limit is used up".to_owned())
+            }
+            PlatformError::Unavailable => (503, "Unavailable", "the store is down".to_owned()),
+        };
+        let current = match self {
+            PlatformError::Conflict(current) => Some(current),
+            _ => None,
+        };
+        let status = PlatformStatus { code, reason: reason.to_owned(), message };
+        let http = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        json_reply(http, &ErrorBody { status, current })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/route.rs
@@ -0,0 +1,80 @@
+//! Paths and query parameters of the Object API.
+
+use actix_http::Method;
+use actix_http::Request;
+use oleanderwind_wire::API_PREFIX;
+
+use crate::platform::call::CallKind;
+use crate::platform::error::PlatformError;
+
+/// Seconds that a watch waits when the caller gives none.
+const DEFAULT_WATCH_SECONDS: u64 = 30;
+
+/// One Object API call, as its head says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct CallRoute {
+    /// Kind of call.
+    pub(crate) call: CallKind,
+    /// Plural kind of object.
+    pub(crate) kind: String,
+    /// Name of the object; empty for lists and watches.
+    pub(crate) name: String,
+    /// Version that the call names.
+    pub(crate) version: Option<u64>,
+    /// Seconds that a watch waits.
+    pub(crate) timeout_seconds: u64,
+}
+
+impl TryFrom<&Request> for CallRoute {
+    type Error = PlatformError;
+
+    fn try_from(request: &Request) -> Result<CallRoute, PlatformError> {
+        let rest = request.path().strip_prefix(API_PREFIX).ok_or(PlatformError::NotFound)?;
+        let mut parts = rest.trim_matches('/').splitn(2, '/');
+        let kind = parts.next().unwrap_or_default().to_owned();
+        let name = parts.next().unwrap_or_default().to_owned();
+        if kind.is_empty() {
+            return Err(PlatformError::NotFound);
+        }
+        let query = request.uri().query().unwrap_or_default();
+        let watch = parameter(query, "watch").is_some_and(|value| value == "1" || value == "true");
+        let call = call_kind(request.method(), watch, name.is_empty())?;
+        Ok(CallRoute {
+            call,
+            kind,
+            name,
+            version: number(query, "resourceVersion")?,
+            timeout_seconds: number(query, "timeoutSeconds")?.unwrap_or(DEFAULT_WATCH_SECONDS),
+        })
+    }
+}
+
+/// The kind of call that method and path make.
+fn call_kind(method: &Method, watch: bool, unnamed: bool) -> Result<CallKind, PlatformError> {
+    match (method, unnamed) {
+        (&Method::GET, true) if watch => Ok(CallKind::Watch),
+        (&Method::GET, true) => Ok(CallKind::List),
+        (&Method::GET, false) => Ok(CallKind::Get),
+        (&Method::POST, _) => Ok(CallKind::Create),
+        (&Method::PUT, false) => Ok(CallKind::Update),
+        (&Method::DELETE, false) => Ok(CallKind::Delete),
+        _ => Err(PlatformError::Invalid(format!("{method} is not served here"))),
+    }
+}
+
+/// Value of a query parameter.
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+}
+
+/// Value of a query parameter that is a number.
+fn number(query: &str, name: &str) -> Result<Option<u64>, PlatformError> {
+    match parameter(query, name) {
+        None | Some("") => Ok(None),
+        Some(text) => {
+            let invalid = |_| PlatformError::Invalid(format!("{name} is {text}; give a number"));
+            text.parse().map(Some).map_err(invalid)
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/watch.rs
@@ -0,0 +1,141 @@
+//! Watches: one JSON event a line until their time is over.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BodyStream;
+use actix_http::body::MessageBody;
+use actix_http::header;
+use bytes::Bytes;
+use futures_util::stream;
+use oleanderwind_wire::ObjectDocument;
+use oleanderwind_wire::WatchEvent;
+use oleanderwind_wire::WatchKind;
+use serde_json::Value;
+
+use crate::net::HttpReply;
+use crate::platform::PlatformNode;
+use crate::platform::SilenceManner;
+use crate::platform::error::PlatformError;
+use crate::platform::route::CallRoute;
+use crate::platform::store::version_metadata;
+
+/// How often a lagging kind is looked at again.
+const LAG_STEP: Duration = Duration::from_millis(10);
+
+/// A waiting watch.
+struct OpenWatch {
+    platform: Rc<PlatformNode>,
+    kind: String,
+    version: u64,
+    deadline: Instant,
+    ended: bool,
+}
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        self.platform.open_watches.set(self.platform.open_watches.get() - 1);
+    }
+}
+
+/// Starts a watch.
+pub(crate) fn watch_reply(
+    platform: &Rc<PlatformNode>,
+    route: &CallRoute,
+) -> Result<HttpReply, PlatformError> {
+    let now = Instant::now();
+    let store = platform.store.borrow();
+    let version = route.version.unwrap_or_else(|| store.version());
+    store.changes_after(&route.kind, version, now)?;
+    platform.open_watches.set(platform.open_watches.get() + 1);
+    let watch = OpenWatch {
+        platform: Rc::clone(platform),
+        kind: route.kind.clone(),
+        version,
+        deadline: now + Duration::from_secs(route.timeout_seconds),
+        ended: false,
+    };
+    let lines = stream::unfold(watch, |mut watch| async move {
+        let line = watch.next_lines().await?;
+        Some((Ok::<Bytes, Infallible>(line), watch))
+    });
+    let body = BodyStream::new(Box::pin(lines)).boxed();
+    let mut reply = Response::build(StatusCode::OK);
+    reply.insert_header((header::CONTENT_TYPE, "application/json"));
+    Ok(reply.body(body).map_into_boxed_body())
+}
+
+impl OpenWatch {
+    /// The next events, then a bookmark, then nothing.
+    async fn next_lines(&mut self) -> Option<Bytes> {
+        while !self.ended {
+            let outage = self.platform.fault.borrow().outage;
+            match outage {
+                Some(SilenceManner::Closed) => return None,
+                Some(SilenceManner::Silent) => {
+                    self.platform.changed.notified().await;
+                    continue;
+                }
+                None => {}
+            }
+            let events = self.take_events()?;
+            if !events.is_empty() {
+                return Some(to_lines(&events));
+            }
+            if Instant::now() >= self.deadline {
+                self.ended = true;
+                return Some(to_lines(&[self.bookmark()]));
+            }
+            self.wait().await;
+        }
+        None
+    }
+
+    /// Events that became visible; `None` when the history no longer has them.
+    fn take_events(&mut self) -> Option<Vec<WatchEvent>> {
+        let seen = self.seen();
+        let store = self.platform.store.borrow();
+        let events = store.changes_after(&self.kind, self.version, seen).ok()?;
+        self.version = self.version.max(store.version_at(seen));
+        Some(events)
+    }
+
+    /// The time whose state is shown.
+    fn seen(&self) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(self.platform.lag(&self.kind)).unwrap_or(now)
+    }
+
+    /// Waits for a change, the next look at a lagging kind, or the end.
+    async fn wait(&self) {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        let lagging = !self.platform.lag(&self.kind).is_zero();
+        let pause = if lagging { left.min(LAG_STEP) } else { left };
+        tokio::select! {
+            () = self.platform.changed.notified() => {}
+            () = actix_rt::time::sleep(pause) => {}
+        }
+    }
+
+    /// Says up to which version nothing was left out.
+    fn bookmark(&self) -> WatchEvent {
+        let metadata = version_metadata(self.version);
+        let object = ObjectDocument { kind: self.kind.clone(), metadata, spec: Value::Null };
+        WatchEvent { kind: WatchKind::Bookmark, object }
+    }
+}
+
+/// Events as lines of JSON.
+fn to_lines(events: &[WatchEvent]) -> Bytes {
+    let mut lines = Vec::new();
+    for event in events {
+        lines.extend(serde_json::to_vec(event).unwrap_or_default());
+        lines.push(b'\n');
+    }
+    Bytes::from(lines)
+}
--- /dev/null
+++ b/crates/standin/src/server/mod.rs
@@ -0,0 +1,16 @@
+//! Starting the stand-ins and controlling them.
+
+mod endpoint;
+mod order;
+mod settings;
+mod standin;
+mod state;
+
+pub(crate) use endpoint::ServedEndpoint;
+pub use order::FaultOrder;
+pub use order::FaultScope;
+pub use order::OrderReport;
+pub use order::SnapshotOrder;
+pub use settings::StandinSettings;
+pub use standin::StandinServer;
+pub(crate) use state::ServerState;
--- /dev/null
+++ b/crates/standin/tests/support/mod.rs
@@ -0,0 +1,134 @@
+//! Clients and orders that the tests share.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::Client;
+use awc::Connector;
+use awc::http::StatusCode;
+use oleanderwind_policy::TargetSpec;
+use oleanderwind_standin::FaultOrder;
+use oleanderwind_standin::FaultScope;
+use oleanderwind_standin::SearcherFault;
+use oleanderwind_standin::ServiceTimeSettings;
+use oleanderwind_standin::StandinServer;
+use oleanderwind_standin::StandinSettings;
+use oleanderwind_wire::API_PREFIX;
+use oleanderwind_wire::ExecuteCall;
+use oleanderwind_wire::ShardCall;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Longer than any reply of these tests takes; a silent connection is told by it.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(400);
+
+/// A reply's status and JSON.
+#[derive(Clone, Debug)]
+pub(crate) struct TestReply {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+impl TestReply {
+    /// The body as a typed message.
+    pub(crate) fn read<T: DeserializeOwned>(&self) -> T {
+        serde_json::from_value(self.body.clone()).unwrap()
+    }
+}
+
+/// Settings with service times that don't vary.
+pub(crate) fn settings(median_ms: u64) -> StandinSettings {
+    let service_time = ServiceTimeSettings {
+        median: Duration::from_millis(median_ms),
+        sigma: 0.0,
+        straggler_permille: 0,
+        straggler_factor: 1,
+    };
+    StandinSettings { service_time, ..StandinSettings::default() }
+}
+
+/// Runs a test against stand-ins on an actix system.
+pub(crate) fn with_server<F, T>(settings: StandinSettings, test: F) -> T
+where
+    F: AsyncFnOnce(StandinServer) -> T,
+{
+    actix_rt::System::new().block_on(async { test(StandinServer::start(settings).unwrap()).await })
+}
+
+/// A client with connections of its own.
+pub(crate) fn client() -> Client {
+    let connector = Connector::new().limit(1);
+    Client::builder().connector(connector).timeout(PATIENCE).finish()
+}
+
+/// Sends JSON; `None` when no whole reply came.
+pub(crate) async fn send<T: Serialize>(
+    client: &Client,
+    method: &str,
+    url: String,
+    body: &T,
+) -> Option<TestReply> {
+    let request = client.request(method.parse().unwrap(), url);
+    let mut reply = request.send_json(body).await.ok()?;
+    let status: StatusCode = reply.status();
+    let bytes = actix_rt::time::timeout(PATIENCE, reply.body().limit(2 << 20)).await.ok()?.ok()?;
+    let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    Some(TestReply { status: status.as_u16(), body })
+}
+
+/// URL of an Object API path.
+pub(crate) fn object_url(server: &StandinServer, path: &str) -> String {
+    format!("http://{}{API_PREFIX}/{path}", server.platform_address())
+}
+
+/// URL at some address.
+pub(crate) fn url(address: SocketAddr, path: &str) -> String {
+    format!("http://{address}{path}")
+}
+
+/// The first searcher of a service.
+pub(crate) fn searcher(server: &StandinServer, service: &str) -> TargetSpec {
+    server.targets().into_iter().find(|spec| &*spec.service == service).unwrap()
+}
+
+/// Puts a fault of one searcher in force.
+pub(crate) fn apply(server: &StandinServer, spec: &TargetSpec, fault: SearcherFault) {
+    let scope = FaultScope::Searcher(spec.target.clone());
+    let report = server.apply(&FaultOrder { scope, fault }).unwrap();
+    assert_eq!(report.searchers, 1);
+}
+
+/// A search of shard 0 of the first snapshot.
+pub(crate) fn shard_call(call_id: u64) -> ShardCall {
+    ShardCall {
+        call_id,
+        customer: "tsagaan-ordon".into(),
+        shard: 0,
+        index_version: 1,
+        deadline_ms: 5_000,
+        query: "budget law".to_owned(),
+    }
+}
+
+/// An execute call.
+pub(crate) fn execute_call(call_id: u64) -> ExecuteCall {
+    ExecuteCall {
+        call_id,
+        customer: "tsagaan-ordon".into(),
+        idempotency_key: format!("key-{call_id}"),
+        deadline_ms: 5_000,
+        body: "enter".to_owned(),
+    }
+}
+
+/// Sends a search.
+pub(crate) async fn search(client: &Client, spec: &TargetSpec, call_id: u64) -> Option<TestReply> {
+    send(client, "POST", url(spec.address, "/v1/search"), &shard_call(call_id)).await
+}
+
+/// Sends an execute call.
+pub(crate) async fn execute(client: &Client, spec: &TargetSpec, call_id: u64) -> Option<TestReply> {
+    send(client, "POST", url(spec.address, "/v1/execute"), &execute_call(call_id)).await
+}
