feat(standin): add the program, its settings and tests of every fault

Cause: the thin version had no program, no settings and one test. Change: oleanderwind-standin with flags over environment; silent connections end after a hold; frozen searchers count what arrives; tests of the Object API, the searchers, the faults, the command line and the program.

--- /dev/null
+++ b/crates/standin/src/command/mod.rs
@@ -0,0 +1,10 @@
+//! The command line of `oleanderwind-standin`.
+
+mod options;
+mod run;
+mod source;
+
+pub use options::StandinCommand;
+pub use run::ServingLine;
+pub use run::run;
+pub use source::SettingsSource;
--- /dev/null
+++ b/crates/standin/src/command/source.rs
@@ -0,0 +1,246 @@
+//! Settings out of flags and environment, with every finding.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use oleanderwind_policy::FindingList;
+use oleanderwind_policy::ProviderId;
+
+use crate::command::StandinCommand;
+use crate::deployment::DeploymentName;
+use crate::searcher::ServiceTimeSettings;
+use crate::server::StandinSettings;
+
+/// Prefix of every environment variable.
+const VARIABLE_PREFIX: &str = "OLEANDERWIND_STANDIN_";
+/// Largest time in milliseconds, one day.
+const MAX_TIME_MS: u64 = 86_400_000;
+/// Largest number of things.
+const MAX_COUNT: u64 = 1_000_000;
+/// A whole, in thousandths.
+const WHOLE_PERMILLE: u32 = 1_000;
+/// Largest standard deviation of the service time's logarithm.
+const MAX_SIGMA: f64 = 3.0;
+
+/// Flags and the environment behind them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SettingsSource {
+    /// The flags.
+    pub command: StandinCommand,
+    /// Environment variables.
+    pub environment: BTreeMap<String, String>,
+}
+
+/// Reads settings and collects findings.
+struct SettingsReader<'a> {
+    environment: &'a BTreeMap<String, String>,
+    findings: FindingList,
+}
+
+/// A setting's text and where it came from.
+struct RawSetting {
+    text: String,
+    place: String,
+}
+
+impl SettingsSource {
+    /// The flags over the process's own environment.
+    pub fn from_environment(command: StandinCommand) -> SettingsSource {
+        let environment = std::env::vars().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
+        SettingsSource { command, environment: environment.collect() }
+    }
+}
+
+impl TryFrom<&SettingsSource> for StandinSettings {
+    type Error = FindingList;
+
+    fn try_from(source: &SettingsSource) -> Result<StandinSettings, FindingList> {
+        let flags = &source.command;
+        let base = StandinSettings::default();
+        let mut reader = SettingsReader::new(&source.environment);
+        let millis = 0..=MAX_TIME_MS;
+        let settings = StandinSettings {
+            deployments: reader.deployments(&flags.deployment, base.deployments),
+            providers: reader.providers(&flags.provider, base.providers),
+            base_port: reader.number("base-port", &flags.base_port, 0..=u16::MAX, base.base_port),
+            seed: reader.number("seed", &flags.seed, 0..=u64::MAX, base.seed),
+            service_time: reader.service_time(flags, base.service_time),
+            queue_bound: reader.number(
+                "queue-bound",
+                &flags.queue_bound,
+                0..=u32::MAX,
+                base.queue_bound,
+            ),
+            snapshot_keep: reader.time(
+                "snapshot-keep-ms",
+                &flags.snapshot_keep_ms,
+                millis.clone(),
+                base.snapshot_keep,
+            ),
+            silent_hold: reader.time(
+                "silent-hold-ms",
+                &flags.silent_hold_ms,
+                millis.clone(),
+                base.silent_hold,
+            ),
+            vm_list_lag: reader.time(
+                "vm-list-lag-ms",
+                &flags.vm_list_lag_ms,
+                millis,
+                base.vm_list_lag,
+            ),
+            history_limit: reader.number(
+                "history-limit",
+                &flags.history_limit,
+                1..=usize::try_from(MAX_COUNT).unwrap_or(usize::MAX),
+                base.history_limit,
+            ),
+            reads_per_second: reader.rate("reads-per-second", &flags.reads_per_second),
+            writes_per_second: reader.rate("writes-per-second", &flags.writes_per_second),
+        };
+        reader.findings.into_result(settings)
+    }
+}
+
+impl<'a> SettingsReader<'a> {
+    /// A reader without findings.
+    fn new(environment: &'a BTreeMap<String, String>) -> SettingsReader<'a> {
+        SettingsReader { environment, findings: FindingList::default() }
+    }
+
+    /// A flag's text, else its variable's.
+    fn find(&self, name: &str, flag: Option<&str>) -> Option<RawSetting> {
+        if let Some(text) = flag {
+            return Some(RawSetting { text: text.to_owned(), place: format!("--{name}") });
+        }
+        let place = format!("{VARIABLE_PREFIX}{}", name.replace('-', "_").to_uppercase());
+        let text = self.environment.get(&place)?.clone();
+        Some(RawSetting { text, place })
+    }
+
+    /// A number within a range.
+    fn number<T>(
+        &mut self,
+        name: &str,
+        flag: &Option<String>,
+        range: RangeInclusive<T>,
+        default: T,
+    ) -> T
+    where
+        T: Copy + FromStr + PartialOrd + std::fmt::Display,
+    {
+        let Some(raw) = self.find(name, flag.as_deref()) else { return default };
+        match raw.text.parse() {
+            Ok(number) if range.contains(&number) => number,
+            _ => {
+                let (low, high) = (range.start(), range.end());
+                self.findings.add(raw.place, format!("is {:?}; give {low} to {high}", raw.text));
+                default
+            }
+        }
+    }
+
+    /// A time given in milliseconds.
+    fn time(
+        &mut self,
+        name: &str,
+        flag: &Option<String>,
+        range: RangeInclusive<u64>,
+        default: Duration,
+    ) -> Duration {
+        let default_ms = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(self.number(name, flag, range, default_ms))
+    }
+
+    /// An optional number of calls a second.
+    fn rate(&mut self, name: &str, flag: &Option<String>) -> Option<u64> {
+        self.find(name, flag.as_deref())?;
+        Some(self.number(name, flag, 1..=MAX_COUNT, 1))
+    }
+
+    /// The distribution of service times.
+    fn service_time(
+        &mut self,
+        flags: &StandinCommand,
+        base: ServiceTimeSettings,
+    ) -> ServiceTimeSettings {
+        let median_us = u64::try_from(base.median.as_micros()).unwrap_or(u64::MAX);
+        let longest_us = MAX_TIME_MS * 1_000;
+        ServiceTimeSettings {
+            median: Duration::from_micros(self.number(
+                "median-us",
+                &flags.median_us,
+                0..=longest_us,
+                median_us,
+            )),
+            sigma: self.number("sigma", &flags.sigma, 0.0..=MAX_SIGMA, base.sigma),
+            straggler_permille: self.number(
+                "straggler-permille",
+                &flags.straggler_permille,
+                0..=WHOLE_PERMILLE,
+                base.straggler_permille,
+            ),
+            straggler_factor: self.number(
+                "straggler-factor",
+                &flags.straggler_factor,
+                1..=WHOLE_PERMILLE,
+                base.straggler_factor,
+            ),
+        }
+    }
+
+    /// Texts of a repeatable flag, else of its variable.
+    fn list(&self, name: &str, flags: &[String]) -> Vec<RawSetting> {
+        if flags.is_empty() {
+            let Some(raw) = self.find(name, None) else { return Vec::new() };
+            let texts = raw.text.split(',').map(|text| text.trim().to_owned());
+            return texts.map(|text| RawSetting { text, place: raw.place.clone() }).collect();
+        }
+        flags.iter().filter_map(|text| self.find(name, Some(text))).collect()
+    }
+
+    /// The deployments to serve.
+    fn deployments(
+        &mut self,
+        flags: &[String],
+        default: Vec<DeploymentName>,
+    ) -> Vec<DeploymentName> {
+        let mut names = Vec::new();
+        for raw in self.list("deployment", flags) {
+            match DeploymentName::parse(&raw.text) {
+                Some(name) if names.contains(&name) => {
+                    self.findings.add(raw.place, format!("{:?} comes twice", raw.text));
+                }
+                Some(name) => names.push(name),
+                None => {
+                    let problem = format!("is {:?}; give tsagaan or haneul", raw.text);
+                    self.findings.add(raw.place, problem);
+                }
+            }
+        }
+        if names.is_empty() { default } else { names }
+    }
+
+    /// The providers.
+    fn providers(&mut self, flags: &[String], default: Vec<ProviderId>) -> Vec<ProviderId> {
+        let mut providers: Vec<ProviderId> = Vec::new();
+        for raw in self.list("provider", flags) {
+            let text = raw.text.as_str();
+            let is_name = !text.is_empty()
+                && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-');
+            match is_name {
+                true if providers.iter().any(|provider| **provider == *text) => {
+                    self.findings.add(raw.place, format!("{text:?} comes twice"));
+                }
+                true => providers.push(text.into()),
+                false => {
+                    self.findings
+                        .add(raw.place, format!("is {text:?}; give letters, digits and -"));
+                }
+            }
+        }
+        if providers.is_empty() { default } else { providers }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! a control port on loopback ports, all on the calling thread's actix system. Faults are put in
 //! force by [`FaultOrder`] and [`PlatformFault`], in the process or over the control port.
 
+mod command;
 mod control;
 mod deployment;
 mod documents;
@@ -12,6 +13,10 @@
 mod searcher;
 mod server;
 
+pub use command::ServingLine;
+pub use command::SettingsSource;
+pub use command::StandinCommand;
+pub use command::run;
 pub use deployment::DeploymentName;
 pub use deployment::DeploymentPlan;
 pub use deployment::ServicePlan;
--- a/crates/standin/src/net/fault_stream.rs
+++ b/crates/standin/src/net/fault_stream.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -33,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StreamControl {
     mode: Rc<Cell<StreamMode>>,
+    silenced: Rc<Notify>,
     closed: Rc<Notify>,
 }
 
@@ -46,12 +48,17 @@
 impl StreamControl {
     /// A connection that works.
     fn new() -> StreamControl {
-        StreamControl { mode: Rc::new(Cell::new(StreamMode::Open)), closed: Rc::new(Notify::new()) }
+        StreamControl {
+            mode: Rc::new(Cell::new(StreamMode::Open)),
+            silenced: Rc::default(),
+            closed: Rc::default(),
+        }
     }
 
     /// Never reads nor writes again, without closing.
     pub(crate) fn silence(&self) {
         self.mode.set(StreamMode::Silent);
+        self.silenced.notify_one();
     }
 
     /// Fails at the next written byte.
@@ -69,6 +76,12 @@
         self.closed.notify_one();
     }
 
+    /// Returns when the connection has been silent for `hold`.
+    pub(crate) async fn silent_for(&self, hold: Duration) {
+        self.silenced.notified().await;
+        actix_rt::time::sleep(hold).await;
+    }
+
     /// Returns when the connection is to be closed.
     pub(crate) async fn closed(&self) {
         self.closed.notified().await;
--- a/crates/standin/src/net/listener.rs
+++ b/crates/standin/src/net/listener.rs
@@ -34,6 +34,7 @@
 pub(crate) struct ConnectionGate {
     limit: u32,
     setup: Duration,
+    silent_hold: Duration,
     next: Cell<u64>,
     open: RefCell<Vec<(u64, StreamControl)>>,
     peak: Cell<u32>,
@@ -53,11 +54,13 @@
 }
 
 impl ConnectionGate {
-    /// A gate for `limit` connections that cost `setup` each.
-    pub(crate) fn new(limit: u32, setup: Duration) -> ConnectionGate {
+    /// A gate for `limit` connections that cost `setup` each and end after `silent_hold` of
+    /// silence.
+    pub(crate) fn new(limit: u32, setup: Duration, silent_hold: Duration) -> ConnectionGate {
         ConnectionGate {
             limit,
             setup,
+            silent_hold,
             next: Cell::new(0),
             open: RefCell::default(),
             peak: Cell::new(0),
@@ -156,9 +159,10 @@
     let Some(pass) = gate.enter(control.clone()) else { return };
     let endpoint = endpoint.clone();
     actix_rt::spawn(async move {
-        let _pass = pass;
+        let gate = &pass.gate;
         tokio::select! {
-            () = serve_one(stream, endpoint, _pass.gate.setup) => {}
+            () = serve_one(stream, endpoint, gate.setup) => {}
+            () = control.silent_for(gate.silent_hold) => {}
             () = control.closed() => {}
         }
     });
--- a/crates/standin/src/searcher/node.rs
+++ b/crates/standin/src/searcher/node.rs
@@ -75,7 +75,11 @@
         let plan = &identity.plan;
         let seed = settings.seed ^ digest(&identity.spec.target);
         SearcherNode {
-            gate: Rc::new(ConnectionGate::new(plan.connection_limit, plan.connection_setup)),
+            gate: Rc::new(ConnectionGate::new(
+                plan.connection_limit,
+                plan.connection_setup,
+                settings.silent_hold,
+            )),
             slots: Semaphore::new(usize::try_from(plan.slots).unwrap_or(1)),
             clock: ServiceClock::new(settings.service_time, seed),
             identity,
@@ -131,12 +135,15 @@
 
     /// Answers one call.
     pub(crate) async fn answer(self: &Rc<SearcherNode>, mut request: Request) -> HttpReply {
-        if self.fault.borrow().frozen {
-            std::future::pending::<()>().await;
-        }
         let control = request.conn_data::<StreamControl>().cloned();
         let method = request.method().clone();
         let path = request.path().to_owned();
+        if matches!(path.as_str(), "/v1/search" | "/v1/execute") {
+            self.count_arrival();
+        }
+        if self.fault.borrow().frozen {
+            std::future::pending::<()>().await;
+        }
         match (&method, path.as_str()) {
             (&Method::POST, "/v1/search") => self.search(&mut request, control.as_ref()).await,
             (&Method::POST, "/v1/execute") => self.execute(&mut request, control.as_ref()).await,
@@ -148,7 +155,7 @@
     }
 
     /// Counts a call that arrived.
-    pub(crate) fn count_arrival(&self) {
+    fn count_arrival(&self) {
         let drained_at = self.fault.borrow().drained_at;
         let mut counter = self.counter.borrow_mut();
         counter.received += 1;
--- a/crates/standin/src/searcher/reply.rs
+++ b/crates/standin/src/searcher/reply.rs
@@ -39,7 +39,6 @@
         request: &mut Request,
         control: Option<&StreamControl>,
     ) -> HttpReply {
-        self.count_arrival();
         let Ok(call) = parse_body::<ShardCall>(request, MAX_CALL_BYTES).await else {
             return self.refuse(0, RefusalCause::Malformed);
         };
@@ -93,7 +92,6 @@
         request: &mut Request,
         control: Option<&StreamControl>,
     ) -> HttpReply {
-        self.count_arrival();
         let Ok(call) = parse_body::<ExecuteCall>(request, MAX_CALL_BYTES).await else {
             return self.refuse(0, RefusalCause::Malformed);
         };
--- a/crates/standin/src/server/settings.rs
+++ b/crates/standin/src/server/settings.rs
@@ -24,6 +24,8 @@
     pub queue_bound: u32,
     /// How long an old snapshot is kept after a new one.
     pub snapshot_keep: Duration,
+    /// How long a silent connection still counts, until it is noticed.
+    pub silent_hold: Duration,
     /// Lag of the VM list.
     pub vm_list_lag: Duration,
     /// Changes that the platform remembers for watches.
@@ -44,6 +46,7 @@
             service_time: ServiceTimeSettings::default(),
             queue_bound: 8,
             snapshot_keep: Duration::from_secs(10),
+            silent_hold: Duration::from_secs(30),
             vm_list_lag: Duration::from_secs(2),
             history_limit: 10_000,
             reads_per_second: None,
--- a/crates/standin/src/server/standin.rs
+++ b/crates/standin/src/server/standin.rs
@@ -99,10 +99,11 @@
         let state = Rc::new(ServerState::new(platform, nodes, executions, settings.snapshot_keep));
         state.publish();
         bound.into_iter().for_each(serve_searcher);
+        let hold = settings.silent_hold;
         let served = ServedEndpoint::Platform(Rc::clone(&state.platform));
-        let platform_listener = serve(platform_socket, open_gate(), served);
+        let platform_listener = serve(platform_socket, open_gate(hold), served);
         let control_listener =
-            serve(control_socket, open_gate(), ServedEndpoint::Control(Rc::clone(&state)));
+            serve(control_socket, open_gate(hold), ServedEndpoint::Control(Rc::clone(&state)));
         Ok(StandinServer {
             state,
             platform_address,
@@ -233,6 +234,6 @@
 }
 
 /// A gate that limits little.
-fn open_gate() -> Rc<ConnectionGate> {
-    Rc::new(ConnectionGate::new(OPEN_CONNECTION_LIMIT, Duration::ZERO))
+fn open_gate(silent_hold: Duration) -> Rc<ConnectionGate> {
+    Rc::new(ConnectionGate::new(OPEN_CONNECTION_LIMIT, Duration::ZERO, silent_hold))
 }
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use awc::Connector;
 use awc::http::StatusCode;
 use oleanderwind_policy::TargetSpec;
+use oleanderwind_standin::CallReport;
 use oleanderwind_standin::FaultOrder;
 use oleanderwind_standin::FaultScope;
 use oleanderwind_standin::SearcherFault;
@@ -21,8 +22,12 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-/// Longer than any reply of these tests takes; a silent connection is told by it.
-pub(crate) const PATIENCE: Duration = Duration::from_millis(400);
+/// Time for a reply that has to come; not a bound on how long it should take.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(15);
+/// Time after which a reply that must not come counts as missing.
+pub(crate) const SILENCE: Duration = Duration::from_millis(150);
+/// Milliseconds that never pass in a test.
+pub(crate) const FOREVER_MS: u64 = 3_600_000;
 
 /// A reply's status and JSON.
 #[derive(Clone, Debug)]
@@ -57,10 +62,41 @@
     actix_rt::System::new().block_on(async { test(StandinServer::start(settings).unwrap()).await })
 }
 
-/// A client with connections of its own.
+/// A client with one connection of its own that waits for replies.
 pub(crate) fn client() -> Client {
-    let connector = Connector::new().limit(1);
-    Client::builder().connector(connector).timeout(PATIENCE).finish()
+    client_with(PATIENCE)
+}
+
+/// A client that soon gives up.
+pub(crate) fn impatient_client() -> Client {
+    client_with(SILENCE)
+}
+
+/// A client that gives up after `timeout`.
+fn client_with(timeout: Duration) -> Client {
+    Client::builder().connector(Connector::new().limit(1)).timeout(timeout).finish()
+}
+
+/// Waits until the stand-ins reached a state.
+pub(crate) async fn wait_until(reached: impl Fn() -> bool) {
+    let step = Duration::from_millis(2);
+    for _ in 0..PATIENCE.as_millis() / step.as_millis() {
+        if reached() {
+            return;
+        }
+        actix_rt::time::sleep(step).await;
+    }
+    panic!("the state was never reached");
+}
+
+/// What one searcher received and did.
+pub(crate) fn calls(server: &StandinServer, spec: &TargetSpec) -> CallReport {
+    server.calls().into_iter().find(|report| report.searcher == spec.target).unwrap()
+}
+
+/// Sends a call without a body.
+pub(crate) async fn get(client: &Client, url: String) -> Option<TestReply> {
+    send(client, "GET", url, &Value::Null).await
 }
 
 /// Sends JSON; `None` when no whole reply came.
@@ -107,7 +143,7 @@
         customer: "tsagaan-ordon".into(),
         shard: 0,
         index_version: 1,
-        deadline_ms: 5_000,
+        deadline_ms: FOREVER_MS,
         query: "budget law".to_owned(),
     }
 }
@@ -118,7 +154,7 @@
         call_id,
         customer: "tsagaan-ordon".into(),
         idempotency_key: format!("key-{call_id}"),
-        deadline_ms: 5_000,
+        deadline_ms: FOREVER_MS,
         body: "enter".to_owned(),
     }
 }
--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,26 @@
+//! The program `oleanderwind-standin` from its first line to its exit.
+#![allow(clippy::unwrap_used)]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Command;
+use std::process::Stdio;
+
+use oleanderwind_standin::ServingLine;
+
+#[test]
+fn program_prints_its_addresses_and_stops_on_sigterm() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_oleanderwind-standin"))
+        .args(["--deployment", "haneul"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let line: ServingLine = serde_json::from_str(&line).unwrap();
+    assert!(std::net::TcpStream::connect(line.platform).is_ok());
+    assert!(std::net::TcpStream::connect(line.control).is_ok());
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
