perf(standin): bound the history's bytes and share objects and services

Cause: the history kept two copies of up to 10,000 objects of up to 1 MiB, a read of one object cloned every object of its kind, and each connection owned a timer for the date header. Change: objects are shared, the history keeps at most 64 MiB, one object is read alone, one HTTP service serves all connections of a listener, and an unknown OLEANDERWIND_STANDIN_ variable is a finding. One function serves a searcher at the start and after it was down. Conclusion: the store's memory has a bound that doesn't depend on the number of writes.

--- a/crates/standin/src/command/source.rs
+++ b/crates/standin/src/command/source.rs
@@ -1,6 +1,7 @@
 //! Settings out of flags and environment, with every finding.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::time::Duration;
@@ -36,6 +37,7 @@
 /// Reads settings and collects findings.
 struct SettingsReader<'a> {
     environment: &'a BTreeMap<String, String>,
+    known: BTreeSet<String>,
     findings: FindingList,
 }
 
@@ -100,6 +102,7 @@
             reads_per_second: reader.rate("reads-per-second", &flags.reads_per_second),
             writes_per_second: reader.rate("writes-per-second", &flags.writes_per_second),
         };
+        reader.check_variables();
         reader.findings.into_result(settings)
     }
 }
@@ -107,17 +110,25 @@
 impl<'a> SettingsReader<'a> {
     /// A reader without findings.
     fn new(environment: &'a BTreeMap<String, String>) -> SettingsReader<'a> {
-        SettingsReader { environment, findings: FindingList::default() }
+        SettingsReader { environment, known: BTreeSet::new(), findings: FindingList::default() }
     }
 
     /// A flag's text, else its variable's.
-    fn find(&self, name: &str, flag: Option<&str>) -> Option<RawSetting> {
+    fn find(&mut self, name: &str, flag: Option<&str>) -> Option<RawSetting> {
+        let variable = format!("{VARIABLE_PREFIX}{}", name.replace('-', "_").to_uppercase());
+        self.known.insert(variable.clone());
         if let Some(text) = flag {
             return Some(RawSetting { text: text.to_owned(), place: format!("--{name}") });
         }
-        let place = format!("{VARIABLE_PREFIX}{}", name.replace('-', "_").to_uppercase());
-        let text = self.environment.get(&place)?.clone();
-        Some(RawSetting { text, place })
+        let text = self.environment.get(&variable)?.clone();
+        Some(RawSetting { text, place: variable })
+    }
+
+    /// Adds a finding for each variable that belongs to no setting.
+    fn check_variables(&mut self) {
+        for name in self.environment.keys().filter(|name| !self.known.contains(*name)) {
+            self.findings.add(name.as_str(), "is not a setting; see --help");
+        }
     }
 
     /// A number within a range.
@@ -192,7 +203,7 @@
     }
 
     /// Texts of a repeatable flag, else of its variable.
-    fn list(&self, name: &str, flags: &[String]) -> Vec<RawSetting> {
+    fn list(&mut self, name: &str, flags: &[String]) -> Vec<RawSetting> {
         if flags.is_empty() {
             let Some(raw) = self.find(name, None) else { return Vec::new() };
             let texts = raw.text.split(',').map(|text| text.trim().to_owned());
--- a/crates/standin/src/net/listener.rs
+++ b/crates/standin/src/net/listener.rs
@@ -13,6 +13,7 @@
 use actix_http::KeepAlive;
 use actix_http::Protocol;
 use actix_http::Request;
+use actix_http::error::DispatchError;
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
@@ -29,6 +30,14 @@
 /// Pending connections that the kernel keeps.
 const BACKLOG: u32 = 1_024;
 
+/// Time for a connection to close.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+
+/// A connection as [`HttpService`] takes it.
+type ServedConnection = (FaultStream, Protocol, Option<SocketAddr>);
+
 /// Limits the connections of one endpoint and knows those that are open.
 #[derive(Debug)]
 pub(crate) struct ConnectionGate {
@@ -140,28 +149,46 @@
 
 /// Accepts connections forever.
 async fn accept_all(listener: TcpListener, gate: Rc<ConnectionGate>, endpoint: ServedEndpoint) {
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Os)
+        .client_request_timeout(Duration::ZERO)
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &FaultStream, data| {
+            data.insert(stream.control());
+        })
+        .finish(fn_service(move |request: Request| {
+            let endpoint = endpoint.clone();
+            async move { Ok::<HttpReply, Infallible>(endpoint.answer(request).await) }
+        }));
+    // One service for all connections: each one owns a timer for the date header.
+    let Ok(service) = factory.new_service(()).await else { return };
+    let service = Rc::new(service);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => accept_one(stream, &gate, &endpoint),
+            Ok((stream, _)) => accept_one(stream, &gate, &service),
             Err(error) => {
                 log::warn!("accept failed: {error}");
-                actix_rt::time::sleep(Duration::from_millis(1)).await;
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
 /// Starts a connection's task unless the gate is full.
-fn accept_one(stream: TcpStream, gate: &Rc<ConnectionGate>, endpoint: &ServedEndpoint) {
+fn accept_one<S>(stream: TcpStream, gate: &Rc<ConnectionGate>, service: &Rc<S>)
+where
+    S: Service<ServedConnection, Error = DispatchError> + 'static,
+{
     let _ = stream.set_nodelay(true);
     let stream = FaultStream::new(stream);
     let control = stream.control();
     let Some(pass) = gate.enter(control.clone()) else { return };
-    let endpoint = endpoint.clone();
+    let service = Rc::clone(service);
     actix_rt::spawn(async move {
         let gate = &pass.gate;
         tokio::select! {
-            () = serve_one(stream, endpoint, gate.setup) => {}
+            () = serve_one(stream, &*service, gate.setup) => {}
             () = control.silent_for(gate.silent_hold) => {}
             () = control.closed() => {}
         }
@@ -169,23 +196,13 @@
 }
 
 /// Serves the requests of one connection.
-async fn serve_one(stream: FaultStream, endpoint: ServedEndpoint, setup: Duration) {
+async fn serve_one<S>(stream: FaultStream, service: &S, setup: Duration)
+where
+    S: Service<ServedConnection, Error = DispatchError>,
+{
     if !setup.is_zero() {
         actix_rt::time::sleep(setup).await;
     }
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Os)
-        .client_request_timeout(Duration::ZERO)
-        .client_disconnect_timeout(Duration::from_secs(1))
-        .h1_allow_half_closed(false)
-        .on_connect_ext(|stream: &FaultStream, data| {
-            data.insert(stream.control());
-        })
-        .finish(fn_service(move |request: Request| {
-            let endpoint = endpoint.clone();
-            async move { Ok::<HttpReply, Infallible>(endpoint.answer(request).await) }
-        }));
-    let Ok(service) = factory.new_service(()).await else { return };
     if let Err(error) = service.call((stream, Protocol::Http1, None)).await {
         log::debug!("connection ended: {error}");
     }
--- a/crates/standin/src/platform/error.rs
+++ b/crates/standin/src/platform/error.rs
@@ -1,5 +1,7 @@
 //! Failures of Object API calls.
 
+use std::rc::Rc;
+
 use actix_http::StatusCode;
 use oleanderwind_wire::ObjectDocument;
 use oleanderwind_wire::PlatformStatus;
@@ -18,7 +20,7 @@
     /// The name is taken.
     AlreadyExists,
     /// The object changed; carries its present state.
-    Conflict(Box<ObjectDocument>),
+    Conflict(Rc<ObjectDocument>),
     /// The version is no longer in the history.
     Expired,
     /// The body is over the limit.
@@ -35,7 +37,7 @@
     #[serde(flatten)]
     status: PlatformStatus,
     #[serde(skip_serializing_if = "Option::is_none")]
-    current: Option<Box<ObjectDocument>>,
+    current: Option<Rc<ObjectDocument>>,
 }
 
 impl PlatformError {
--- a/crates/standin/src/platform/node.rs
+++ b/crates/standin/src/platform/node.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// The time whose state of a kind is shown now.
+    pub(crate) fn seen(&self, kind: &str) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(self.lag(kind)).unwrap_or(now)
+    }
+
     /// Answers one call.
     pub(crate) async fn answer(self: &Rc<PlatformNode>, mut request: Request) -> HttpReply {
         let control = request.conn_data::<StreamControl>().cloned();
@@ -180,13 +186,15 @@
             return watch_reply(self, route);
         }
         let store = self.store.borrow();
-        let seen = Instant::now().checked_sub(self.lag(&route.kind)).unwrap_or_else(Instant::now);
-        let list = store.list(&route.kind, seen);
+        let seen = self.seen(&route.kind);
         if route.call == CallKind::List {
-            return Ok(json_reply(StatusCode::OK, &list));
+            return Ok(json_reply(StatusCode::OK, &store.list(&route.kind, seen)));
         }
-        let found = list.items.iter().find(|item| item.metadata.name == route.name);
-        found.map(|item| json_reply(StatusCode::OK, item)).ok_or(PlatformError::NotFound)
+        let found = match self.lag(&route.kind).is_zero() {
+            true => store.get(&route.kind, &route.name).cloned(),
+            false => store.get_at(&route.kind, &route.name, seen),
+        };
+        found.map(|item| json_reply(StatusCode::OK, &item)).ok_or(PlatformError::NotFound)
     }
 
     /// Runs a call that changes an object.
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Instant;
 
 use oleanderwind_wire::ObjectDocument;
@@ -12,22 +13,28 @@
 
 use crate::platform::error::PlatformError;
 
+/// Bytes of objects that the history keeps at most.
+const MAX_HISTORY_BYTES: usize = 64 << 20;
+
 /// One change, with what it replaced.
 #[derive(Clone, Debug)]
 struct HistoryEntry {
     version: u64,
     at: Instant,
-    event: WatchEvent,
-    before: Option<ObjectDocument>,
+    change: WatchKind,
+    object: Rc<ObjectDocument>,
+    before: Option<Rc<ObjectDocument>>,
+    bytes: usize,
 }
 
 /// Every object of every kind.
 #[derive(Debug)]
 pub(crate) struct ObjectStore {
-    objects: BTreeMap<(String, String), ObjectDocument>,
+    objects: BTreeMap<(String, String), Rc<ObjectDocument>>,
     version: u64,
     history: VecDeque<HistoryEntry>,
     history_limit: usize,
+    history_bytes: usize,
     /// Highest version whose change is no longer in the history.
     forgotten: u64,
 }
@@ -40,6 +47,7 @@
             version: 0,
             history: VecDeque::new(),
             history_limit,
+            history_bytes: 0,
             forgotten: 0,
         }
     }
@@ -55,7 +63,7 @@
     }
 
     /// One object.
-    pub(crate) fn get(&self, kind: &str, name: &str) -> Option<&ObjectDocument> {
+    pub(crate) fn get(&self, kind: &str, name: &str) -> Option<&Rc<ObjectDocument>> {
         self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
 
@@ -64,7 +72,7 @@
         &mut self,
         document: ObjectDocument,
         now: Instant,
-    ) -> Result<ObjectDocument, PlatformError> {
+    ) -> Result<Rc<ObjectDocument>, PlatformError> {
         match self.get(&document.kind, &document.metadata.name) {
             Some(_) => Err(PlatformError::AlreadyExists),
             None => Ok(self.record(WatchKind::Added, document, None, now)),
@@ -76,7 +84,7 @@
         &mut self,
         document: ObjectDocument,
         now: Instant,
-    ) -> Result<ObjectDocument, PlatformError> {
+    ) -> Result<Rc<ObjectDocument>, PlatformError> {
         let expected = document.revision();
         let before = self.at_version(&document.kind, &document.metadata.name, Some(expected))?;
         Ok(self.record(WatchKind::Modified, document, Some(before), now))
@@ -89,9 +97,9 @@
         name: &str,
         expected: Option<u64>,
         now: Instant,
-    ) -> Result<ObjectDocument, PlatformError> {
+    ) -> Result<Rc<ObjectDocument>, PlatformError> {
         let before = self.at_version(kind, name, expected)?;
-        Ok(self.record(WatchKind::Deleted, before.clone(), Some(before), now))
+        Ok(self.record(WatchKind::Deleted, (*before).clone(), Some(before), now))
     }
 
     /// Creates or replaces an object whatever its version.
@@ -105,7 +113,7 @@
 
     /// Objects of a kind as they were at `at`.
     pub(crate) fn list(&self, kind: &str, at: Instant) -> ObjectList {
-        let mut items: BTreeMap<&str, &ObjectDocument> = self
+        let mut items: BTreeMap<&str, &Rc<ObjectDocument>> = self
             .objects
             .iter()
             .filter(|((object_kind, _), _)| object_kind == kind)
@@ -114,10 +122,10 @@
         let mut version = self.version;
         for entry in self.history.iter().rev().take_while(|entry| entry.at > at) {
             version = entry.version - 1;
-            if entry.event.object.kind != kind {
+            if entry.object.kind != kind {
                 continue;
             }
-            let name = entry.event.object.metadata.name.as_str();
+            let name = entry.object.metadata.name.as_str();
             match &entry.before {
                 Some(before) => items.insert(name, before),
                 None => items.remove(name),
@@ -125,7 +133,18 @@
         }
         ObjectList {
             metadata: version_metadata(version),
-            items: items.into_values().cloned().collect(),
+            items: items.into_values().map(|item| (**item).clone()).collect(),
+        }
+    }
+
+    /// One object as it was at `at`.
+    pub(crate) fn get_at(&self, kind: &str, name: &str, at: Instant) -> Option<Rc<ObjectDocument>> {
+        let later = self.history.iter().filter(|entry| entry.at > at);
+        let mut changes =
+            later.filter(|entry| entry.object.kind == kind && entry.object.metadata.name == name);
+        match changes.next() {
+            Some(entry) => entry.before.clone(),
+            None => self.get(kind, name).cloned(),
         }
     }
 
@@ -143,8 +162,8 @@
             .history
             .iter()
             .filter(|entry| entry.version > version && entry.at <= at)
-            .filter(|entry| entry.event.object.kind == kind)
-            .map(|entry| entry.event.clone());
+            .filter(|entry| entry.object.kind == kind)
+            .map(|entry| WatchEvent { kind: entry.change, object: (*entry.object).clone() });
         Ok(changes.collect())
     }
 
@@ -160,13 +179,13 @@
         kind: &str,
         name: &str,
         expected: Option<u64>,
-    ) -> Result<ObjectDocument, PlatformError> {
+    ) -> Result<Rc<ObjectDocument>, PlatformError> {
         let current = self.get(kind, name).ok_or(PlatformError::NotFound)?;
         match expected {
             Some(expected) if expected != current.revision() => {
-                Err(PlatformError::Conflict(Box::new(current.clone())))
+                Err(PlatformError::Conflict(Rc::clone(current)))
             }
-            _ => Ok(current.clone()),
+            _ => Ok(Rc::clone(current)),
         }
     }
 
@@ -175,22 +194,34 @@
         &mut self,
         change: WatchKind,
         mut document: ObjectDocument,
-        before: Option<ObjectDocument>,
+        before: Option<Rc<ObjectDocument>>,
         now: Instant,
-    ) -> ObjectDocument {
+    ) -> Rc<ObjectDocument> {
         self.version += 1;
         document.metadata.resource_version = self.version.to_string();
         let key = (document.kind.clone(), document.metadata.name.clone());
+        let bytes = document.to_bytes().len();
+        let object = Rc::new(document);
         match change {
             WatchKind::Deleted => self.objects.remove(&key),
-            _ => self.objects.insert(key, document.clone()),
+            _ => self.objects.insert(key, Rc::clone(&object)),
         };
-        let event = WatchEvent { kind: change, object: document.clone() };
-        self.history.push_back(HistoryEntry { version: self.version, at: now, event, before });
-        while self.history.len() > self.history_limit {
-            self.forgotten = self.history.pop_front().map_or(self.forgotten, |entry| entry.version);
+        let version = self.version;
+        let entry =
+            HistoryEntry { version, at: now, change, object: Rc::clone(&object), before, bytes };
+        self.history.push_back(entry);
+        self.history_bytes += bytes;
+        self.forget();
+        object
+    }
+
+    /// Drops the oldest changes until both bounds hold.
+    fn forget(&mut self) {
+        while self.history.len() > self.history_limit || self.history_bytes > MAX_HISTORY_BYTES {
+            let Some(entry) = self.history.pop_front() else { return };
+            self.history_bytes -= entry.bytes;
+            self.forgotten = entry.version;
         }
-        document
     }
 }
 
--- a/crates/standin/src/platform/watch.rs
+++ b/crates/standin/src/platform/watch.rs
@@ -97,19 +97,13 @@
 
     /// Events that became visible; `None` when the history no longer has them.
     fn take_events(&mut self) -> Option<Vec<WatchEvent>> {
-        let seen = self.seen();
+        let seen = self.platform.seen(&self.kind);
         let store = self.platform.store.borrow();
         let events = store.changes_after(&self.kind, self.version, seen).ok()?;
         self.version = self.version.max(store.version_at(seen));
         Some(events)
     }
 
-    /// The time whose state is shown.
-    fn seen(&self) -> Instant {
-        let now = Instant::now();
-        now.checked_sub(self.platform.lag(&self.kind)).unwrap_or(now)
-    }
-
     /// Waits for a change, the next look at a lagging kind, or the end.
     async fn wait(&self) {
         let now = Instant::now();
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -14,3 +14,4 @@
 pub use settings::StandinSettings;
 pub use standin::StandinServer;
 pub(crate) use state::ServerState;
+pub(crate) use state::serve_searcher;
--- a/crates/standin/src/server/standin.rs
+++ b/crates/standin/src/server/standin.rs
@@ -31,6 +31,7 @@
 use crate::server::ServerState;
 use crate::server::SnapshotOrder;
 use crate::server::StandinSettings;
+use crate::server::serve_searcher;
 
 /// Connections that the platform and the control port accept.
 const OPEN_CONNECTION_LIMIT: u32 = 10_000;
@@ -98,7 +99,7 @@
         let nodes = bound.iter().map(|searcher| Rc::clone(&searcher.node)).collect();
         let state = Rc::new(ServerState::new(platform, nodes, executions, settings.snapshot_keep));
         state.publish();
-        bound.into_iter().for_each(serve_searcher);
+        bound.into_iter().for_each(|searcher| serve_searcher(&searcher.node, searcher.socket));
         let hold = settings.silent_hold;
         let served = ServedEndpoint::Platform(Rc::clone(&state.platform));
         let platform_listener = serve(platform_socket, open_gate(hold), served);
@@ -226,13 +227,6 @@
     }
 }
 
-/// Starts to serve one searcher.
-fn serve_searcher(bound: BoundSearcher) {
-    let endpoint = ServedEndpoint::Searcher(Rc::clone(&bound.node));
-    let listener = serve(bound.socket, Rc::clone(&bound.node.gate), endpoint);
-    bound.node.listener.borrow_mut().replace(listener);
-}
-
 /// A gate that limits little.
 fn open_gate(silent_hold: Duration) -> Rc<ConnectionGate> {
     Rc::new(ConnectionGate::new(OPEN_CONNECTION_LIMIT, Duration::ZERO, silent_hold))
--- a/crates/standin/src/server/state.rs
+++ b/crates/standin/src/server/state.rs
@@ -14,6 +14,7 @@
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_policy::TargetPhase;
 use oleanderwind_policy::TargetSpec;
+use tokio::net::TcpListener;
 
 use crate::documents::shard_documents;
 use crate::net::bind;
@@ -209,10 +210,15 @@
         return Ok(());
     }
     let (socket, _) = bind(node.address().port())?;
+    serve_searcher(node, socket);
+    Ok(())
+}
+
+/// Serves a searcher on a bound port.
+pub(crate) fn serve_searcher(node: &Rc<SearcherNode>, socket: TcpListener) {
     let endpoint = ServedEndpoint::Searcher(Rc::clone(node));
     let listener = serve(socket, Rc::clone(&node.gate), endpoint);
     node.listener.borrow_mut().replace(listener);
-    Ok(())
 }
 
 /// Whether a target serves that service for that provider.
--- a/crates/standin/tests/command.rs
+++ b/crates/standin/tests/command.rs
@@ -91,12 +91,14 @@
     let variables = [
         ("OLEANDERWIND_STANDIN_PROVIDER", "alpha,alpha"),
         ("OLEANDERWIND_STANDIN_WRITES_PER_SECOND", "0"),
+        ("OLEANDERWIND_STANDIN_SEEDS", "1"),
     ];
     expect![[r#"
         --deployment: is "seoul"; give tsagaan or haneul
         OLEANDERWIND_STANDIN_PROVIDER: "alpha" comes twice
         --base-port: is "70000"; give 0 to 65535
         --sigma: is "NaN"; give 0 to 3
-        OLEANDERWIND_STANDIN_WRITES_PER_SECOND: is "0"; give 1 to 1000000"#]]
+        OLEANDERWIND_STANDIN_WRITES_PER_SECOND: is "0"; give 1 to 1000000
+        OLEANDERWIND_STANDIN_SEEDS: is not a setting; see --help"#]]
     .assert_eq(&parse(&flags, &variables).unwrap_err());
 }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -150,6 +150,18 @@
     });
 }
 
+#[test]
+fn watch_refuses_a_version_that_large_objects_pushed_out() {
+    with_server(settings(1), async |server| {
+        let start = server.platform_report().version;
+        let large = "x".repeat(1 << 20);
+        (0..64).for_each(|_| server.put_object("ledger", "one", &large));
+        let path = format!("ledger?watch=1&resourceVersion={start}&timeoutSeconds=0");
+        let reply = get(&client(), object_url(&server, &path)).await.unwrap();
+        assert_eq!(reply.status, 410);
+    });
+}
+
 #[test]
 fn lost_reply_leaves_the_write_in_force() {
     for manner in [SilenceManner::Closed, SilenceManner::Silent] {
@@ -231,6 +243,8 @@
             };
             assert_eq!(list("vms").await.items.len(), seen);
             assert_eq!(list("ledger").await.items.len(), 1);
+            let read = get(&client(), object_url(&server, "vms/vm-1")).await.unwrap();
+            assert_eq!(read.status, if seen == 0 { 404 } else { 200 });
             assert_eq!(watch(&server, "vms", start).await.len(), seen + 1);
         });
     }
