fix(standin): print findings without a source location

Cause: the program's error ended with the line of the code that made it, no use to a stranger. Change: the root prints the error chain and exits 1; a golden test of the program's findings. Conclusion: the program tells every finding and nothing else.

--- a/src/bin/oleanderwind-standin.rs
+++ b/src/bin/oleanderwind-standin.rs
@@ -1,8 +1,16 @@
 //! Serves stand-ins of the platform and of the searchers.
 
+use std::process::ExitCode;
+
 use oleanderwind_standin::StandinCommand;
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
     let command: StandinCommand = argh::from_env();
-    oleanderwind_standin::run(command)
+    match oleanderwind_standin::run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -6,6 +6,7 @@
 use std::process::Command;
 use std::process::Stdio;
 
+use expect_test::expect;
 use oleanderwind_standin::ServingLine;
 
 #[test]
@@ -24,3 +25,18 @@
     assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
+
+#[test]
+fn program_reports_every_finding_and_fails() {
+    let output = Command::new(env!("CARGO_BIN_EXE_oleanderwind-standin"))
+        .args(["--deployment", "seoul", "--sigma", "x"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    expect![[r#"
+        settings are wrong
+        --deployment: is "seoul"; give tsagaan or haneul
+        --sigma: is "x"; give 0 to 3
+    "#]]
+    .assert_eq(&String::from_utf8(output.stderr).unwrap());
+}
