--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,5 @@
+//! Operators' HTTP interface.
+
+mod service;
+
+pub(crate) use service::AdminService;
--- /dev/null
+++ b/crates/daemon/src/directory/mod.rs
@@ -0,0 +1,6 @@
+//! Configuration in force on this VM.
+
+mod service;
+mod state;
+
+pub(crate) use service::DirectoryService;
--- /dev/null
+++ b/crates/daemon/src/edge/mod.rs
@@ -0,0 +1,8 @@
+//! Traits at the edges of the process.
+
+mod platform;
+
+pub(crate) use platform::ObjectKind;
+pub(crate) use platform::PlatformEdge;
+pub(crate) use platform::PlatformError;
+pub(crate) use platform::WatchStream;
--- /dev/null
+++ b/crates/daemon/src/edge/platform.rs
@@ -0,0 +1,111 @@
+//! The edge towards the platform's Object API.
+
+use std::fmt;
+
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::LocalBoxStream;
+use oleanderwind_policy::Revision;
+use oleanderwind_wire::ObjectDocument;
+use oleanderwind_wire::ObjectList;
+use oleanderwind_wire::WatchEvent;
+
+/// Kinds of objects that the daemon uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ObjectKind {
+    /// Operators' contracts.
+    Contracts,
+    /// Index versions with their partition maps.
+    Snapshots,
+    /// Targets' status.
+    Targets,
+    /// The platform's VM list.
+    Vms,
+    /// Segments of the ledger.
+    Ledger,
+}
+
+impl ObjectKind {
+    /// Kinds that every VM keeps up to date.
+    pub(crate) const CONFIGURATION: [ObjectKind; 4] =
+        [ObjectKind::Contracts, ObjectKind::Snapshots, ObjectKind::Targets, ObjectKind::Vms];
+
+    /// The kind's plural name in paths.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            ObjectKind::Contracts => "contracts",
+            ObjectKind::Snapshots => "snapshots",
+            ObjectKind::Targets => "targets",
+            ObjectKind::Vms => "vms",
+            ObjectKind::Ledger => "ledger",
+        }
+    }
+}
+
+/// Why a call to the platform has no result.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum PlatformError {
+    /// The object changed since it was read; nothing was written.
+    Conflict,
+    /// An object of that name exists; nothing was written.
+    AlreadyExists,
+    /// No object of that name.
+    NotFound,
+    /// The watch's version is too old; list again.
+    Expired,
+    /// Refused before any effect, for the text's reason.
+    Refused(String),
+    /// It can't be told whether the call took effect.
+    Uncertain(String),
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PlatformError::Conflict => write!(f, "the object changed; read it again"),
+            PlatformError::AlreadyExists => write!(f, "the object exists; read it first"),
+            PlatformError::NotFound => write!(f, "there is no such object"),
+            PlatformError::Expired => write!(f, "the version is too old; list again"),
+            PlatformError::Refused(reason) => write!(f, "the platform refused: {reason}"),
+            PlatformError::Uncertain(reason) => write!(f, "the effect is uncertain: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+/// Events of a watch; ends when the platform ends it or the connection breaks.
+pub(crate) type WatchStream = LocalBoxStream<'static, Result<WatchEvent, PlatformError>>;
+
+/// Calls to the Object API.
+pub(crate) trait PlatformEdge {
+    /// Every object of a kind.
+    fn list(&self, kind: ObjectKind) -> LocalBoxFuture<'_, Result<ObjectList, PlatformError>>;
+
+    /// One object.
+    fn get<'a>(
+        &'a self,
+        kind: ObjectKind,
+        name: &'a str,
+    ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>>;
+
+    /// Creates an object; answers it with its version.
+    fn create<'a>(
+        &'a self,
+        kind: ObjectKind,
+        object: &'a ObjectDocument,
+    ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>>;
+
+    /// Updates an object if its version is still the one given.
+    fn update<'a>(
+        &'a self,
+        kind: ObjectKind,
+        object: &'a ObjectDocument,
+    ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>>;
+
+    /// Changes after a version.
+    fn watch(
+        &self,
+        kind: ObjectKind,
+        after: Revision,
+    ) -> LocalBoxFuture<'_, Result<WatchStream, PlatformError>>;
+}
--- /dev/null
+++ b/crates/daemon/src/fanout/service.rs
@@ -0,0 +1,158 @@
+//! Queries as the other services start them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use oleanderwind_policy::CallId;
+use oleanderwind_policy::FanoutEngine;
+use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::FanoutResult;
+use oleanderwind_policy::FanoutSettings;
+use oleanderwind_policy::QueryId;
+use oleanderwind_policy::TargetId;
+use oleanderwind_wire::SearchHit;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::directory::DirectoryService;
+use crate::kernel::Kernel;
+use crate::kernel::KernelError;
+use crate::settings::DaemonSettings;
+use crate::targets::TargetService;
+
+/// How often a drain looks for running queries.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+/// Bits of the VM's hash that go into call ids.
+const CALL_PREFIX_MASK: u64 = 0x00ff_ffff;
+
+/// What a query came to, with its merged hits.
+#[derive(Debug)]
+pub(crate) struct FanoutReply {
+    pub(crate) result: FanoutResult,
+    /// Hits of every merged answer, unordered.
+    pub(crate) hits: Vec<SearchHit>,
+}
+
+/// A query as the driver holds it.
+pub(crate) struct DrivenQuery {
+    pub(crate) plan: FanoutPlan,
+    pub(crate) text: Rc<str>,
+    pub(crate) hits: Vec<SearchHit>,
+    pub(crate) reply: oneshot::Sender<FanoutReply>,
+}
+
+/// The engine with what it keeps no bytes of.
+pub(crate) struct FanoutService {
+    pub(crate) engine: RefCell<FanoutEngine>,
+    pub(crate) queries: RefCell<HashMap<QueryId, DrivenQuery>>,
+    pub(crate) answers: RefCell<HashMap<CallId, Vec<SearchHit>>>,
+    pub(crate) targets: Rc<TargetService>,
+    pub(crate) timer_changes: Notify,
+    next_query: Cell<QueryId>,
+}
+
+impl FanoutService {
+    /// Starts the timers and follows the directory's targets.
+    pub(crate) fn start(kernel: &Rc<Kernel>) -> Result<Rc<FanoutService>, KernelError> {
+        let directory = kernel.directory()?;
+        let fanout = Rc::new(FanoutService {
+            engine: RefCell::new(FanoutEngine::new(engine_settings(kernel.settings()))),
+            queries: RefCell::new(HashMap::new()),
+            answers: RefCell::new(HashMap::new()),
+            targets: kernel.targets()?,
+            timer_changes: Notify::new(),
+            next_query: Cell::new(1),
+        });
+        actix_rt::spawn(follow_targets(fanout.clone(), directory));
+        actix_rt::spawn(crate::fanout::driver::run_timers(fanout.clone()));
+        Ok(fanout)
+    }
+
+    /// Runs a query to its end; dropping the future abandons it.
+    pub(crate) async fn search(
+        self: &Rc<Self>,
+        plan: FanoutPlan,
+        text: &str,
+    ) -> Option<FanoutReply> {
+        let query = self.next_query.get();
+        self.next_query.set(query + 1);
+        let (sender, receiver) = oneshot::channel();
+        let driven = DrivenQuery {
+            plan: plan.clone(),
+            text: Rc::from(text),
+            hits: Vec::new(),
+            reply: sender,
+        };
+        self.queries.borrow_mut().insert(query, driven);
+        let guard = AbandonGuard { fanout: self.clone(), query };
+        self.submit(query, plan);
+        let reply = receiver.await.ok();
+        drop(guard);
+        reply
+    }
+
+    /// Notes that a target said, here or to a peer, that it is leaving.
+    pub(crate) fn mark_draining(&self, target: &TargetId) {
+        self.engine.borrow_mut().mark_draining(target, Instant::now());
+    }
+
+    /// Waits for running queries; each ends by its deadline.
+    pub(crate) async fn drain(&self) {
+        while !self.queries.borrow().is_empty() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+/// Abandons a query whose caller went away.
+struct AbandonGuard {
+    fanout: Rc<FanoutService>,
+    query: QueryId,
+}
+
+impl Drop for AbandonGuard {
+    fn drop(&mut self) {
+        if self.fanout.queries.borrow_mut().remove(&self.query).is_some() {
+            self.fanout.abandon(self.query);
+        }
+    }
+}
+
+fn engine_settings(settings: &DaemonSettings) -> FanoutSettings {
+    let mut engine = FanoutSettings::default();
+    engine.seed = settings.seed;
+    // The process start is mixed in, so that a restarted VM reuses no call id.
+    let start = std::time::SystemTime::now();
+    let since = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let mixed = settings.seed ^ u64::try_from(since.as_nanos()).unwrap_or(u64::MAX);
+    let hash = xxhash_rust::xxh3::xxh3_64(&mixed.to_le_bytes());
+    engine.call_prefix = u32::try_from(hash & CALL_PREFIX_MASK).unwrap_or_default();
+    engine
+}
+
+/// Tells the engine and the pools of every change of targets.
+async fn follow_targets(fanout: Rc<FanoutService>, directory: Rc<DirectoryService>) {
+    let mut changes = directory.target_changes();
+    loop {
+        let specs = directory.targets();
+        fanout.targets.apply_targets(&specs, |spec| {
+            crate::fanout::driver::connection_budget(spec.connection_limit)
+        });
+        {
+            let mut engine = fanout.engine.borrow_mut();
+            for spec in &specs {
+                let budget = crate::fanout::driver::connection_budget(spec.connection_limit);
+                engine
+                    .set_connection_budget(&spec.target, u32::try_from(budget).unwrap_or(u32::MAX));
+            }
+            engine.apply_targets(specs, Instant::now());
+        }
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/request.rs
@@ -0,0 +1,123 @@
+//! Reading and checking a caller's request.
+
+use std::time::Duration;
+
+use oleanderwind_http::HttpCall;
+use oleanderwind_policy::ClassTerms;
+use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::FindingList;
+use oleanderwind_policy::OperationKind;
+use serde::Deserialize;
+
+/// Longest idempotency key and request id, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// The body of `POST /v1/customers/{customer}/requests`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawRequest {
+    pub(crate) class: String,
+    /// Query text of a search.
+    #[serde(default)]
+    pub(crate) query: Option<String>,
+    /// What to do, for an operation.
+    #[serde(default)]
+    pub(crate) body: Option<String>,
+    /// At most the contract's deadline.
+    #[serde(default)]
+    pub(crate) deadline_ms: Option<u64>,
+}
+
+/// The key of a request that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestKey {
+    pub(crate) key: String,
+    /// Milliseconds since the epoch, by the caller's clock.
+    pub(crate) issued_at_ms: u64,
+}
+
+/// A checked request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) class: String,
+    pub(crate) terms: ClassTerms,
+    pub(crate) text: String,
+    pub(crate) deadline: Duration,
+    /// Present for every operation.
+    pub(crate) key: Option<RequestKey>,
+}
+
+impl CallerRequest {
+    /// Checks a call against the customer's contract.
+    pub(crate) fn check(
+        call: &HttpCall,
+        contract: &CustomerContract,
+    ) -> Result<CallerRequest, FindingList> {
+        let raw: RawRequest = serde_json::from_slice(&call.body).map_err(|error| {
+            let mut findings = FindingList::default();
+            findings.add("body", format!("is not a request: {error}"));
+            findings
+        })?;
+        let mut findings = FindingList::default();
+        let Some(terms) = contract.classes.get(raw.class.as_str()).cloned() else {
+            findings.add("class", format!("\"{}\" is not in the contract", raw.class));
+            return Err(findings);
+        };
+        let text = check_text(&raw, terms.operation, &mut findings);
+        let deadline = check_deadline(&raw, &terms, &mut findings);
+        let key = match terms.operation {
+            OperationKind::Search => None,
+            OperationKind::Execute => check_key(call, &mut findings),
+        };
+        findings.into_result(CallerRequest { class: raw.class, terms, text, deadline, key })
+    }
+}
+
+fn check_text(raw: &RawRequest, operation: OperationKind, findings: &mut FindingList) -> String {
+    let (wanted, name, unwanted, other) = match operation {
+        OperationKind::Search => (&raw.query, "query", &raw.body, "body"),
+        OperationKind::Execute => (&raw.body, "body", &raw.query, "query"),
+    };
+    if unwanted.is_some() {
+        findings.add(other, format!("does not go with this class; give {name}"));
+    }
+    wanted.clone().unwrap_or_else(|| {
+        findings.add(name, "is missing");
+        String::new()
+    })
+}
+
+fn check_deadline(raw: &RawRequest, terms: &ClassTerms, findings: &mut FindingList) -> Duration {
+    let Some(deadline_ms) = raw.deadline_ms else { return terms.deadline };
+    let deadline = Duration::from_millis(deadline_ms);
+    if deadline.is_zero() || deadline > terms.deadline {
+        findings.add(
+            "deadline_ms",
+            format!("is {deadline_ms}; give 1 to {}", terms.deadline.as_millis()),
+        );
+    }
+    deadline
+}
+
+fn check_key(call: &HttpCall, findings: &mut FindingList) -> Option<RequestKey> {
+    let key = call.header("idempotency-key").unwrap_or_default();
+    if key.is_empty() || key.len() > MAX_ID_BYTES {
+        findings.add("Idempotency-Key", format!("give 1 to {MAX_ID_BYTES} bytes of text"));
+    }
+    let issued = call.header("idempotency-key-issued-at").unwrap_or_default();
+    match issued.parse() {
+        Ok(issued_at_ms) => Some(RequestKey { key: key.to_owned(), issued_at_ms }),
+        Err(_) => {
+            findings.add("Idempotency-Key-Issued-At", "give milliseconds since the epoch");
+            None
+        }
+    }
+}
+
+/// The caller's request id, or one made from `fresh`.
+pub(crate) fn request_id(call: &HttpCall, fresh: u64) -> String {
+    match call.header("x-request-id") {
+        Some(id) if !id.is_empty() && id.len() <= MAX_ID_BYTES => id.to_owned(),
+        _ => format!("{fresh:016x}"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/search.rs
@@ -0,0 +1,109 @@
+//! Serving a search.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::FinishReason;
+use oleanderwind_policy::ProviderId;
+use oleanderwind_policy::SnapshotManifest;
+use oleanderwind_wire::CallerAnswer;
+use oleanderwind_wire::CoverageReport;
+use oleanderwind_wire::RefusalReport;
+
+use crate::fanout::FanoutReply;
+use crate::front::answer::empty_answer;
+use crate::front::answer::milliseconds;
+use crate::front::answer::set_hits;
+use crate::front::request::CallerRequest;
+use crate::front::service::FrontService;
+
+/// What one search came to.
+pub(crate) struct SearchEnd {
+    pub(crate) answer: CallerAnswer,
+    pub(crate) primary_calls: u32,
+    pub(crate) extra_calls: u32,
+}
+
+impl FrontService {
+    /// Runs a search; a retired snapshot restarts it whole while there is time.
+    pub(crate) async fn search(
+        &self,
+        request_id: &str,
+        contract: &Rc<CustomerContract>,
+        request: &CallerRequest,
+        provider: &ProviderId,
+        arrived: Instant,
+    ) -> Option<SearchEnd> {
+        let deadline = arrived + request.deadline;
+        let mut extra_calls = 0;
+        loop {
+            let manifest = self.directory.snapshot(&request.terms.service, provider)?;
+            let plan = FanoutPlan {
+                customer: contract.customer.clone(),
+                class: request.class.as_str().into(),
+                manifest: manifest.clone(),
+                deadline,
+                coverage_floor_permille: request.terms.coverage_floor_permille,
+                preference: contract.preference,
+                priority: request.terms.priority,
+                extra_load_permille: contract.extra_load_permille,
+            };
+            let reply = self.fanout.search(plan, &request.text).await?;
+            if reply.result.reason == FinishReason::SnapshotRetired
+                && self.has_newer(&manifest)
+                && Instant::now() < deadline
+            {
+                extra_calls += reply.result.calls_sent;
+                continue;
+            }
+            let primary_calls = reply.result.calls_sent - reply.result.extra_calls;
+            extra_calls += reply.result.extra_calls;
+            let answer = search_answer(request_id, &manifest, reply);
+            return Some(SearchEnd { answer, primary_calls, extra_calls });
+        }
+    }
+
+    fn has_newer(&self, manifest: &SnapshotManifest) -> bool {
+        self.directory
+            .snapshot(&manifest.service, &manifest.provider)
+            .is_some_and(|newest| newest.index_version > manifest.index_version)
+    }
+}
+
+fn search_answer(
+    request_id: &str,
+    manifest: &SnapshotManifest,
+    reply: FanoutReply,
+) -> CallerAnswer {
+    let result = reply.result;
+    let mut answer = empty_answer(request_id, result.outcome, result.ran);
+    answer.snapshot = Some(manifest.index_version);
+    answer.coverage = Some(CoverageReport {
+        documents_covered: result.documents_covered,
+        documents_total: result.documents_total,
+        shards_answered: result.shards_answered,
+        shards_total: result.shards_total,
+    });
+    if result.reason != FinishReason::Complete {
+        let reason = reason_label(result.reason).to_owned();
+        answer.refusal = Some(RefusalReport { reason, findings: Vec::new() });
+    }
+    answer.retry_after_ms = result.retry_after.map(milliseconds);
+    set_hits(&mut answer, reply.hits);
+    answer
+}
+
+/// The stable name of a reason.
+fn reason_label(reason: FinishReason) -> &'static str {
+    match reason {
+        FinishReason::Complete => "complete",
+        FinishReason::FloorMet => "floor_met",
+        FinishReason::DeadlineNear => "deadline_near",
+        FinishReason::TargetsBusy => "targets_busy",
+        FinishReason::ShardLost => "shard_lost",
+        FinishReason::SnapshotRetired => "snapshot_retired",
+        FinishReason::Abandoned => "abandoned",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/service.rs
@@ -0,0 +1,226 @@
+//! The listener for callers.
+
+use std::cell::Cell;
+use std::cell::OnceCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix_http::Method;
+use actix_http::StatusCode;
+use futures_util::FutureExt;
+use oleanderwind_http::HttpCall;
+use oleanderwind_http::HttpLimits;
+use oleanderwind_http::HttpListener;
+use oleanderwind_http::HttpReply;
+use oleanderwind_policy::FindingList;
+use oleanderwind_policy::OperationKind;
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_wire::CallerAnswer;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::directory::DirectoryService;
+use crate::fanout::FanoutService;
+use crate::front::answer::RefusalKind;
+use crate::front::answer::outcome_status;
+use crate::front::answer::refusal_answer;
+use crate::front::answer::write_reply;
+use crate::front::request::CallerRequest;
+use crate::front::request::request_id;
+use crate::kernel::Kernel;
+use crate::metrics::MetricsService;
+use crate::metrics::RequestMeasure;
+use crate::settings::DaemonSettings;
+
+/// Serves callers.
+pub(crate) struct FrontService {
+    pub(crate) settings: DaemonSettings,
+    pub(crate) directory: Rc<DirectoryService>,
+    pub(crate) fanout: Rc<FanoutService>,
+    metrics: Rc<MetricsService>,
+    listener: OnceCell<HttpListener>,
+    next_request: Cell<u64>,
+}
+
+impl FrontService {
+    /// Binds the callers' address.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound or a service is missing.
+    pub(crate) async fn start(kernel: &Rc<Kernel>) -> eyre::Result<Rc<FrontService>> {
+        let settings = kernel.settings().clone();
+        let front = Rc::new(FrontService {
+            directory: kernel.directory()?,
+            fanout: kernel.fanout()?,
+            metrics: kernel.metrics()?,
+            listener: OnceCell::new(),
+            next_request: Cell::new(settings.seed),
+            settings,
+        });
+        let handler = {
+            let front = front.clone();
+            Rc::new(move |call| front.clone().serve(call).boxed_local())
+        };
+        let address = front.settings.caller_listen;
+        let listener = HttpListener::bind(address, HttpLimits::default(), handler).await?;
+        front.listener.get_or_init(|| listener);
+        Ok(front)
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.listener.get().map_or(self.settings.caller_listen, HttpListener::address)
+    }
+
+    /// Makes callers look for another VM with their next request.
+    pub(crate) fn announce_leaving(&self) {
+        if let Some(listener) = self.listener.get() {
+            listener.close_after_replies();
+        }
+    }
+
+    /// Finishes open requests and closes every connection.
+    pub(crate) async fn drain(&self) {
+        let Some(listener) = self.listener.get() else { return };
+        let left = listener.drain(self.settings.drain_patience).await;
+        if left > 0 {
+            log::error!("{left} caller connections were still open at the end of the drain");
+        }
+    }
+}
+
+/// Routing of calls.
+impl FrontService {
+    async fn serve(self: Rc<Self>, call: HttpCall) -> HttpReply {
+        let segments = call.segments();
+        match (&call.method, segments.as_slice()) {
+            (&Method::POST, ["v1", "customers", customer, "requests"]) => {
+                self.serve_request(&call, customer).await
+            }
+            (&Method::GET, ["v1", "addresses"]) => self.serve_addresses(&call),
+            (&Method::GET, ["healthz"]) => HttpReply::text(StatusCode::OK, "live\n"),
+            (&Method::GET, ["readyz"]) => self.serve_readiness(),
+            (&Method::GET, ["metrics"]) => self.serve_metrics(),
+            _ => {
+                let mut findings = FindingList::default();
+                findings.add("path", format!("{} {} is not served here", call.method, call.path));
+                self.refuse(&call, RefusalKind::UnknownPath, findings)
+            }
+        }
+    }
+
+    fn serve_addresses(&self, call: &HttpCall) -> HttpReply {
+        let customer = call.parameter("customer").unwrap_or_default();
+        if customer.is_empty() {
+            let mut findings = FindingList::default();
+            findings.add("customer", "is missing; give ?customer=");
+            return self.refuse(call, RefusalKind::BadRequest, findings);
+        }
+        HttpReply::json(StatusCode::OK, &self.addresses(customer.into()))
+    }
+
+    fn serve_readiness(&self) -> HttpReply {
+        match (self.directory.is_ready(), self.directory.is_leaving()) {
+            (true, false) => HttpReply::text(StatusCode::OK, "ready\n"),
+            (false, _) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n"),
+            (true, true) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        }
+    }
+
+    fn serve_metrics(&self) -> HttpReply {
+        match self.metrics.render() {
+            Ok(text) => HttpReply::text(StatusCode::OK, text),
+            Err(error) => {
+                log::error!("metrics could not be written: {error}");
+                HttpReply::empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+}
+
+/// Serving requests.
+impl FrontService {
+    async fn serve_request(&self, call: &HttpCall, customer: &str) -> HttpReply {
+        let arrived = Instant::now();
+        if !self.directory.is_ready() {
+            return self.refuse(call, RefusalKind::NotReady, FindingList::default());
+        }
+        let Some(entry) = self.directory.contract(customer) else {
+            let mut findings = FindingList::default();
+            findings.add("customer", format!("\"{customer}\" has no contract"));
+            return self.refuse(call, RefusalKind::UnknownCustomer, findings);
+        };
+        let request = match CallerRequest::check(call, &entry.contract) {
+            Ok(request) => request,
+            Err(findings) => return self.refuse(call, RefusalKind::BadRequest, findings),
+        };
+        let id = self.request_id(call);
+        let hash = match &request.key {
+            Some(key) => xxh3_64(key.key.as_bytes()),
+            None => xxh3_64(id.as_bytes()),
+        };
+        let provider = entry.contract.provider_for(hash).cloned();
+        let end = match (request.terms.operation, provider) {
+            (OperationKind::Search, Some(provider)) => {
+                self.search(&id, &entry.contract, &request, &provider, arrived).await
+            }
+            _ => None,
+        };
+        let Some(end) = end else {
+            return self.refuse(call, RefusalKind::NoSnapshot, FindingList::default());
+        };
+        self.measure(customer, &request, &end.answer, arrived, end.primary_calls, end.extra_calls);
+        write_reply(outcome_status(end.answer.outcome), &end.answer)
+    }
+
+    fn measure(
+        &self,
+        customer: &str,
+        request: &CallerRequest,
+        answer: &CallerAnswer,
+        arrived: Instant,
+        primary_calls: u32,
+        extra_calls: u32,
+    ) {
+        let latency = arrived.elapsed();
+        let coverage_permille = answer.coverage.map(|coverage| {
+            1_000.0 * coverage.documents_covered as f64 / coverage.documents_total.max(1) as f64
+        });
+        self.metrics.record(&RequestMeasure {
+            customer,
+            class: &request.class,
+            outcome: answer.outcome,
+            latency,
+            coverage_permille,
+            primary_calls,
+            extra_calls,
+        });
+        log::debug!(
+            "request {} of {customer} class {}: {:?} ran {:?} after {} us, {primary_calls} calls \
+             and {extra_calls} extra",
+            answer.request_id,
+            request.class,
+            answer.outcome,
+            answer.ran,
+            latency.as_micros()
+        );
+        if answer.outcome == RequestOutcome::NotRun {
+            log::info!("request {} of {customer} was not run", answer.request_id);
+        }
+    }
+
+    fn refuse(&self, call: &HttpCall, kind: RefusalKind, findings: FindingList) -> HttpReply {
+        let id = self.request_id(call);
+        self.metrics.record_refusal(kind.reason());
+        log::info!("request {id} refused: {} {findings}", kind.reason());
+        let (status, answer) = refusal_answer(&id, kind, findings);
+        write_reply(status, &answer)
+    }
+
+    fn request_id(&self, call: &HttpCall) -> String {
+        let fresh = self.next_request.get();
+        self.next_request.set(fresh.wrapping_add(1));
+        request_id(call, fresh)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/kernel/mod.rs
@@ -0,0 +1,10 @@
+//! The kernel: services registered and found by name, started and drained in order.
+
+mod error;
+mod registry;
+mod service;
+
+pub(crate) use error::KernelError;
+pub(crate) use registry::Kernel;
+pub(crate) use service::Service;
+pub(crate) use service::ServiceName;
--- /dev/null
+++ b/crates/daemon/src/kernel/registry.rs
@@ -0,0 +1,84 @@
+//! The registry of one daemon's services.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use crate::directory::DirectoryService;
+use crate::fanout::FanoutService;
+use crate::kernel::KernelError;
+use crate::kernel::Service;
+use crate::kernel::ServiceName;
+use crate::metrics::MetricsService;
+use crate::platform::PlatformService;
+use crate::settings::DaemonSettings;
+use crate::targets::TargetService;
+
+/// Services in the order they were started.
+pub(crate) struct Kernel {
+    settings: DaemonSettings,
+    services: RefCell<Vec<Service>>,
+}
+
+impl Kernel {
+    /// A kernel without services.
+    pub(crate) fn new(settings: DaemonSettings) -> Rc<Kernel> {
+        Rc::new(Kernel { settings, services: RefCell::new(Vec::new()) })
+    }
+
+    /// The daemon's settings.
+    pub(crate) fn settings(&self) -> &DaemonSettings {
+        &self.settings
+    }
+
+    /// Adds a started service.
+    pub(crate) fn register(&self, service: Service) {
+        log::info!("service {:?} started", service.name());
+        self.services.borrow_mut().push(service);
+    }
+
+    /// Finds a service by its name.
+    pub(crate) fn find(&self, name: ServiceName) -> Result<Service, KernelError> {
+        let services = self.services.borrow();
+        let found = services.iter().find(|service| service.name() == name);
+        found.cloned().ok_or(KernelError::Missing(name))
+    }
+}
+
+/// Typed look-ups.
+macro_rules! typed_lookup {
+    ($function:ident, $variant:ident, $service:ty) => {
+        impl Kernel {
+            /// Finds the service by its name.
+            pub(crate) fn $function(&self) -> Result<Rc<$service>, KernelError> {
+                match self.find(ServiceName::$variant)? {
+                    Service::$variant(service) => Ok(service),
+                    _ => Err(KernelError::Missing(ServiceName::$variant)),
+                }
+            }
+        }
+    };
+}
+
+typed_lookup!(metrics, Metrics, MetricsService);
+typed_lookup!(platform, Platform, PlatformService);
+typed_lookup!(directory, Directory, DirectoryService);
+typed_lookup!(targets, Targets, TargetService);
+typed_lookup!(fanout, Fanout, FanoutService);
+
+impl Kernel {
+    /// Tells callers and peers that this VM is leaving.
+    pub(crate) fn announce_leaving(&self) {
+        for service in self.services.borrow().iter() {
+            service.announce_leaving();
+        }
+    }
+
+    /// Drains the services in the reverse order of their start.
+    pub(crate) async fn drain(&self) {
+        let services: Vec<Service> = self.services.borrow().iter().rev().cloned().collect();
+        for service in services {
+            log::info!("service {:?} drains", service.name());
+            service.drain().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/kernel/service.rs
@@ -0,0 +1,98 @@
+//! The closed set of services.
+
+use std::rc::Rc;
+
+use crate::admin::AdminService;
+use crate::directory::DirectoryService;
+use crate::fanout::FanoutService;
+use crate::front::FrontService;
+use crate::metrics::MetricsService;
+use crate::platform::PlatformService;
+use crate::sync::SyncService;
+use crate::targets::TargetService;
+
+/// Names that services find each other by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ServiceName {
+    /// Metrics of everything else.
+    Metrics,
+    /// Calls to the platform's Object API.
+    Platform,
+    /// Configuration in force.
+    Directory,
+    /// Keeps the directory up to date.
+    Sync,
+    /// Connections to targets.
+    Targets,
+    /// Running queries.
+    Fanout,
+    /// Callers' HTTP interface.
+    Front,
+    /// Operators' HTTP interface.
+    Admin,
+}
+
+/// A registered service.
+#[derive(Clone)]
+pub(crate) enum Service {
+    /// See [`ServiceName::Metrics`].
+    Metrics(Rc<MetricsService>),
+    /// See [`ServiceName::Platform`].
+    Platform(Rc<PlatformService>),
+    /// See [`ServiceName::Directory`].
+    Directory(Rc<DirectoryService>),
+    /// See [`ServiceName::Sync`].
+    Sync(Rc<SyncService>),
+    /// See [`ServiceName::Targets`].
+    Targets(Rc<TargetService>),
+    /// See [`ServiceName::Fanout`].
+    Fanout(Rc<FanoutService>),
+    /// See [`ServiceName::Front`].
+    Front(Rc<FrontService>),
+    /// See [`ServiceName::Admin`].
+    Admin(Rc<AdminService>),
+}
+
+impl Service {
+    /// The name that it is found by.
+    pub(crate) fn name(&self) -> ServiceName {
+        match self {
+            Service::Metrics(_) => ServiceName::Metrics,
+            Service::Platform(_) => ServiceName::Platform,
+            Service::Directory(_) => ServiceName::Directory,
+            Service::Sync(_) => ServiceName::Sync,
+            Service::Targets(_) => ServiceName::Targets,
+            Service::Fanout(_) => ServiceName::Fanout,
+            Service::Front(_) => ServiceName::Front,
+            Service::Admin(_) => ServiceName::Admin,
+        }
+    }
+
+    /// Tells callers and peers that this VM is leaving; work goes on.
+    pub(crate) fn announce_leaving(&self) {
+        match self {
+            Service::Directory(directory) => directory.announce_leaving(),
+            Service::Front(front) => front.announce_leaving(),
+            Service::Metrics(_)
+            | Service::Platform(_)
+            | Service::Sync(_)
+            | Service::Targets(_)
+            | Service::Fanout(_)
+            | Service::Admin(_) => {}
+        }
+    }
+
+    /// Finishes what runs and ends the service.
+    pub(crate) async fn drain(&self) {
+        match self {
+            Service::Front(front) => front.drain().await,
+            Service::Admin(admin) => admin.drain().await,
+            Service::Fanout(fanout) => fanout.drain().await,
+            Service::Sync(sync) => sync.stop(),
+            Service::Metrics(_)
+            | Service::Platform(_)
+            | Service::Directory(_)
+            | Service::Targets(_) => {}
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,27 @@
 //! The services of the oleanderwind daemon.
+//!
+//! A [`Daemon`] is a small kernel with services that find each other by name. Every service runs
+//! on one thread; only the peer protocol's handlers run beside it and cross by channels.
+
+// Until the ledger and the operators' interface use all of it.
+#![allow(dead_code)]
+
+mod admin;
+mod daemon;
+mod directory;
+mod edge;
+mod fanout;
+mod front;
+mod kernel;
+mod logging;
+mod metrics;
+mod platform;
+mod settings;
+mod sync;
+mod targets;
+
+pub use daemon::Daemon;
+pub use daemon::DaemonAddresses;
+pub use logging::start_logging;
+pub use settings::DaemonSettings;
+pub use settings::RawSettings;
--- /dev/null
+++ b/crates/daemon/src/metrics/mod.rs
@@ -0,0 +1,6 @@
+//! Metrics by opentelemetry, served in Prometheus' text format.
+
+mod service;
+
+pub(crate) use service::MetricsService;
+pub(crate) use service::RequestMeasure;
--- /dev/null
+++ b/crates/daemon/src/metrics/service.rs
@@ -0,0 +1,131 @@
+//! The instruments of one daemon.
+
+use std::time::Duration;
+
+use oleanderwind_policy::RequestOutcome;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Bounds of the latency histograms, in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 16] = [
+    1.0, 2.0, 5.0, 10.0, 15.0, 20.0, 30.0, 50.0, 75.0, 100.0, 150.0, 210.0, 300.0, 500.0, 1_000.0,
+    2_000.0,
+];
+/// Bounds of the coverage histograms, in thousandths.
+const COVERAGE_BOUNDS_PERMILLE: [f64; 8] = [0.0, 500.0, 800.0, 900.0, 950.0, 990.0, 999.0, 1_000.0];
+
+/// What one finished request adds to the metrics.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestMeasure<'a> {
+    /// Customer, `unknown` when there is no such contract.
+    pub(crate) customer: &'a str,
+    /// Class, `unknown` when the contract has no such class.
+    pub(crate) class: &'a str,
+    pub(crate) outcome: RequestOutcome,
+    pub(crate) latency: Duration,
+    /// Thousandths of the documents, for searches that ran.
+    pub(crate) coverage_permille: Option<f64>,
+    pub(crate) primary_calls: u32,
+    pub(crate) extra_calls: u32,
+}
+
+/// The instruments.
+pub(crate) struct MetricsService {
+    registry: Registry,
+    // The instruments stop reporting when the provider is dropped.
+    _provider: SdkMeterProvider,
+    meter: Meter,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    primary_calls: Counter<u64>,
+    extra_calls: Counter<u64>,
+    latency: Histogram<f64>,
+    coverage: Histogram<f64>,
+}
+
+impl MetricsService {
+    /// Instruments with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter can't be registered.
+    pub(crate) fn new() -> eyre::Result<MetricsService> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("oleanderwind");
+        Ok(MetricsService {
+            registry,
+            requests: meter.u64_counter("oleanderwind_requests").build(),
+            refusals: meter.u64_counter("oleanderwind_refusals").build(),
+            primary_calls: meter.u64_counter("oleanderwind_primary_calls").build(),
+            extra_calls: meter.u64_counter("oleanderwind_extra_calls").build(),
+            latency: meter
+                .f64_histogram("oleanderwind_request_latency_ms")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            coverage: meter
+                .f64_histogram("oleanderwind_request_coverage_permille")
+                .with_boundaries(COVERAGE_BOUNDS_PERMILLE.to_vec())
+                .build(),
+            meter,
+            _provider: provider,
+        })
+    }
+
+    /// For instruments that a service keeps itself.
+    pub(crate) fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Adds a finished request.
+    pub(crate) fn record(&self, measure: &RequestMeasure<'_>) {
+        let customer = KeyValue::new("customer", measure.customer.to_owned());
+        let class = KeyValue::new("class", measure.class.to_owned());
+        let outcome = KeyValue::new("outcome", outcome_label(measure.outcome));
+        self.requests.add(1, &[customer.clone(), class.clone(), outcome]);
+        let labels = [customer.clone(), class];
+        self.latency.record(measure.latency.as_secs_f64() * 1_000.0, &labels);
+        if let Some(coverage) = measure.coverage_permille {
+            self.coverage.record(coverage, &labels);
+        }
+        let customer = [customer];
+        self.primary_calls.add(u64::from(measure.primary_calls), &customer);
+        self.extra_calls.add(u64::from(measure.extra_calls), &customer);
+    }
+
+    /// Adds a refusal.
+    pub(crate) fn record_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Every metric in Prometheus' text format.
+    ///
+    /// # Errors
+    ///
+    /// When the metrics can't be encoded.
+    pub(crate) fn render(&self) -> eyre::Result<String> {
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
+        Ok(String::from_utf8(buffer)?)
+    }
+}
+
+fn outcome_label(outcome: RequestOutcome) -> &'static str {
+    match outcome {
+        RequestOutcome::Answered => "answered",
+        RequestOutcome::Partial => "partial",
+        RequestOutcome::NotRun => "not_run",
+        RequestOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/http.rs
@@ -0,0 +1,208 @@
+//! The Object API over HTTP.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::Client;
+use awc::Connector;
+use awc::http::Method;
+use awc::http::StatusCode;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream;
+use oleanderwind_policy::Revision;
+use oleanderwind_wire::API_PREFIX;
+use oleanderwind_wire::ObjectDocument;
+use oleanderwind_wire::ObjectList;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::edge::ObjectKind;
+use crate::edge::PlatformEdge;
+use crate::edge::PlatformError;
+use crate::edge::WatchStream;
+use crate::platform::lines::EventLines;
+
+/// Longest time for a call that is not a watch.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the platform is asked to hold a watch.
+const WATCH_TIME: Duration = Duration::from_secs(4);
+/// A watch that is silent for this long is given up.
+const WATCH_SILENCE: Duration = Duration::from_secs(6);
+/// Connections for calls.
+const CALL_CONNECTIONS: usize = 16;
+/// Longest body in bytes that is read.
+const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+
+/// Calls the Object API at one address.
+pub(crate) struct HttpPlatform {
+    base: String,
+    calls: Client,
+    watches: Client,
+}
+
+impl HttpPlatform {
+    /// A client that connects when it is first used.
+    pub(crate) fn new(address: SocketAddr) -> HttpPlatform {
+        HttpPlatform {
+            base: format!("http://{address}{API_PREFIX}"),
+            calls: client(CALL_CONNECTIONS),
+            watches: client(ObjectKind::CONFIGURATION.len() * 2),
+        }
+    }
+
+    /// Makes one call and reads its JSON.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: String,
+        body: Option<&ObjectDocument>,
+    ) -> Result<T, PlatformError> {
+        match timeout(CALL_TIMEOUT, self.send(method, path, body)).await {
+            Ok(result) => result.and_then(|body| read_json(&body)),
+            Err(_) => Err(PlatformError::Uncertain("no answer in time".to_owned())),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: String,
+        body: Option<&ObjectDocument>,
+    ) -> Result<Bytes, PlatformError> {
+        let request = self.calls.request(method.clone(), format!("{}/{path}", self.base));
+        let sent = match body {
+            Some(object) => request.content_type("application/json").send_body(object.to_bytes()),
+            None => request.send(),
+        };
+        let mut response = sent.await.map_err(|error| send_error(&error))?;
+        let status = response.status();
+        let body = response
+            .body()
+            .limit(MAX_BODY_BYTES)
+            .await
+            .map_err(|error| PlatformError::Uncertain(error.to_string()))?;
+        match status.is_success() {
+            true => Ok(body),
+            false => Err(status_error(&method, status, &body)),
+        }
+    }
+}
+
+impl PlatformEdge for HttpPlatform {
+    fn list(&self, kind: ObjectKind) -> LocalBoxFuture<'_, Result<ObjectList, PlatformError>> {
+        self.call(Method::GET, kind.as_str().to_owned(), None).boxed_local()
+    }
+
+    fn get<'a>(
+        &'a self,
+        kind: ObjectKind,
+        name: &'a str,
+    ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>> {
+        self.call(Method::GET, format!("{}/{name}", kind.as_str()), None).boxed_local()
+    }
+
+    fn create<'a>(
+        &'a self,
+        kind: ObjectKind,
+        object: &'a ObjectDocument,
+    ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>> {
+        self.call(Method::POST, kind.as_str().to_owned(), Some(object)).boxed_local()
+    }
+
+    fn update<'a>(
+        &'a self,
+        kind: ObjectKind,
+        object: &'a ObjectDocument,
+    ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>> {
+        let path = format!("{}/{}", kind.as_str(), object.metadata.name);
+        self.call(Method::PUT, path, Some(object)).boxed_local()
+    }
+
+    fn watch(
+        &self,
+        kind: ObjectKind,
+        after: Revision,
+    ) -> LocalBoxFuture<'_, Result<WatchStream, PlatformError>> {
+        let url = format!(
+            "{}/{}?watch=1&resourceVersion={after}&timeoutSeconds={}",
+            self.base,
+            kind.as_str(),
+            WATCH_TIME.as_secs()
+        );
+        async move {
+            let sent = timeout(CALL_TIMEOUT, self.watches.get(url).send()).await;
+            let mut response = sent
+                .map_err(|_| PlatformError::Uncertain("no answer in time".to_owned()))?
+                .map_err(|error| send_error(&error))?;
+            if !response.status().is_success() {
+                let body = response.body().await.unwrap_or_default();
+                return Err(status_error(&Method::GET, response.status(), &body));
+            }
+            let state = WatchState {
+                response: response.boxed_local(),
+                lines: EventLines::default(),
+                ready: VecDeque::new(),
+            };
+            Ok(stream::unfold(state, next_event).boxed_local())
+        }
+        .boxed_local()
+    }
+}
+
+/// A watch under way.
+struct WatchState {
+    response: stream::LocalBoxStream<'static, Result<Bytes, awc::error::PayloadError>>,
+    lines: EventLines,
+    ready: VecDeque<Result<oleanderwind_wire::WatchEvent, PlatformError>>,
+}
+
+/// The next event, or the end of the watch.
+async fn next_event(
+    mut state: WatchState,
+) -> Option<(Result<oleanderwind_wire::WatchEvent, PlatformError>, WatchState)> {
+    loop {
+        if let Some(event) = state.ready.pop_front() {
+            return Some((event, state));
+        }
+        match timeout(WATCH_SILENCE, state.response.next()).await {
+            Ok(Some(Ok(chunk))) => state.ready.extend(state.lines.push(&chunk)),
+            Ok(Some(Err(_)) | None) | Err(_) => return None,
+        }
+    }
+}
+
+fn client(connections: usize) -> Client {
+    let connector = Connector::new().timeout(CALL_TIMEOUT).limit(connections);
+    Client::builder().connector(connector).disable_timeout().finish()
+}
+
+fn read_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body)
+        .map_err(|error| PlatformError::Uncertain(format!("the reply is not as agreed: {error}")))
+}
+
+/// A call that never connected had no effect; any other failure may have had one.
+fn send_error(error: &awc::error::SendRequestError) -> PlatformError {
+    match error {
+        awc::error::SendRequestError::Connect(error) => PlatformError::Refused(error.to_string()),
+        _ => PlatformError::Uncertain(error.to_string()),
+    }
+}
+
+fn status_error(method: &Method, status: StatusCode, body: &[u8]) -> PlatformError {
+    match status {
+        StatusCode::CONFLICT if *method == Method::POST => PlatformError::AlreadyExists,
+        StatusCode::CONFLICT => PlatformError::Conflict,
+        StatusCode::NOT_FOUND => PlatformError::NotFound,
+        StatusCode::GONE => PlatformError::Expired,
+        StatusCode::TOO_MANY_REQUESTS => PlatformError::Refused("too many calls".to_owned()),
+        _ if status.is_client_error() => {
+            PlatformError::Refused(String::from_utf8_lossy(body).into_owned())
+        }
+        _ => PlatformError::Uncertain(format!("status {status}")),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/checked.rs
@@ -0,0 +1,168 @@
+//! Checked settings.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use log::LevelFilter;
+use oleanderwind_policy::FailureDomainId;
+use oleanderwind_policy::FindingList;
+use oleanderwind_policy::VmId;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::settings::RawSettings;
+
+/// Longest time that any setting may give.
+const MAX_TIME_MS: u64 = 600_000;
+
+/// Everything that the daemon is told at its start.
+#[derive(Clone)]
+pub struct DaemonSettings {
+    /// This VM.
+    pub vm: VmId,
+    /// Where it stands.
+    pub failure_domain: FailureDomainId,
+    /// Region of the failure domain.
+    pub region: String,
+    /// The platform's Object API.
+    pub platform: SocketAddr,
+    /// For callers; port 0 takes a free one.
+    pub caller_listen: SocketAddr,
+    /// For operators; port 0 takes a free one.
+    pub admin_listen: SocketAddr,
+    /// For peers; port 0 takes a free one.
+    pub peer_listen: SocketAddr,
+    /// Needed for changes, when set.
+    pub operator_token: Option<String>,
+    /// How long callers keep an address answer.
+    pub address_keep: Duration,
+    /// How long a graceful shutdown waits for open requests.
+    pub drain_patience: Duration,
+    /// What is logged.
+    pub log_level: LevelFilter,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+impl TryFrom<&RawSettings> for DaemonSettings {
+    type Error = FindingList;
+
+    fn try_from(raw: &RawSettings) -> Result<DaemonSettings, FindingList> {
+        let mut findings = FindingList::default();
+        let vm = required(&raw.vm, "--vm", &mut findings);
+        let seed = xxh3_64(vm.as_bytes());
+        let settings = DaemonSettings {
+            failure_domain: required(&raw.failure_domain, "--failure-domain", &mut findings).into(),
+            region: raw.region.clone().unwrap_or_else(|| "region-1".to_owned()),
+            platform: address(&raw.platform, "--platform", "", &mut findings),
+            caller_listen: address(
+                &raw.caller_listen,
+                "--caller-listen",
+                "127.0.0.1:7400",
+                &mut findings,
+            ),
+            admin_listen: address(
+                &raw.admin_listen,
+                "--admin-listen",
+                "127.0.0.1:7401",
+                &mut findings,
+            ),
+            peer_listen: address(
+                &raw.peer_listen,
+                "--peer-listen",
+                "127.0.0.1:7402",
+                &mut findings,
+            ),
+            operator_token: raw.operator_token.clone().filter(|token| !token.is_empty()),
+            address_keep: time(&raw.address_keep_ms, "--address-keep-ms", 2_000, &mut findings),
+            drain_patience: time(
+                &raw.drain_patience_ms,
+                "--drain-patience-ms",
+                15_000,
+                &mut findings,
+            ),
+            log_level: parsed(&raw.log_level, "--log-level", LevelFilter::Info, &mut findings),
+            seed: parsed(&raw.seed, "--seed", seed, &mut findings),
+            vm: vm.into(),
+        };
+        findings.into_result(settings)
+    }
+}
+
+impl fmt::Display for DaemonSettings {
+    /// One `name=value` a line, secrets hidden.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let token = if self.operator_token.is_some() { "(hidden)" } else { "(none)" };
+        writeln!(f, "vm={}", self.vm)?;
+        writeln!(f, "failure-domain={}", self.failure_domain)?;
+        writeln!(f, "region={}", self.region)?;
+        writeln!(f, "platform={}", self.platform)?;
+        writeln!(f, "caller-listen={}", self.caller_listen)?;
+        writeln!(f, "admin-listen={}", self.admin_listen)?;
+        writeln!(f, "peer-listen={}", self.peer_listen)?;
+        writeln!(f, "operator-token={token}")?;
+        writeln!(f, "address-keep-ms={}", self.address_keep.as_millis())?;
+        writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
+        writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
+        writeln!(f, "seed={}", self.seed)
+    }
+}
+
+/// Names the flag and its environment variable, as findings place it.
+fn place(flag: &str) -> String {
+    let variable = flag.trim_start_matches('-').replace('-', "_").to_uppercase();
+    format!("{flag} or OLEANDERWIND_{variable}")
+}
+
+fn required(option: &Option<String>, flag: &str, findings: &mut FindingList) -> String {
+    match option.as_deref() {
+        Some(text) if !text.is_empty() => text.to_owned(),
+        _ => {
+            findings.add(place(flag), "is missing; give it a value");
+            String::new()
+        }
+    }
+}
+
+fn address(
+    option: &Option<String>,
+    flag: &str,
+    default: &str,
+    findings: &mut FindingList,
+) -> SocketAddr {
+    let text = option.as_deref().unwrap_or(default);
+    text.parse().unwrap_or_else(|_| {
+        findings.add(place(flag), format!("is \"{text}\"; give ip:port"));
+        SocketAddr::from(([127, 0, 0, 1], 0))
+    })
+}
+
+fn time(
+    option: &Option<String>,
+    flag: &str,
+    default_ms: u64,
+    findings: &mut FindingList,
+) -> Duration {
+    let milliseconds = parsed(option, flag, default_ms, findings);
+    if milliseconds > MAX_TIME_MS {
+        findings.add(place(flag), format!("is {milliseconds}; give at most {MAX_TIME_MS}"));
+    }
+    Duration::from_millis(milliseconds)
+}
+
+fn parsed<T: FromStr>(
+    option: &Option<String>,
+    flag: &str,
+    default: T,
+    findings: &mut FindingList,
+) -> T {
+    let Some(text) = option else { return default };
+    match text.parse() {
+        Ok(value) => value,
+        Err(_) => {
+            findings.add(place(flag), format!("is \"{text}\"; see --help for what it takes"));
+            default
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/targets/lane.rs
@@ -0,0 +1,108 @@
+//! One connection to a target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use awc::Connector;
+use awc::http::StatusCode;
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::time::timeout;
+
+/// Longest time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// An idle connection older than this is closed.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+/// Longest body in bytes that is read.
+const MAX_BODY_BYTES: usize = 1_024 * 1_024;
+
+/// Why a call over a lane has no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LaneError {
+    /// The connection could not be made; nothing was sent.
+    NotConnected,
+    /// The connection broke or stayed silent after something may have been sent.
+    Broken,
+}
+
+/// A reply as bytes.
+#[derive(Debug)]
+pub(crate) struct LaneReply {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// A client limited to one connection.
+pub(crate) struct Lane {
+    base: String,
+    client: Client,
+    last_reply: Option<Instant>,
+}
+
+impl Lane {
+    /// A lane that connects when it is first used.
+    pub(crate) fn new(address: SocketAddr) -> Lane {
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(IDLE_TIME)
+            .conn_lifetime(Duration::from_secs(3_600))
+            .limit(1);
+        let client = Client::builder().connector(connector).disable_timeout().finish();
+        Lane { base: format!("http://{address}"), client, last_reply: None }
+    }
+
+    /// When the last reply came over this lane.
+    pub(crate) fn last_reply(&self) -> Option<Instant> {
+        self.last_reply
+    }
+
+    /// Posts JSON and reads the whole reply within `patience`.
+    pub(crate) async fn post<T: Serialize>(
+        &mut self,
+        path: &str,
+        call: &T,
+        patience: Duration,
+    ) -> Result<LaneReply, LaneError> {
+        let request = self.client.post(format!("{}{path}", self.base)).send_json(call);
+        let reply = timeout(patience, read_reply(request)).await;
+        self.note_reply(reply)
+    }
+
+    /// Gets a path within `patience`.
+    pub(crate) async fn get(
+        &mut self,
+        path: &str,
+        patience: Duration,
+    ) -> Result<LaneReply, LaneError> {
+        let request = self.client.get(format!("{}{path}", self.base)).send();
+        let reply = timeout(patience, read_reply(request)).await;
+        self.note_reply(reply)
+    }
+
+    fn note_reply(
+        &mut self,
+        reply: Result<Result<LaneReply, LaneError>, tokio::time::error::Elapsed>,
+    ) -> Result<LaneReply, LaneError> {
+        let reply = reply.unwrap_or(Err(LaneError::Broken));
+        if reply.is_ok() {
+            self.last_reply = Some(Instant::now());
+        }
+        reply
+    }
+}
+
+async fn read_reply(request: awc::SendClientRequest) -> Result<LaneReply, LaneError> {
+    let mut response = request.await.map_err(|error| lane_error(&error))?;
+    let status = response.status();
+    let body = response.body().limit(MAX_BODY_BYTES).await.map_err(|_| LaneError::Broken)?;
+    Ok(LaneReply { status, body })
+}
+
+fn lane_error(error: &awc::error::SendRequestError) -> LaneError {
+    match error {
+        awc::error::SendRequestError::Connect(_) => LaneError::NotConnected,
+        _ => LaneError::Broken,
+    }
+}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,185 @@
+//! Serving one connection.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::ConnectionType;
+use actix_http::HttpMessage;
+use actix_http::HttpService;
+use actix_http::KeepAlive;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_rt::net::ActixStream;
+use actix_service::Service;
+use actix_service::ServiceFactory;
+use actix_service::fn_service;
+use futures_util::FutureExt;
+use futures_util::future::select;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::HttpCall;
+use crate::HttpHandler;
+use crate::HttpLimits;
+use crate::HttpReply;
+use crate::body::BodyError;
+use crate::body::read_body;
+
+/// How often a connection that is to end looks whether it is idle.
+const IDLE_POLL: Duration = Duration::from_millis(5);
+/// Time for the last reply's bytes to leave after its call has ended.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+/// How far a listener's drain has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum DrainPhase {
+    /// Connections are kept.
+    #[default]
+    Serving,
+    /// Each reply closes its connection.
+    Closing,
+    /// Idle connections are closed at once.
+    Ending,
+}
+
+/// Counts the calls that one connection has open.
+#[derive(Default)]
+struct OpenCalls {
+    open: Cell<usize>,
+}
+
+/// JSON of a call that could not be read.
+#[derive(Serialize)]
+struct UnreadableCall {
+    outcome: &'static str,
+    ran: &'static str,
+    refusal: UnreadableRefusal,
+}
+
+#[derive(Serialize)]
+struct UnreadableRefusal {
+    reason: &'static str,
+    findings: [UnreadableFinding; 1],
+}
+
+#[derive(Serialize)]
+struct UnreadableFinding {
+    place: &'static str,
+    problem: &'static str,
+}
+
+/// Serves `stream` until it closes or, while the listener ends, until it is idle.
+pub(crate) async fn serve_connection<T: ActixStream + 'static>(
+    stream: T,
+    peer: SocketAddr,
+    limits: Rc<HttpLimits>,
+    handler: HttpHandler,
+    mut phase: watch::Receiver<DrainPhase>,
+) {
+    let calls = Rc::new(OpenCalls::default());
+    let factory = {
+        let calls = calls.clone();
+        let limits = limits.clone();
+        let phase = phase.clone();
+        let head_timeout = limits.head_timeout;
+        let keep_alive = limits.keep_alive;
+        let service = fn_service(move |request: Request| {
+            serve_call(request, peer, limits.clone(), handler.clone(), calls.clone(), phase.clone())
+        });
+        HttpService::build()
+            .client_request_timeout(head_timeout)
+            .keep_alive(KeepAlive::Timeout(keep_alive))
+            .h1(service)
+    };
+    let Ok(service) = factory.new_service(()).await else { return };
+    let serving = service.call((stream, Some(peer))).boxed_local();
+    let ending = wait_until_idle(&mut phase, &calls).boxed_local();
+    // Dropping the connection's future closes the connection.
+    select(serving, ending).await;
+}
+
+/// Returns once the listener ends and no call has been open for [`FLUSH_TIME`].
+async fn wait_until_idle(phase: &mut watch::Receiver<DrainPhase>, calls: &OpenCalls) {
+    let has_listener = phase.wait_for(|phase| *phase == DrainPhase::Ending).await.is_ok();
+    if !has_listener {
+        futures_util::future::pending::<()>().await;
+    }
+    let mut idle_since = Instant::now();
+    while idle_since.elapsed() < FLUSH_TIME {
+        tokio::time::sleep(IDLE_POLL).await;
+        if calls.open.get() > 0 {
+            idle_since = Instant::now();
+        }
+    }
+}
+
+/// Reads one call, serves it and frames its reply.
+async fn serve_call(
+    mut request: Request,
+    peer: SocketAddr,
+    limits: Rc<HttpLimits>,
+    handler: HttpHandler,
+    calls: Rc<OpenCalls>,
+    phase: watch::Receiver<DrainPhase>,
+) -> Result<Response<BoxBody>, Infallible> {
+    let _guard = CallGuard::new(calls);
+    let payload = request.take_payload();
+    let reply = match read_body(payload, &limits).await {
+        Ok(body) => {
+            let call = HttpCall {
+                method: request.method().clone(),
+                path: request.path().to_owned(),
+                query: request.uri().query().unwrap_or_default().to_owned(),
+                headers: request.headers().clone(),
+                body,
+                peer,
+            };
+            handler(call).await
+        }
+        Err(error) => unreadable_reply(&error),
+    };
+    let mut response = reply.response;
+    if *phase.borrow() >= DrainPhase::Closing {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
+}
+
+fn unreadable_reply(error: &BodyError) -> HttpReply {
+    let body = UnreadableCall {
+        outcome: "not_run",
+        ran: "no",
+        refusal: UnreadableRefusal {
+            reason: "unreadable",
+            findings: [UnreadableFinding { place: "body", problem: error.problem() }],
+        },
+    };
+    let mut reply = HttpReply::json::<UnreadableCall>(error.status(), &body);
+    reply.response.head_mut().set_connection_type(ConnectionType::Close);
+    debug_assert_ne!(reply.status(), StatusCode::OK);
+    reply
+}
+
+/// Counts a call as open until the reply is framed or the caller goes away.
+struct CallGuard {
+    calls: Rc<OpenCalls>,
+}
+
+impl CallGuard {
+    fn new(calls: Rc<OpenCalls>) -> CallGuard {
+        calls.open.set(calls.open.get() + 1);
+        CallGuard { calls }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.calls.open.set(self.calls.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 listeners with bounded connections, bodies and times.
+//!
+//! [`HttpListener`] accepts on one address and serves every connection on the current thread with
+//! `actix-http`. [`HttpListener::drain`] ends it without cutting a request.
+
+mod body;
+mod call;
+mod connection;
+mod limits;
+mod listener;
+mod reply;
+
+pub use call::HttpCall;
+pub use call::HttpHandler;
+pub use limits::HttpLimits;
+pub use listener::HttpListener;
+pub use reply::HttpReply;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,11 @@
-//! oleanderwind.
+//! A query tier over many shards, driven by one contract for each customer.
+//!
+//! The crates behind this one: `policy` holds every decision without I/O, `wire` the message types,
+//! `daemon` the services of a VM, `standin` stand-ins of the platform and of the searchers, and
+//! `load` the load and experiment tool.
+
+pub use oleanderwind_daemon::Daemon;
+pub use oleanderwind_daemon::DaemonAddresses;
+pub use oleanderwind_daemon::DaemonSettings;
+pub use oleanderwind_daemon::RawSettings;
+pub use oleanderwind_daemon::start_logging;
