feat(admin): edit contracts by conditional update, and oleanderctl

Cause: operators had no way to write or amend a contract. Change: admin API for contracts (validate, apply on a revision, history kept in the object's own annotations and so in the same update), outcomes of each class, explain and drain; oleanderctl over it. An uncertain write is settled by the edit's token, never by guessing: the token in the history proves it, a newer revision without it disproves it, anything else is unknown. Before: status only.

--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,8 @@
+//! The command line's shape.
+
+mod contract;
+mod control;
+
+pub use contract::ContractAction;
+pub use control::ControlAction;
+pub use control::ControlCommand;
--- /dev/null
+++ b/crates/ctl/src/run/mod.rs
@@ -0,0 +1,234 @@
+//! Carrying out commands.
+
+use awc::http::Method;
+use oleanderwind_policy::FieldDifference;
+use oleanderwind_policy::RawContract;
+use oleanderwind_policy::RawPlacement;
+use oleanderwind_wire::ClassOutcome;
+use oleanderwind_wire::ContractDocument;
+use oleanderwind_wire::ContractEdit;
+use oleanderwind_wire::EditReport;
+use oleanderwind_wire::EditVerdict;
+use oleanderwind_wire::FleetMember;
+use oleanderwind_wire::HistoryEntry;
+use oleanderwind_wire::RouteExplanation;
+use oleanderwind_wire::VmStatus;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::client::AdminClient;
+use crate::client::ControlError;
+use crate::command::ContractAction;
+use crate::command::ControlAction;
+use crate::command::ControlCommand;
+use crate::print::PrintText;
+
+/// The admin API's address when none is given.
+const DEFAULT_ADMIN: &str = "127.0.0.1:7401";
+
+/// Exit code when all went well.
+const EXIT_DONE: u8 = 0;
+/// Exit code for a conflict, findings or another refusal.
+const EXIT_REFUSED: u8 = 1;
+/// Exit code for a wrong file or argument.
+const EXIT_BAD_INPUT: u8 = 2;
+/// Exit code when the VM was not reached.
+const EXIT_NOT_REACHED: u8 = 3;
+/// Exit code when it can't be told whether a change took effect.
+const EXIT_UNKNOWN: u8 = 4;
+
+/// What a command came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommandEnd {
+    /// For standard output.
+    pub output: String,
+    /// For standard error.
+    pub problem: String,
+    /// Process exit code.
+    pub code: u8,
+}
+
+/// Carries out a command; `variable` reads the environment.
+///
+/// Needs a running actix system.
+pub async fn run_command(
+    command: &ControlCommand,
+    variable: impl Fn(&str) -> Option<String>,
+) -> CommandEnd {
+    let admin = command.admin.clone().or_else(|| variable("OLEANDERWIND_ADMIN"));
+    let token = command.token.clone().or_else(|| variable("OLEANDERWIND_OPERATOR_TOKEN"));
+    let client = AdminClient::new(admin.unwrap_or_else(|| DEFAULT_ADMIN.to_owned()), token);
+    let runner = CommandRunner { client, json: command.json };
+    runner.run(&command.action).await.unwrap_or_else(|error| failed_end(&error))
+}
+
+fn failed_end(error: &ControlError) -> CommandEnd {
+    let code = match error {
+        ControlError::NotReached { .. } => EXIT_NOT_REACHED,
+        ControlError::Refused { .. } => EXIT_REFUSED,
+        ControlError::BadInput { .. } => EXIT_BAD_INPUT,
+    };
+    CommandEnd { output: String::new(), problem: format!("{error}\n"), code }
+}
+
+/// Runs commands against one VM.
+struct CommandRunner {
+    client: AdminClient,
+    json: bool,
+}
+
+impl CommandRunner {
+    async fn run(&self, action: &ControlAction) -> Result<CommandEnd, ControlError> {
+        match action {
+            ControlAction::Contract(command) => self.run_contract(&command.action).await,
+            ControlAction::Move(command) => {
+                let placement = read_shares(&command.shares)?;
+                self.move_customer(&command.customer, placement, &command.operator).await
+            }
+            ControlAction::Status(_) => self.show::<VmStatus>("/v1/status").await,
+            ControlAction::Fleet(_) => self.show::<Vec<FleetMember>>("/v1/fleet").await,
+            ControlAction::Outcomes(_) => self.show::<Vec<ClassOutcome>>("/v1/outcomes").await,
+            ControlAction::Explain(command) => {
+                let path =
+                    format!("/v1/explain?customer={}&class={}", command.customer, command.class);
+                self.show::<RouteExplanation>(&path).await
+            }
+            ControlAction::Drain(_) => {
+                self.client.send(Method::POST, "/v1/drain", &Value::Null).await?;
+                Ok(done("the VM leaves the fleet and ends by itself\n".to_owned()))
+            }
+        }
+    }
+
+    async fn run_contract(&self, action: &ContractAction) -> Result<CommandEnd, ControlError> {
+        match action {
+            ContractAction::List(_) => self.show::<Vec<ContractDocument>>("/v1/contracts").await,
+            ContractAction::Get(command) => {
+                self.show::<ContractDocument>(&contract_path(&command.customer)).await
+            }
+            ContractAction::History(command) => {
+                let path = format!("{}/history", contract_path(&command.customer));
+                self.show::<Vec<HistoryEntry>>(&path).await
+            }
+            ContractAction::Validate(command) => {
+                let contract = read_file(&command.file)?;
+                let path = "/v1/contracts/validate";
+                let reply = self.client.send(Method::POST, path, &contract).await?;
+                Ok(self.edit_end(&reply.read()?))
+            }
+            ContractAction::Apply(command) => {
+                let contract = read_file(&command.file)?;
+                let edit = ContractEdit {
+                    expected_revision: command.revision,
+                    operator: command.operator.clone(),
+                    contract,
+                };
+                self.apply(&edit).await
+            }
+            ContractAction::Diff(command) => self.diff(&command.file).await,
+        }
+    }
+}
+
+/// Changes.
+impl CommandRunner {
+    async fn apply(&self, edit: &ContractEdit) -> Result<CommandEnd, ControlError> {
+        let customer = edit.contract["customer"].as_str().unwrap_or_default();
+        if customer.is_empty() {
+            return Err(bad_input("customer", "is missing in the contract"));
+        }
+        let reply = self.client.send(Method::PUT, &contract_path(customer), edit).await?;
+        Ok(self.edit_end(&reply.read()?))
+    }
+
+    async fn move_customer(
+        &self,
+        customer: &str,
+        placement: Vec<RawPlacement>,
+        operator: &str,
+    ) -> Result<CommandEnd, ControlError> {
+        let document: ContractDocument = self.client.get(&contract_path(customer)).await?;
+        let contract = RawContract { placement, ..document.contract };
+        let edit = ContractEdit {
+            expected_revision: Some(document.revision),
+            operator: operator.to_owned(),
+            contract: serde_json::to_value(&contract).unwrap_or_default(),
+        };
+        self.apply(&edit).await
+    }
+
+    async fn diff(&self, file: &str) -> Result<CommandEnd, ControlError> {
+        let value = read_file(file)?;
+        let after: RawContract = serde_json::from_value(value)
+            .map_err(|error| bad_input(file, &format!("is not a contract: {error}")))?;
+        let path = contract_path(&after.customer);
+        let before: ContractDocument = self.client.get(&path).await?;
+        let differences = FieldDifference::between(Some(&before.contract), &after);
+        let mut output = format!("from revision {}\n", before.revision);
+        for difference in &differences {
+            output.push_str(&format!("  {difference}\n"));
+        }
+        Ok(done(output))
+    }
+
+    fn edit_end(&self, report: &EditReport) -> CommandEnd {
+        let code = match report.verdict {
+            EditVerdict::Accepted | EditVerdict::Valid => EXIT_DONE,
+            EditVerdict::Conflict | EditVerdict::Invalid => EXIT_REFUSED,
+            EditVerdict::NotWritten => EXIT_NOT_REACHED,
+            EditVerdict::Unknown => EXIT_UNKNOWN,
+        };
+        CommandEnd { output: self.print(report), problem: String::new(), code }
+    }
+}
+
+/// Printing.
+impl CommandRunner {
+    async fn show<T>(&self, path: &str) -> Result<CommandEnd, ControlError>
+    where
+        T: DeserializeOwned + PrintText + Serialize,
+    {
+        let value: T = self.client.get(path).await?;
+        Ok(done(self.print(&value)))
+    }
+
+    fn print<T: PrintText + Serialize>(&self, value: &T) -> String {
+        match self.json {
+            true => format!("{}\n", serde_json::to_string_pretty(value).unwrap_or_default()),
+            false => value.print_text(),
+        }
+    }
+}
+
+fn done(output: String) -> CommandEnd {
+    CommandEnd { output, problem: String::new(), code: EXIT_DONE }
+}
+
+fn contract_path(customer: &str) -> String {
+    format!("/v1/contracts/{customer}")
+}
+
+fn bad_input(place: &str, problem: &str) -> ControlError {
+    ControlError::BadInput { place: place.to_owned(), problem: problem.to_owned() }
+}
+
+fn read_file(file: &str) -> Result<Value, ControlError> {
+    let text = std::fs::read(file).map_err(|error| bad_input(file, &error.to_string()))?;
+    serde_json::from_slice(&text).map_err(|error| bad_input(file, &format!("is not JSON: {error}")))
+}
+
+/// Reads `provider=permille` pairs; the VM checks their sum.
+fn read_shares(shares: &[String]) -> Result<Vec<RawPlacement>, ControlError> {
+    shares
+        .iter()
+        .map(|share| {
+            let (provider, permille) =
+                share.split_once('=').ok_or_else(|| bad_input(share, "give provider=permille"))?;
+            let share_permille = permille
+                .parse()
+                .map_err(|_| bad_input(share, "give a whole number of thousandths"))?;
+            Ok(RawPlacement { provider: provider.to_owned(), share_permille })
+        })
+        .collect()
+}
--- a/crates/daemon/src/admin/service.rs
+++ b/crates/daemon/src/admin/service.rs
@@ -1,8 +1,11 @@
 //! The listener for operators.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use actix_http::Method;
 use actix_http::StatusCode;
@@ -11,29 +14,30 @@
 use oleanderwind_http::HttpLimits;
 use oleanderwind_http::HttpListener;
 use oleanderwind_http::HttpReply;
-use serde::Serialize;
+use oleanderwind_policy::FindingList;
+use oleanderwind_wire::ContractDocument;
+use oleanderwind_wire::ContractEdit;
+use oleanderwind_wire::EditVerdict;
+use oleanderwind_wire::VmStatus;
+use serde_json::Value;
 
+use crate::admin::edit::ContractEditor;
+use crate::admin::edit::check_contract;
+use crate::admin::explain::explain_route;
+use crate::admin::history::read_history;
+use crate::admin::reply::invalid_report;
+use crate::admin::reply::plain_report;
+use crate::admin::reply::report_reply;
 use crate::directory::DirectoryService;
+use crate::edge::ObjectKind;
+use crate::edge::PlatformError;
 use crate::kernel::Kernel;
+use crate::outcomes::OutcomeService;
 use crate::platform::PlatformService;
 
 /// How long a drain waits for operators' open calls.
 const DRAIN_PATIENCE: Duration = Duration::from_secs(1);
 
-/// The reply to `GET /v1/status`.
-#[derive(Debug, Serialize)]
-struct VmStatus {
-    vm: String,
-    failure_domain: String,
-    is_ready: bool,
-    is_leaving: bool,
-    /// Highest configuration revision in force.
-    revision: u64,
-    contracts: usize,
-    targets: usize,
-    platform_calls: u64,
-}
-
 /// Serves operators.
 pub(crate) struct AdminService {
     listener: HttpListener,
@@ -44,6 +48,8 @@
     kernel: Rc<Kernel>,
     directory: Rc<DirectoryService>,
     platform: Rc<PlatformService>,
+    outcomes: Rc<OutcomeService>,
+    edits: Cell<u64>,
 }
 
 impl AdminService {
@@ -57,6 +63,8 @@
             kernel: kernel.clone(),
             directory: kernel.directory()?,
             platform: kernel.platform()?,
+            outcomes: kernel.outcomes()?,
+            edits: Cell::new(0),
         });
         let handler = Rc::new(move |call| serve(state.clone(), call).boxed_local());
         let address = kernel.settings().admin_listen;
@@ -76,13 +84,90 @@
 }
 
 async fn serve(state: Rc<AdminState>, call: HttpCall) -> HttpReply {
+    if call.method != Method::GET && !state.is_allowed(&call) {
+        return HttpReply::text(StatusCode::UNAUTHORIZED, "give the operator token as a bearer\n");
+    }
     match (&call.method, call.segments().as_slice()) {
         (&Method::GET, ["v1", "status"]) => HttpReply::json(StatusCode::OK, &state.status()),
-        _ => HttpReply::text(StatusCode::NOT_FOUND, "not served here\n"),
+        (&Method::GET, ["v1", "contracts"]) => state.list_contracts(),
+        (&Method::GET, ["v1", "contracts", customer]) => state.get_contract(customer).await,
+        (&Method::GET, ["v1", "contracts", customer, "history"]) => state.history(customer).await,
+        (&Method::POST, ["v1", "contracts", "validate"]) => validate(&call),
+        (&Method::PUT, ["v1", "contracts", customer]) => state.put_contract(customer, &call).await,
+        (&Method::GET, ["v1", "outcomes"]) => {
+            HttpReply::json(StatusCode::OK, &state.outcomes.report(&state.directory))
+        }
+        (&Method::GET, ["v1", "explain"]) => state.explain(&call),
+        (&Method::POST, ["v1", "drain"]) => state.drain(),
+        _ => not_found(&format!("{} {} is not served here", call.method, call.path)),
+    }
+}
+
+/// Contracts.
+impl AdminState {
+    fn list_contracts(&self) -> HttpReply {
+        let entries = self.directory.contracts().into_iter();
+        let documents: Vec<ContractDocument> = entries
+            .map(|entry| ContractDocument {
+                customer: entry.contract.customer.clone(),
+                revision: entry.revision,
+                contract: entry.raw.as_ref().clone(),
+            })
+            .collect();
+        HttpReply::json(StatusCode::OK, &documents)
+    }
+
+    /// The contract as the platform holds it, so that an edit is made on the newest one.
+    async fn get_contract(&self, customer: &str) -> HttpReply {
+        let object = match self.platform.get(ObjectKind::Contracts, customer).await {
+            Ok(object) => object,
+            Err(error) => return platform_reply(&error),
+        };
+        match crate::admin::edit::read_document(&object) {
+            Some(document) => HttpReply::json(StatusCode::OK, &document),
+            None => not_found(&format!("the object \"{customer}\" is not a contract")),
+        }
+    }
+
+    async fn history(&self, customer: &str) -> HttpReply {
+        match self.platform.get(ObjectKind::Contracts, customer).await {
+            Ok(object) => HttpReply::json(StatusCode::OK, &read_history(&object)),
+            Err(error) => platform_reply(&error),
+        }
+    }
+
+    async fn put_contract(&self, customer: &str, call: &HttpCall) -> HttpReply {
+        let edit: ContractEdit = match serde_json::from_slice(&call.body) {
+            Ok(edit) => edit,
+            Err(error) => return report_reply(&invalid_report(body_finding(&error))),
+        };
+        let token = self.fresh_token();
+        let editor = ContractEditor {
+            platform: &self.platform,
+            directory: &self.directory,
+            customer,
+            token,
+        };
+        report_reply(&editor.apply(&edit).await)
+    }
+
+    /// Differs between VMs, between restarts and between edits.
+    fn fresh_token(&self) -> String {
+        self.edits.set(self.edits.get() + 1);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        format!("{}-{:x}-{}", self.kernel.settings().vm, now.as_nanos(), self.edits.get())
     }
 }
 
+/// State and operation.
 impl AdminState {
+    fn is_allowed(&self, call: &HttpCall) -> bool {
+        match &self.kernel.settings().operator_token {
+            None => true,
+            Some(token) => call.header("authorization") == Some(&format!("Bearer {token}")),
+        }
+    }
+
     fn status(&self) -> VmStatus {
         let settings = self.kernel.settings();
         VmStatus {
@@ -96,4 +181,48 @@
             platform_calls: self.platform.calls(),
         }
     }
+
+    fn explain(&self, call: &HttpCall) -> HttpReply {
+        let customer = call.parameter("customer").unwrap_or_default();
+        let class = call.parameter("class").unwrap_or_default();
+        match explain_route(&self.directory, customer, class) {
+            Some(explanation) => HttpReply::json(StatusCode::OK, &explanation),
+            None => not_found("no such customer and class; give ?customer=&class="),
+        }
+    }
+
+    fn drain(&self) -> HttpReply {
+        log::info!("an operator asked for a drain");
+        self.kernel.request_drain();
+        HttpReply::text(StatusCode::ACCEPTED, "draining\n")
+    }
+}
+
+fn validate(call: &HttpCall) -> HttpReply {
+    let value: Value = match serde_json::from_slice(&call.body) {
+        Ok(value) => value,
+        Err(error) => return report_reply(&invalid_report(body_finding(&error))),
+    };
+    let customer = value["customer"].as_str().unwrap_or_default();
+    match check_contract(&value, customer) {
+        Ok(_) => report_reply(&plain_report(EditVerdict::Valid, "it can be applied")),
+        Err(findings) => report_reply(&invalid_report(findings)),
+    }
+}
+
+fn body_finding(error: &serde_json::Error) -> FindingList {
+    let mut findings = FindingList::default();
+    findings.add("body", error.to_string());
+    findings
+}
+
+fn platform_reply(error: &PlatformError) -> HttpReply {
+    match error {
+        PlatformError::NotFound => not_found("there is no such contract"),
+        _ => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")),
+    }
+}
+
+fn not_found(text: &str) -> HttpReply {
+    HttpReply::text(StatusCode::NOT_FOUND, format!("{text}\n"))
 }
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 use crate::kernel::Kernel;
 use crate::kernel::Service;
 use crate::metrics::MetricsService;
+use crate::outcomes::OutcomeService;
 use crate::platform::HttpPlatform;
 use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
@@ -46,6 +47,7 @@
     pub async fn start(settings: DaemonSettings) -> eyre::Result<Daemon> {
         let kernel = Kernel::new(settings.clone());
         kernel.register(Service::Metrics(Rc::new(MetricsService::new()?)));
+        kernel.register(Service::Outcomes(Rc::new(OutcomeService::new())));
         let platform = PlatformService::new(Box::new(HttpPlatform::new(settings.platform)));
         kernel.register(Service::Platform(Rc::new(platform)));
         kernel.register(Service::Directory(Rc::new(DirectoryService::new())));
@@ -70,6 +72,11 @@
         &self.addresses
     }
 
+    /// Returns once an operator asks for a drain.
+    pub async fn drain_requested(&self) {
+        self.kernel.drain_requested().await;
+    }
+
     /// Leaves the fleet: callers are sent elsewhere, open requests are finished.
     pub async fn drain(&self) {
         let settings = self.kernel.settings();
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -30,6 +30,8 @@
 use crate::kernel::Kernel;
 use crate::metrics::MetricsService;
 use crate::metrics::RequestMeasure;
+use crate::outcomes::FinishedRequest;
+use crate::outcomes::OutcomeService;
 use crate::settings::DaemonSettings;
 
 /// Serves callers.
@@ -38,6 +40,7 @@
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
     metrics: Rc<MetricsService>,
+    outcomes: Rc<OutcomeService>,
     listener: OnceCell<HttpListener>,
     next_request: Cell<u64>,
 }
@@ -54,6 +57,7 @@
             directory: kernel.directory()?,
             fanout: kernel.fanout()?,
             metrics: kernel.metrics()?,
+            outcomes: kernel.outcomes()?,
             listener: OnceCell::new(),
             next_request: Cell::new(settings.seed),
             settings,
@@ -196,6 +200,14 @@
             primary_calls,
             extra_calls,
         });
+        let finished = FinishedRequest {
+            outcome: answer.outcome,
+            latency,
+            coverage_permille: coverage_permille.map(|part| part as u32),
+            primary_calls,
+            extra_calls,
+        };
+        self.outcomes.record(customer, &request.class, &request.terms, &finished);
         log::debug!(
             "request {} of {customer} class {}: {:?} ran {:?} after {} us, {primary_calls} calls \
              and {extra_calls} extra",
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -3,12 +3,15 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::kernel::KernelError;
 use crate::kernel::Service;
 use crate::kernel::ServiceName;
 use crate::metrics::MetricsService;
+use crate::outcomes::OutcomeService;
 use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
 use crate::targets::TargetService;
@@ -17,12 +20,17 @@
 pub(crate) struct Kernel {
     settings: DaemonSettings,
     services: RefCell<Vec<Service>>,
+    drain_requests: Notify,
 }
 
 impl Kernel {
     /// A kernel without services.
     pub(crate) fn new(settings: DaemonSettings) -> Rc<Kernel> {
-        Rc::new(Kernel { settings, services: RefCell::new(Vec::new()) })
+        Rc::new(Kernel {
+            settings,
+            services: RefCell::new(Vec::new()),
+            drain_requests: Notify::new(),
+        })
     }
 
     /// The daemon's settings.
@@ -60,12 +68,23 @@
 }
 
 typed_lookup!(metrics, Metrics, MetricsService);
+typed_lookup!(outcomes, Outcomes, OutcomeService);
 typed_lookup!(platform, Platform, PlatformService);
 typed_lookup!(directory, Directory, DirectoryService);
 typed_lookup!(targets, Targets, TargetService);
 typed_lookup!(fanout, Fanout, FanoutService);
 
 impl Kernel {
+    /// Asks the process to drain, as SIGTERM does.
+    pub(crate) fn request_drain(&self) {
+        self.drain_requests.notify_one();
+    }
+
+    /// Returns once a drain is asked for.
+    pub(crate) async fn drain_requested(&self) {
+        self.drain_requests.notified().await;
+    }
+
     /// Tells callers and peers that this VM is leaving.
     pub(crate) fn announce_leaving(&self) {
         for service in self.services.borrow().iter() {
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -7,6 +7,7 @@
 use crate::fanout::FanoutService;
 use crate::front::FrontService;
 use crate::metrics::MetricsService;
+use crate::outcomes::OutcomeService;
 use crate::platform::PlatformService;
 use crate::sync::SyncService;
 use crate::targets::TargetService;
@@ -16,6 +17,8 @@
 pub(crate) enum ServiceName {
     /// Metrics of everything else.
     Metrics,
+    /// How each contract fares.
+    Outcomes,
     /// Calls to the platform's Object API.
     Platform,
     /// Configuration in force.
@@ -37,6 +40,8 @@
 pub(crate) enum Service {
     /// See [`ServiceName::Metrics`].
     Metrics(Rc<MetricsService>),
+    /// See [`ServiceName::Outcomes`].
+    Outcomes(Rc<OutcomeService>),
     /// See [`ServiceName::Platform`].
     Platform(Rc<PlatformService>),
     /// See [`ServiceName::Directory`].
@@ -58,6 +63,7 @@
     pub(crate) fn name(&self) -> ServiceName {
         match self {
             Service::Metrics(_) => ServiceName::Metrics,
+            Service::Outcomes(_) => ServiceName::Outcomes,
             Service::Platform(_) => ServiceName::Platform,
             Service::Directory(_) => ServiceName::Directory,
             Service::Sync(_) => ServiceName::Sync,
@@ -74,6 +80,7 @@
             Service::Directory(directory) => directory.announce_leaving(),
             Service::Front(front) => front.announce_leaving(),
             Service::Metrics(_)
+            | Service::Outcomes(_)
             | Service::Platform(_)
             | Service::Sync(_)
             | Service::Targets(_)
@@ -90,6 +97,7 @@
             Service::Fanout(fanout) => fanout.drain().await,
             Service::Sync(sync) => sync.stop(),
             Service::Metrics(_)
+            | Service::Outcomes(_)
             | Service::Platform(_)
             | Service::Directory(_)
             | Service::Targets(_) => {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod kernel;
 mod logging;
 mod metrics;
+mod outcomes;
 mod platform;
 mod settings;
 mod sync;
--- /dev/null
+++ b/crates/daemon/src/outcomes/mod.rs
@@ -0,0 +1,196 @@
+//! How each contract fares: counts and latencies of the last minutes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use oleanderwind_policy::ClassTerms;
+use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_wire::ClassOutcome;
+
+use crate::directory::DirectoryService;
+
+/// Outcomes are kept for one to two of these.
+const HALF_WINDOW: Duration = Duration::from_secs(300);
+/// Quantile that a deadline is promised for.
+const TAIL_QUANTILE: f64 = 0.99;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 120_000_000;
+
+/// One finished request.
+#[derive(Clone, Debug)]
+pub(crate) struct FinishedRequest {
+    pub(crate) outcome: RequestOutcome,
+    pub(crate) latency: Duration,
+    /// Thousandths of the documents, rounded down; absent for operations.
+    pub(crate) coverage_permille: Option<u32>,
+    pub(crate) primary_calls: u32,
+    pub(crate) extra_calls: u32,
+}
+
+/// Counts of one class in one half of the window.
+#[derive(Clone)]
+struct ClassCounts {
+    requests: u64,
+    within_deadline: u64,
+    above_floor: u64,
+    not_served: u64,
+    primary_calls: u64,
+    extra_calls: u64,
+    latencies: Histogram<u32>,
+}
+
+/// A class of a customer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ClassKey {
+    customer: String,
+    class: String,
+}
+
+/// The two halves of the window.
+struct OutcomeWindow {
+    current: BTreeMap<ClassKey, ClassCounts>,
+    previous: BTreeMap<ClassKey, ClassCounts>,
+    turned_at: Instant,
+}
+
+/// Outcomes of every class, kept for one to two half windows.
+pub(crate) struct OutcomeService {
+    window: RefCell<OutcomeWindow>,
+}
+
+impl OutcomeService {
+    /// An empty window.
+    pub(crate) fn new() -> OutcomeService {
+        let window = OutcomeWindow {
+            current: BTreeMap::new(),
+            previous: BTreeMap::new(),
+            turned_at: Instant::now(),
+        };
+        OutcomeService { window: RefCell::new(window) }
+    }
+
+    /// Adds a finished request of a class that is in the contract.
+    pub(crate) fn record(
+        &self,
+        customer: &str,
+        class: &str,
+        terms: &ClassTerms,
+        request: &FinishedRequest,
+    ) {
+        let mut window = self.window.borrow_mut();
+        window.turn(Instant::now());
+        let key = ClassKey { customer: customer.to_owned(), class: class.to_owned() };
+        window.current.entry(key).or_insert_with(ClassCounts::new).add(terms, request);
+    }
+
+    /// Every class of every contract in force, with what its window holds.
+    pub(crate) fn report(&self, directory: &DirectoryService) -> Vec<ClassOutcome> {
+        let mut window = self.window.borrow_mut();
+        window.turn(Instant::now());
+        let mut outcomes = Vec::new();
+        for entry in directory.contracts() {
+            for (class, terms) in &entry.contract.classes {
+                let key = ClassKey {
+                    customer: entry.contract.customer.to_string(),
+                    class: class.to_string(),
+                };
+                outcomes.push(window.counts(&key).outcome(&entry.contract, class, terms));
+            }
+        }
+        outcomes
+    }
+}
+
+impl OutcomeWindow {
+    fn turn(&mut self, now: Instant) {
+        if now.duration_since(self.turned_at) >= HALF_WINDOW {
+            self.previous = std::mem::take(&mut self.current);
+            self.turned_at = now;
+        }
+    }
+
+    fn counts(&self, key: &ClassKey) -> ClassCounts {
+        let mut counts = ClassCounts::new();
+        for half in [&self.previous, &self.current] {
+            if let Some(other) = half.get(key) {
+                counts.merge(other);
+            }
+        }
+        counts
+    }
+}
+
+impl ClassCounts {
+    fn new() -> ClassCounts {
+        let latencies = Histogram::new_with_bounds(1, MAX_LATENCY_US, 2)
+            .unwrap_or_else(|_| Histogram::new(2).unwrap_or_else(|_| unreachable!()));
+        ClassCounts {
+            requests: 0,
+            within_deadline: 0,
+            above_floor: 0,
+            not_served: 0,
+            primary_calls: 0,
+            extra_calls: 0,
+            latencies,
+        }
+    }
+
+    fn add(&mut self, terms: &ClassTerms, request: &FinishedRequest) {
+        self.requests += 1;
+        self.within_deadline += u64::from(request.latency <= terms.deadline);
+        let is_above =
+            request.coverage_permille.is_none_or(|part| part >= terms.coverage_floor_permille);
+        self.above_floor += u64::from(is_above);
+        let is_served =
+            matches!(request.outcome, RequestOutcome::Answered | RequestOutcome::Partial);
+        self.not_served += u64::from(!is_served);
+        self.primary_calls += u64::from(request.primary_calls);
+        self.extra_calls += u64::from(request.extra_calls);
+        let latency = u64::try_from(request.latency.as_micros()).unwrap_or(MAX_LATENCY_US);
+        self.latencies.saturating_record(latency.max(1));
+    }
+
+    fn merge(&mut self, other: &ClassCounts) {
+        self.requests += other.requests;
+        self.within_deadline += other.within_deadline;
+        self.above_floor += other.above_floor;
+        self.not_served += other.not_served;
+        self.primary_calls += other.primary_calls;
+        self.extra_calls += other.extra_calls;
+        // Both histograms have the same bounds.
+        let _ = self.latencies.add(&other.latencies);
+    }
+
+    fn outcome(
+        &self,
+        contract: &CustomerContract,
+        class: &str,
+        terms: &ClassTerms,
+    ) -> ClassOutcome {
+        let p99_ms = self.latencies.value_at_quantile(TAIL_QUANTILE) as f64 / 1_000.0;
+        let share = |part: u64| part as f64 >= TAIL_QUANTILE * self.requests as f64;
+        let extra_bound = self.primary_calls * u64::from(contract.extra_load_permille);
+        let holds = share(self.within_deadline)
+            && share(self.above_floor)
+            && share(self.requests - self.not_served)
+            && self.extra_calls * 1_000 <= extra_bound;
+        ClassOutcome {
+            customer: contract.customer.clone(),
+            class: class.to_owned(),
+            requests: self.requests,
+            within_deadline: self.within_deadline,
+            above_floor: self.above_floor,
+            not_served: self.not_served,
+            p99_ms,
+            deadline_ms: u64::try_from(terms.deadline.as_millis()).unwrap_or(u64::MAX),
+            primary_calls: self.primary_calls,
+            extra_calls: self.extra_calls,
+            extra_load_permille: contract.extra_load_permille,
+            holds,
+        }
+    }
+}
--- a/crates/policy/src/contract/mod.rs
+++ b/crates/policy/src/contract/mod.rs
@@ -2,6 +2,7 @@
 
 mod class;
 mod customer_contract;
+mod difference;
 mod placement;
 mod raw;
 
@@ -10,6 +11,7 @@
 pub use class::OperationKind;
 pub use customer_contract::AnswerPreference;
 pub use customer_contract::CustomerContract;
+pub use difference::FieldDifference;
 pub use placement::PlacementShare;
 pub use raw::RawClass;
 pub use raw::RawContract;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub use contract::ClassPriority;
 pub use contract::ClassTerms;
 pub use contract::CustomerContract;
+pub use contract::FieldDifference;
 pub use contract::OperationKind;
 pub use contract::PlacementShare;
 pub use contract::RawClass;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,11 +3,22 @@
 //! The JSON types deny nothing and default nothing silently unless a field says so; the peer
 //! types in [`peer`] are generated from `proto/peer.proto` by `tools/generate` and committed.
 
+mod admin;
 mod caller;
 pub mod peer;
 mod platform;
 mod searcher;
 
+pub use admin::ClassOutcome;
+pub use admin::ContractDocument;
+pub use admin::ContractEdit;
+pub use admin::EditReport;
+pub use admin::EditVerdict;
+pub use admin::FleetMember;
+pub use admin::HistoryEntry;
+pub use admin::RouteExplanation;
+pub use admin::ShardRoute;
+pub use admin::VmStatus;
 pub use caller::AddressAnswer;
 pub use caller::CallerAnswer;
 pub use caller::CoverageReport;
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -6,6 +6,8 @@
 //! `GET {kind}?watch=1&resourceVersion=N&timeoutSeconds=S` streams one JSON [`WatchEvent`] a
 //! line and answers 410 when N is too old.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,6 +25,9 @@
     /// Version of the store at the object's last write, a decimal number as text.
     #[serde(default)]
     pub resource_version: String,
+    /// Small texts that travel with the object, written with it in one update.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub annotations: BTreeMap<String, String>,
 }
 
 /// One object with its JSON `spec`.
--- /dev/null
+++ b/src/bin/oleanderctl.rs
@@ -0,0 +1,15 @@
+//! Operators' command line.
+
+use std::process::ExitCode;
+
+use oleanderwind::ControlCommand;
+use oleanderwind::run_command;
+
+fn main() -> ExitCode {
+    let command: ControlCommand = argh::from_env();
+    let variable = |name: &str| std::env::var(name).ok();
+    let end = actix_rt::System::new().block_on(run_command(&command, variable));
+    print!("{}", end.output);
+    eprint!("{}", end.problem);
+    ExitCode::from(end.code)
+}
--- a/src/bin/oleanderwindd.rs
+++ b/src/bin/oleanderwindd.rs
@@ -48,6 +48,7 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = daemon.drain_requested() => {}
         }
         daemon.drain().await;
         Ok(())
