--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -196,5 +196,5 @@
 
 /// Metadata that carries only a version.
 pub(crate) fn version_metadata(version: u64) -> ObjectMetadata {
-    ObjectMetadata { name: String::new(), resource_version: version.to_string() }
+    ObjectMetadata { resource_version: version.to_string(), ..ObjectMetadata::default() }
 }
