--- /dev/null
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -0,0 +1,362 @@
+//! A fake of targets in virtual time: a service-time table and a slot count each.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use oleanderwind_policy::AnswerPreference;
+use oleanderwind_policy::CallId;
+use oleanderwind_policy::ClassPriority;
+use oleanderwind_policy::FanoutAction;
+use oleanderwind_policy::FanoutEngine;
+use oleanderwind_policy::FanoutEvent;
+use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::FanoutResult;
+use oleanderwind_policy::FanoutSettings;
+use oleanderwind_policy::LoadReport;
+use oleanderwind_policy::QueryId;
+use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::ShardEntry;
+use oleanderwind_policy::ShardId;
+use oleanderwind_policy::SnapshotManifest;
+use oleanderwind_policy::TargetId;
+use oleanderwind_policy::TargetPhase;
+use oleanderwind_policy::TargetSpec;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// Documents of each shard.
+pub(crate) const SHARD_DOCUMENTS: u64 = 1_000;
+/// Service times in hundredths of a target's base time; one entry is drawn a call.
+const SERVICE_PERCENT: [u32; 20] =
+    [60, 70, 75, 80, 85, 90, 90, 95, 100, 100, 100, 105, 110, 110, 120, 130, 140, 160, 200, 300];
+
+pub(crate) const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// What a fake target does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Behaviour {
+    Serve,
+    Silent,
+    Fail,
+    Refuse(RefusalCause),
+    /// Covers only this many documents.
+    Half(u64),
+}
+
+pub(crate) struct FakeTarget {
+    pub(crate) behaviour: Behaviour,
+    pub(crate) base: Duration,
+    pub(crate) queue_limit: usize,
+    pub(crate) reported: Option<LoadReport>,
+    pub(crate) draining: bool,
+    pub(crate) received: u32,
+    pub(crate) open: u32,
+    slots: u32,
+    running: Vec<CallId>,
+    queue: VecDeque<CallId>,
+}
+
+/// One call as the engine sent it.
+#[derive(Clone, Debug)]
+pub(crate) struct SentCall {
+    pub(crate) call: CallId,
+    pub(crate) query: QueryId,
+    pub(crate) target: TargetId,
+    pub(crate) shard: ShardId,
+    pub(crate) at: Instant,
+}
+
+pub(crate) struct FakeFleet {
+    pub(crate) engine: FanoutEngine,
+    pub(crate) now: Instant,
+    pub(crate) start: Instant,
+    pub(crate) targets: BTreeMap<TargetId, FakeTarget>,
+    pub(crate) specs: Vec<TargetSpec>,
+    pub(crate) manifest: Arc<SnapshotManifest>,
+    pub(crate) sent: Vec<SentCall>,
+    pub(crate) cancelled: Vec<CallId>,
+    pub(crate) finished: BTreeMap<QueryId, (Instant, FanoutResult)>,
+    pub(crate) budget: u32,
+    deadlines: HashMap<QueryId, Instant>,
+    open: HashMap<CallId, SentCall>,
+    answers: HashMap<CallId, u64>,
+    merged: HashMap<QueryId, u64>,
+    due: BinaryHeap<Reverse<(Instant, u64, CallId)>>,
+    order: u64,
+    generator: Pcg64Mcg,
+}
+
+impl FakeFleet {
+    /// `shards` shards of `replicas` targets `s{shard}r{replica}` with two slots each.
+    pub(crate) fn new(settings: FanoutSettings, shards: u32, replicas: u32) -> FakeFleet {
+        let name = |shard: u32, replica: u32| TargetId::from(format!("s{shard}r{replica}"));
+        let mut targets = BTreeMap::new();
+        let mut specs = Vec::new();
+        let mut entries = Vec::new();
+        for shard in 0..shards {
+            for replica in 0..replicas {
+                targets.insert(name(shard, replica), fake_target());
+                specs.push(TargetSpec {
+                    target: name(shard, replica),
+                    service: "courses".into(),
+                    provider: "east".into(),
+                    address: "127.0.0.1:1".parse().unwrap(),
+                    failure_domain: "a".into(),
+                    slots: 2,
+                    connection_limit: 8,
+                    phase: TargetPhase::Ready,
+                });
+            }
+            let held = (0..replicas).map(|replica| name(shard, replica)).collect();
+            entries.push(ShardEntry { shard, documents: SHARD_DOCUMENTS, targets: held });
+        }
+        let now = Instant::now();
+        let mut engine = FanoutEngine::new(settings);
+        engine.apply_targets(specs.clone(), now);
+        FakeFleet {
+            engine,
+            now,
+            start: now,
+            targets,
+            specs,
+            manifest: Arc::new(SnapshotManifest {
+                service: "courses".into(),
+                provider: "east".into(),
+                index_version: 1,
+                shards: entries,
+            }),
+            sent: Vec::new(),
+            cancelled: Vec::new(),
+            finished: BTreeMap::new(),
+            budget: 8,
+            deadlines: HashMap::new(),
+            open: HashMap::new(),
+            answers: HashMap::new(),
+            merged: HashMap::new(),
+            due: BinaryHeap::new(),
+            order: 0,
+            generator: Pcg64Mcg::seed_from_u64(7),
+        }
+    }
+
+    /// A plan with a deadline of 200 ms, a floor of 500 ‰ and extra load of 100 ‰.
+    pub(crate) fn plan(&self) -> FanoutPlan {
+        FanoutPlan {
+            customer: "library".into(),
+            class: "finder".into(),
+            manifest: self.manifest.clone(),
+            deadline: self.now + ms(200),
+            coverage_floor_permille: 500,
+            preference: AnswerPreference::Coverage,
+            priority: ClassPriority::Interactive,
+            extra_load_permille: 100,
+        }
+    }
+
+    pub(crate) fn target(&mut self, name: &str) -> &mut FakeTarget {
+        self.targets.get_mut(name).unwrap()
+    }
+
+    pub(crate) fn submit(&mut self, query: QueryId, plan: FanoutPlan) {
+        self.deadlines.insert(query, plan.deadline);
+        let mut actions = Vec::new();
+        self.engine.submit(query, plan, self.now, &mut actions);
+        self.carry_out(actions);
+    }
+
+    /// Submits `count` queries of `plan`'s kind, one every `gap`, then lets all finish.
+    pub(crate) fn submit_every(&mut self, first: QueryId, count: u64, gap: Duration) {
+        for query in first..first + count {
+            let plan = self.plan();
+            self.submit(query, plan);
+            self.advance(gap);
+        }
+        self.advance(ms(400));
+    }
+
+    pub(crate) fn handle(&mut self, event: FanoutEvent) {
+        let mut actions = Vec::new();
+        self.engine.handle(event, self.now, &mut actions);
+        self.carry_out(actions);
+    }
+
+    pub(crate) fn abandon(&mut self, query: QueryId) {
+        let mut actions = Vec::new();
+        self.engine.abandon(query, self.now, &mut actions);
+        self.carry_out(actions);
+    }
+
+    /// Runs virtual time forward.
+    pub(crate) fn advance(&mut self, span: Duration) {
+        let until = self.now + span;
+        loop {
+            let event = self.due.peek().map(|Reverse((at, _, _))| *at);
+            let wake = self.engine.next_wake();
+            let Some(next) = event.into_iter().chain(wake).min().filter(|at| *at <= until) else {
+                break;
+            };
+            self.now = self.now.max(next);
+            if event.is_some_and(|at| at <= self.now) {
+                let Some(Reverse((_, _, call))) = self.due.pop() else { break };
+                self.complete(call);
+            } else {
+                let mut actions = Vec::new();
+                self.engine.wake(self.now, &mut actions);
+                self.carry_out(actions);
+            }
+        }
+        self.now = until;
+    }
+
+    pub(crate) fn result(&self, query: QueryId) -> &FanoutResult {
+        &self.finished[&query].1
+    }
+
+    /// Time from the plan's start (deadline less 200 ms) to the answer.
+    pub(crate) fn latency(&self, query: QueryId) -> Duration {
+        let begun = self.deadlines[&query] - ms(200);
+        self.finished[&query].0 - begun
+    }
+
+    pub(crate) fn extra_calls(&self) -> u64 {
+        self.finished.values().map(|(_, result)| u64::from(result.extra_calls)).sum()
+    }
+
+    pub(crate) fn primary_calls(&self) -> u64 {
+        let primary = |result: &FanoutResult| u64::from(result.calls_sent - result.extra_calls);
+        self.finished.values().map(|(_, result)| primary(result)).sum()
+    }
+
+    /// Every action in its order, with the invariants that hold for each.
+    fn carry_out(&mut self, actions: Vec<FanoutAction>) {
+        for action in actions {
+            match action {
+                FanoutAction::Send { query, call, target, shard, deadline, .. } => {
+                    assert!(!self.finished.contains_key(&query), "sent after the end");
+                    assert!(deadline <= self.deadlines[&query]);
+                    let sent = SentCall { call, query, target, shard, at: self.now };
+                    self.receive(sent);
+                }
+                FanoutAction::Merge { query, call } => {
+                    assert!(!self.finished.contains_key(&query), "merged after the end");
+                    *self.merged.entry(query).or_default() += self.answers[&call];
+                }
+                FanoutAction::Cancel { call, .. } => {
+                    self.cancelled.push(call);
+                    self.release(call);
+                }
+                FanoutAction::Finish { query, result } => {
+                    assert!(self.now <= self.deadlines[&query], "answered after the deadline");
+                    let merged = self.merged.get(&query).copied().unwrap_or(0);
+                    assert_eq!(result.documents_covered, merged, "coverage is what was merged");
+                    let before = self.finished.insert(query, (self.now, result));
+                    assert!(before.is_none(), "query {query} finished twice");
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, sent: SentCall) {
+        let call = sent.call;
+        self.sent.push(sent.clone());
+        let target = self.targets.get_mut(&sent.target).unwrap();
+        target.received += 1;
+        target.open += 1;
+        assert!(target.open <= self.budget, "more open calls than connections");
+        let is_immediate = match target.behaviour {
+            Behaviour::Silent => false,
+            Behaviour::Fail | Behaviour::Refuse(_) => true,
+            Behaviour::Serve | Behaviour::Half(_) => target.queue.len() >= target.queue_limit,
+        };
+        if is_immediate {
+            self.schedule(call, ms(1));
+        } else if target.behaviour != Behaviour::Silent {
+            target.queue.push_back(call);
+            let name = sent.target.clone();
+            self.open.insert(call, sent);
+            self.start_queued(&name);
+            return;
+        }
+        self.open.insert(call, sent);
+    }
+
+    fn start_queued(&mut self, name: &TargetId) {
+        loop {
+            let Some(target) = self.targets.get_mut(name) else { return };
+            if target.running.len() >= target.slots as usize {
+                return;
+            }
+            let Some(call) = target.queue.pop_front() else { return };
+            target.running.push(call);
+            let percent = SERVICE_PERCENT[self.generator.random_range(0..SERVICE_PERCENT.len())];
+            let service = target.base * percent / 100;
+            self.schedule(call, service);
+        }
+    }
+
+    fn schedule(&mut self, call: CallId, after: Duration) {
+        self.order += 1;
+        self.due.push(Reverse((self.now + after, self.order, call)));
+    }
+
+    fn complete(&mut self, call: CallId) {
+        let Some(sent) = self.open.get(&call).cloned() else { return };
+        let target = &self.targets[&sent.target];
+        let is_run = target.running.contains(&call);
+        let load = target.reported.unwrap_or(LoadReport {
+            busy: target.running.len() as u32,
+            queued: target.queue.len() as u32,
+            slots: target.slots,
+        });
+        let draining = target.draining;
+        let documents = match target.behaviour {
+            Behaviour::Half(documents) => documents,
+            _ => SHARD_DOCUMENTS,
+        };
+        let event = match target.behaviour {
+            Behaviour::Fail => FanoutEvent::Failed { call },
+            Behaviour::Refuse(cause) => FanoutEvent::Refused { call, cause, load, draining },
+            _ if !is_run => {
+                let cause = RefusalCause::Shedding;
+                FanoutEvent::Refused { call, cause, load, draining }
+            }
+            _ => FanoutEvent::Answered { call, documents, load, draining },
+        };
+        self.answers.insert(call, documents);
+        self.release(call);
+        self.handle(event);
+    }
+
+    fn release(&mut self, call: CallId) {
+        let Some(sent) = self.open.remove(&call) else { return };
+        let target = self.targets.get_mut(&sent.target).unwrap();
+        target.open -= 1;
+        target.running.retain(|other| *other != call);
+        target.queue.retain(|other| *other != call);
+        self.start_queued(&sent.target);
+    }
+}
+
+fn fake_target() -> FakeTarget {
+    FakeTarget {
+        behaviour: Behaviour::Serve,
+        base: ms(10),
+        queue_limit: 8,
+        reported: None,
+        draining: false,
+        received: 0,
+        open: 0,
+        slots: 2,
+        running: Vec::new(),
+        queue: VecDeque::new(),
+    }
+}
