feat(policy): hedge, retry, queue and answer by the contract

Change: modules for the budget of extra calls, latency, routing, windows and waiting calls, and the query's state machine over them. Extra calls are earned by primary calls and start at nothing, so that their share holds at any time. A query that can't meet its floor ends in the step that shows it; a loser's time until its cancellation counts as latency, so that slow targets are seen.

--- /dev/null
+++ b/crates/policy/src/budget/extra_load.rs
@@ -0,0 +1,38 @@
+//! One customer's budget of extra calls.
+
+/// Credit that one extra call costs, in thousandths of a call.
+const CALL_CREDIT: u64 = 1_000;
+
+/// Extra calls that a customer has earned and not yet spent.
+///
+/// Starts empty and is earned by primary calls only, so at any time the extra calls so far are at
+/// most the contract's share of the primary calls so far, however slow the targets are.
+#[derive(Debug)]
+pub(crate) struct ExtraLoadBudget {
+    credit: u64,
+    cap: u64,
+}
+
+impl ExtraLoadBudget {
+    /// An empty budget that keeps at most `burst_calls` for later.
+    pub(crate) fn new(burst_calls: u32) -> ExtraLoadBudget {
+        ExtraLoadBudget { credit: 0, cap: u64::from(burst_calls) * CALL_CREDIT }
+    }
+
+    /// Takes in one primary call under a contract that allows `extra_load_permille`.
+    pub(crate) fn earn(&mut self, extra_load_permille: u32) {
+        self.credit = (self.credit + u64::from(extra_load_permille)).min(self.cap);
+    }
+
+    /// Spends one extra call, or refuses it.
+    pub(crate) fn try_spend(&mut self) -> bool {
+        let Some(credit) = self.credit.checked_sub(CALL_CREDIT) else { return false };
+        self.credit = credit;
+        true
+    }
+
+    /// Whether an extra call would be granted now.
+    pub(crate) fn has_credit(&self) -> bool {
+        self.credit >= CALL_CREDIT
+    }
+}
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -6,211 +6,229 @@
 use std::time::Instant;
 
 use rand::SeedableRng;
-use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 
 use crate::CallId;
 use crate::FanoutAction;
 use crate::FanoutEvent;
 use crate::FanoutPlan;
-use crate::FanoutResult;
 use crate::FanoutSettings;
 use crate::FinishReason;
 use crate::QueryId;
-use crate::RequestOutcome;
-use crate::RunState;
-use crate::ShardId;
-use crate::TargetId;
-use crate::TargetPhase;
-use crate::TargetSpec;
+use crate::budget::BudgetTable;
+use crate::fanout::manifest::ManifestCache;
+use crate::fanout::query::RunningQuery;
+use crate::fanout::query::ShardProgress;
+use crate::fanout::query::ShardState;
+use crate::fanout::timer::EngineTimer;
+use crate::fanout::timer::TimerKind;
+use crate::latency::LatencyTable;
+use crate::routing::TargetIndex;
+use crate::routing::TargetTable;
 
 /// Bits of a call id that count calls; the rest is the VM's prefix.
 const CALL_COUNTER_BITS: u32 = 40;
+/// The margin before a deadline is at most this part of the time left.
+const MARGIN_DIVISOR: u32 = 4;
 
 /// Every running query of one VM, with what is known of the targets.
 pub struct FanoutEngine {
-    settings: FanoutSettings,
-    generator: Pcg64Mcg,
-    targets: HashMap<TargetId, TargetSpec>,
-    queries: HashMap<QueryId, RunningQuery>,
-    calls: HashMap<CallId, (QueryId, ShardId, TargetId)>,
-    deadlines: BinaryHeap<Reverse<(Instant, QueryId)>>,
+    pub(crate) settings: FanoutSettings,
+    pub(crate) generator: Pcg64Mcg,
+    pub(crate) targets: TargetTable,
+    pub(crate) latencies: LatencyTable,
+    pub(crate) budgets: BudgetTable,
+    pub(crate) queries: HashMap<QueryId, Box<RunningQuery>>,
+    pub(crate) calls: HashMap<CallId, OpenCall>,
+    pub(crate) timers: BinaryHeap<Reverse<EngineTimer>>,
+    /// Targets that may have room for waiting calls.
+    pub(crate) freed: Vec<TargetIndex>,
+    /// The latest time that was told.
+    pub(crate) latest: Option<Instant>,
+    manifests: ManifestCache,
     next_call: u64,
 }
 
-/// One query under way.
-struct RunningQuery {
-    plan: FanoutPlan,
-    open: Vec<CallId>,
-    documents_covered: u64,
-    shards_answered: u32,
-    calls_sent: u32,
+/// A call that was sent and has neither come to an end nor been cancelled.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OpenCall {
+    pub(crate) query: QueryId,
+    pub(crate) position: u32,
+    pub(crate) replica: u32,
+    pub(crate) target: TargetIndex,
+    pub(crate) sent_at: Instant,
 }
 
 impl FanoutEngine {
     /// An engine that knows no target yet.
     pub fn new(settings: FanoutSettings) -> FanoutEngine {
-        let generator = Pcg64Mcg::seed_from_u64(settings.seed);
         FanoutEngine {
-            settings,
-            generator,
-            targets: HashMap::new(),
+            generator: Pcg64Mcg::seed_from_u64(settings.seed),
+            targets: TargetTable::default(),
+            latencies: LatencyTable::new(settings.hedge.permille(), settings.cold_latency),
+            budgets: BudgetTable::new(settings.extra_load_burst),
             queries: HashMap::new(),
             calls: HashMap::new(),
-            deadlines: BinaryHeap::new(),
+            timers: BinaryHeap::new(),
+            freed: Vec::new(),
+            latest: None,
+            manifests: ManifestCache::default(),
             next_call: 0,
+            settings,
         }
     }
 
-    /// Replaces what the platform says of the targets.
-    pub fn apply_targets(&mut self, targets: Vec<TargetSpec>, _now: Instant) {
-        self.targets = targets.into_iter().map(|spec| (spec.target.clone(), spec)).collect();
-    }
-
-    /// Notes that a target said, here or to a peer, that it is leaving.
-    pub fn mark_draining(&mut self, target: &TargetId, _now: Instant) {
-        if let Some(spec) = self.targets.get_mut(target) {
-            spec.phase = TargetPhase::Draining;
-        }
-    }
-
-    /// How many calls may be open to a target at once, one a connection.
-    pub fn set_connection_budget(&mut self, _target: &TargetId, _connections: u32) {}
-
-    /// Starts a query.
+    /// Starts a query; one whose id is running already is ignored.
     pub fn submit(
         &mut self,
         query: QueryId,
         plan: FanoutPlan,
-        _now: Instant,
+        now: Instant,
         actions: &mut Vec<FanoutAction>,
     ) {
-        let mut running = RunningQuery {
-            open: Vec::with_capacity(plan.manifest.shards.len()),
-            documents_covered: 0,
-            shards_answered: 0,
-            calls_sent: 0,
-            plan,
-        };
-        self.deadlines.push(Reverse((running.plan.deadline, query)));
-        let manifest = running.plan.manifest.clone();
-        for entry in &manifest.shards {
-            let ready: Vec<&TargetId> =
-                entry.targets.iter().filter(|target| self.is_ready(target)).collect();
-            let Some(target) = ready.choose(&mut self.generator).map(|target| (*target).clone())
-            else {
-                continue;
-            };
-            let call = self.fresh_call();
-            self.calls.insert(call, (query, entry.shard, target.clone()));
-            running.open.push(call);
-            running.calls_sent += 1;
-            actions.push(FanoutAction::Send {
-                query,
-                call,
-                target,
-                shard: entry.shard,
-                index_version: manifest.index_version,
-                deadline: running.plan.deadline,
-            });
+        self.latest = Some(now);
+        if self.queries.contains_key(&query) {
+            return;
         }
-        let is_idle = running.open.is_empty();
-        self.queries.insert(query, running);
-        if is_idle {
-            self.finish(query, FinishReason::ShardLost, actions);
+        let mut running = self.start(plan, now);
+        self.refuse_hopeless(&mut running);
+        let mut reason = running.verdict(now);
+        if reason.is_none() {
+            self.push_timer(query, 0, 0, running.answer_by, TimerKind::Answer);
+            for position in 0..running.shards.len() {
+                if running.shards[position].is_pending() {
+                    self.dispatch(query, &mut running, position, now, actions);
+                }
+            }
+            reason = running.verdict(now);
         }
+        self.settle(query, running, reason, now, actions);
+        self.serve_freed(now, actions);
     }
 
     /// Ends a query whose caller went away.
-    pub fn abandon(&mut self, query: QueryId, _now: Instant, actions: &mut Vec<FanoutAction>) {
-        self.finish(query, FinishReason::Abandoned, actions);
+    pub fn abandon(&mut self, query: QueryId, now: Instant, actions: &mut Vec<FanoutAction>) {
+        self.latest = Some(now);
+        let Some(running) = self.queries.remove(&query) else { return };
+        self.settle(query, running, Some(FinishReason::Abandoned), now, actions);
+        self.serve_freed(now, actions);
     }
 
-    /// Takes in what happened to a call.
+    /// Takes in what happened to a call; a repeated, late or foreign event is ignored.
     pub fn handle(&mut self, event: FanoutEvent, now: Instant, actions: &mut Vec<FanoutAction>) {
+        self.latest = Some(now);
         let call = event.call();
-        let Some((query, _shard, target)) = self.calls.remove(&call) else { return };
-        let draining = match &event {
-            FanoutEvent::Answered { draining, .. } | FanoutEvent::Refused { draining, .. } => {
-                *draining
+        let Some(open) = self.calls.remove(&call) else { return };
+        self.note_event(&event, &open, now);
+        let Some(mut running) = self.queries.remove(&open.query) else { return };
+        let position = open.position as usize;
+        running.shards[position].close(call);
+        match event {
+            FanoutEvent::Answered { documents, .. } => {
+                running.count_answer(position, documents);
+                actions.push(FanoutAction::Merge { query: open.query, call });
+                self.cancel_open(&mut running, position, false, now, actions);
             }
-            FanoutEvent::Failed { .. } => false,
-        };
-        if draining {
-            self.mark_draining(&target, now);
-        }
-        let Some(running) = self.queries.get_mut(&query) else { return };
-        running.open.retain(|open| *open != call);
-        if let FanoutEvent::Answered { documents, .. } = event {
-            running.documents_covered += documents;
-            running.shards_answered += 1;
-            actions.push(FanoutAction::Merge { query, call });
-        }
-        if running.open.is_empty() {
-            let is_whole = running.shards_answered as usize == running.plan.manifest.shards.len();
-            let reason = if is_whole { FinishReason::Complete } else { FinishReason::ShardLost };
-            self.finish(query, reason, actions);
+            FanoutEvent::Refused { cause, .. } => {
+                running.calls_refused += 1;
+                self.retry_refused(&mut running, &open, cause, now, actions);
+            }
+            FanoutEvent::Failed { .. } => self.retry_failed(&mut running, &open, now, actions),
         }
+        let reason = running.verdict(now);
+        self.settle(open.query, running, reason, now, actions);
+        self.serve_freed(now, actions);
     }
 
     /// When [`wake`](FanoutEngine::wake) is due next.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.deadlines.peek().map(|Reverse((at, _))| *at)
+        self.timers.peek().map(|Reverse(timer)| timer.at)
     }
 
     /// Acts on every timer that is due.
     pub fn wake(&mut self, now: Instant, actions: &mut Vec<FanoutAction>) {
-        while let Some(Reverse((at, query))) = self.deadlines.peek().copied() {
-            if at > now {
-                return;
+        self.latest = Some(now);
+        while let Some(Reverse(timer)) = self.timers.peek().copied() {
+            if timer.at > now {
+                break;
+            }
+            self.timers.pop();
+            match timer.kind {
+                TimerKind::Serve(target) => self.freed.push(target),
+                _ => self.act_on(timer, now, actions),
             }
-            self.deadlines.pop();
-            self.finish(query, FinishReason::DeadlineNear, actions);
         }
+        self.serve_freed(now, actions);
     }
 
-    fn is_ready(&self, target: &TargetId) -> bool {
-        self.targets.get(target).is_some_and(|spec| spec.phase == TargetPhase::Ready)
+    /// Sets a timer.
+    pub(crate) fn push_timer(
+        &mut self,
+        query: QueryId,
+        position: usize,
+        step: u32,
+        at: Instant,
+        kind: TimerKind,
+    ) {
+        let position = u32::try_from(position).unwrap_or(u32::MAX);
+        self.timers.push(Reverse(EngineTimer { at, query, position, step, kind }));
+    }
+
+    /// Drops timers that have become stale from the front.
+    pub(crate) fn prune_timers(&mut self) {
+        while let Some(Reverse(timer)) = self.timers.peek() {
+            if self.is_live(timer) {
+                return;
+            }
+            self.timers.pop();
+        }
     }
 
-    fn fresh_call(&mut self) -> CallId {
+    /// A fresh call id.
+    pub(crate) fn fresh_call(&mut self) -> CallId {
         self.next_call += 1;
         (u64::from(self.settings.call_prefix) << CALL_COUNTER_BITS) | self.next_call
     }
 
-    fn finish(&mut self, query: QueryId, reason: FinishReason, actions: &mut Vec<FanoutAction>) {
-        let Some(running) = self.queries.remove(&query) else { return };
-        for call in &running.open {
-            if let Some((_, _, target)) = self.calls.remove(call) {
-                actions.push(FanoutAction::Cancel { call: *call, target });
+    fn start(&mut self, plan: FanoutPlan, now: Instant) -> Box<RunningQuery> {
+        let resolved =
+            self.manifests.resolve(&plan.manifest, &mut self.targets, &mut self.latencies);
+        let late_at = |latency| now + self.latencies.estimate(latency).late;
+        let shards = resolved.shards.iter();
+        let shards = shards.map(|shard| ShardProgress::new(late_at(shard.latency))).collect();
+        let left = plan.deadline.saturating_duration_since(now);
+        let margin = self.settings.answer_margin.min(left / MARGIN_DIVISOR);
+        let answer_by = plan.deadline.checked_sub(margin).unwrap_or(plan.deadline);
+        let budget = self.budgets.intern(&plan.customer);
+        Box::new(RunningQuery::new(plan, resolved, shards, budget, answer_by))
+    }
+
+    fn act_on(&mut self, timer: EngineTimer, now: Instant, actions: &mut Vec<FanoutAction>) {
+        if !self.is_live(&timer) {
+            return;
+        }
+        let Some(mut running) = self.queries.remove(&timer.query) else { return };
+        let position = timer.position as usize;
+        match timer.kind {
+            TimerKind::Answer | TimerKind::Serve(_) => {}
+            TimerKind::Hedge => self.hedge(timer.query, &mut running, position, now, actions),
+            TimerKind::WaitExpired => self.expire(&mut running, position),
+            TimerKind::Retry => {
+                running.shards[position].enter(ShardState::Fresh);
+                running.shards[position].tried = 0;
+                self.dispatch(timer.query, &mut running, position, now, actions);
             }
         }
-        actions.push(FanoutAction::Finish { query, result: running.result(reason) });
+        let reason = running.verdict(now);
+        self.settle(timer.query, running, reason, now, actions);
     }
-}
 
-impl RunningQuery {
-    fn result(&self, reason: FinishReason) -> FanoutResult {
-        let documents_total = self.plan.manifest.documents();
-        let outcome = match (reason, self.shards_answered) {
-            (FinishReason::Complete, _) if self.documents_covered == documents_total => {
-                RequestOutcome::Answered
-            }
-            (_, 0) if self.calls_sent == 0 => RequestOutcome::NotRun,
-            _ => RequestOutcome::Partial,
-        };
-        let ran = if self.calls_sent == 0 { RunState::No } else { RunState::Yes };
-        FanoutResult {
-            outcome,
-            ran,
-            documents_covered: self.documents_covered,
-            documents_total,
-            shards_answered: self.shards_answered,
-            shards_total: u32::try_from(self.plan.manifest.shards.len()).unwrap_or(u32::MAX),
-            calls_sent: self.calls_sent,
-            extra_calls: 0,
-            reason,
-            retry_after: None,
+    fn is_live(&self, timer: &EngineTimer) -> bool {
+        if matches!(timer.kind, TimerKind::Serve(_)) {
+            return true;
         }
+        let Some(running) = self.queries.get(&timer.query) else { return false };
+        let shard = running.shards.get(timer.position as usize);
+        timer.kind == TimerKind::Answer || shard.is_some_and(|shard| shard.step == timer.step)
     }
 }
--- /dev/null
+++ b/crates/policy/src/fanout/finish.rs
@@ -0,0 +1,76 @@
+//! Ending queries and cancelling calls.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::FanoutAction;
+use crate::FanoutEngine;
+use crate::FinishReason;
+use crate::QueryId;
+use crate::fanout::query::RunningQuery;
+use crate::fanout::timer::TimerKind;
+
+/// When to come back after a shard without a live target.
+const RETRY_AFTER_LOST: Duration = Duration::from_secs(1);
+/// Least time after which to come back to busy or slow targets.
+const RETRY_AFTER_BUSY: Duration = Duration::from_millis(50);
+
+impl FanoutEngine {
+    /// Ends the query for a reason, or keeps it running.
+    pub(crate) fn settle(
+        &mut self,
+        query: QueryId,
+        mut running: Box<RunningQuery>,
+        reason: Option<FinishReason>,
+        now: Instant,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let Some(reason) = reason else {
+            if let Some(at) = running.rest_late_at.take() {
+                self.push_timer(query, 0, 0, at, TimerKind::Answer);
+            }
+            self.queries.insert(query, running);
+            return;
+        };
+        let is_timeout = reason == FinishReason::DeadlineNear;
+        for position in 0..running.shards.len() {
+            self.cancel_open(&mut running, position, is_timeout, now, actions);
+        }
+        let result = running.result(reason, self.retry_after(&running, reason));
+        actions.push(FanoutAction::Finish { query, result });
+    }
+
+    /// Cancels what is open for a shard; its time so far counts as latency.
+    pub(crate) fn cancel_open(
+        &mut self,
+        running: &mut RunningQuery,
+        position: usize,
+        is_timeout: bool,
+        now: Instant,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let calls = std::mem::take(&mut running.shards[position].open);
+        for call in calls.into_iter().flatten() {
+            let Some(open) = self.calls.remove(&call) else { continue };
+            let elapsed = now.saturating_duration_since(open.sent_at);
+            let estimate = self.latencies.estimate(running.resolved.shards[position].latency);
+            if elapsed >= estimate.hedge {
+                self.latencies.record(running.resolved.shards[position].latency, elapsed);
+            }
+            let state = self.targets.state_mut(open.target);
+            state.window.release();
+            state.note_unanswered(elapsed, is_timeout, now);
+            actions.push(FanoutAction::Cancel { call, target: state.target.clone() });
+            self.freed.push(open.target);
+        }
+    }
+
+    fn retry_after(&self, running: &RunningQuery, reason: FinishReason) -> Duration {
+        if reason == FinishReason::ShardLost {
+            return RETRY_AFTER_LOST;
+        }
+        let shards = running.resolved.shards.iter();
+        let late = shards.map(|shard| self.latencies.estimate(shard.latency).late).max();
+        late.map_or(RETRY_AFTER_BUSY, |late| RETRY_AFTER_BUSY.max(late * 2))
+    }
+}
--- a/crates/policy/src/fanout/mod.rs
+++ b/crates/policy/src/fanout/mod.rs
@@ -4,17 +4,27 @@
 //! out; the caller carries the actions out and holds the answers' bytes.
 
 mod action;
+mod dispatch;
 mod engine;
 mod event;
+mod executor;
+mod finish;
+mod manifest;
+mod observe;
 mod plan;
+mod query;
 mod result;
 mod settings;
+mod timer;
+mod waiting;
 
 pub use action::FanoutAction;
 pub use engine::FanoutEngine;
 pub use event::FanoutEvent;
+pub use executor::ExecutorOutcome;
 pub use plan::FanoutPlan;
 pub use plan::QueryId;
 pub use result::FanoutResult;
 pub use result::FinishReason;
 pub use settings::FanoutSettings;
+pub use settings::HedgePolicy;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,12 +2,16 @@
 //!
 //! Events and the time go in, actions come out; random numbers come from a seeded generator.
 
+mod budget;
 mod contract;
 mod fanout;
 mod finding;
 mod ids;
+mod latency;
 mod load;
 mod outcome;
+mod routing;
+mod slots;
 mod snapshot;
 
 pub use contract::AnswerPreference;
@@ -19,6 +23,7 @@
 pub use contract::RawClass;
 pub use contract::RawContract;
 pub use contract::RawPlacement;
+pub use fanout::ExecutorOutcome;
 pub use fanout::FanoutAction;
 pub use fanout::FanoutEngine;
 pub use fanout::FanoutEvent;
@@ -26,6 +31,7 @@
 pub use fanout::FanoutResult;
 pub use fanout::FanoutSettings;
 pub use fanout::FinishReason;
+pub use fanout::HedgePolicy;
 pub use fanout::QueryId;
 pub use finding::Finding;
 pub use finding::FindingList;
@@ -45,6 +51,7 @@
 pub use outcome::RefusalCause;
 pub use outcome::RequestOutcome;
 pub use outcome::RunState;
+pub use routing::RoutingPolicy;
 pub use snapshot::ShardEntry;
 pub use snapshot::SnapshotManifest;
 pub use snapshot::TargetPhase;
--- /dev/null
+++ b/crates/policy/src/routing/choice.rs
@@ -0,0 +1,98 @@
+//! The choice among a shard's replicas.
+
+use std::time::Instant;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::routing::TargetIndex;
+use crate::routing::TargetState;
+use crate::routing::TargetTable;
+
+/// How a target is chosen among those with room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum RoutingPolicy {
+    /// By turn: the one that was chosen least often.
+    RoundRobin,
+    /// The one with the fewest own open calls.
+    LeastOutstanding,
+    /// The one of two drawn at random with the shorter expected wait.
+    ///
+    /// The wait follows from own open calls, observed latency and the load reported in-band, whose
+    /// part is bounded. After Mitzenmacher, "The Power of Two Choices in Randomized Load
+    /// Balancing".
+    #[default]
+    ExpectedWait,
+}
+
+/// What the replicas of a shard offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TargetChoice {
+    /// This one has room.
+    Target(TargetIndex),
+    /// Some are usable and none has room.
+    NoRoom,
+    /// None is usable.
+    NoTarget,
+}
+
+impl RoutingPolicy {
+    /// Chooses among `candidates`.
+    ///
+    /// Failing targets come after all others, but for a probe now and then.
+    pub(crate) fn choose(
+        self,
+        table: &mut TargetTable,
+        candidates: impl Iterator<Item = TargetIndex> + Clone,
+        generator: &mut Pcg64Mcg,
+        now: Instant,
+    ) -> TargetChoice {
+        let usable = candidates.filter(|index| table.state(*index).is_usable());
+        let healthy = usable.clone().filter(|index| !table.state(*index).backoff.is_failing());
+        let has_room = |index: &TargetIndex| table.state(*index).window.has_room();
+        let is_probe_due = |index: &TargetIndex| table.state(*index).backoff.is_probe_due(now);
+        let probe = usable.clone().filter(is_probe_due).find(has_room);
+        let is_any_healthy = healthy.clone().next().is_some();
+        let chosen = match (probe, is_any_healthy) {
+            (Some(probe), _) => Some(probe),
+            (None, true) => self.best(table, healthy.filter(has_room), generator, now),
+            (None, false) => self.best(table, usable.clone().filter(has_room), generator, now),
+        };
+        if chosen.is_none() {
+            let is_any_usable = usable.clone().next().is_some();
+            return if is_any_usable { TargetChoice::NoRoom } else { TargetChoice::NoTarget };
+        }
+        if let Some(probe) = probe {
+            table.state_mut(probe).backoff.start_probe(now);
+        }
+        chosen.map_or(TargetChoice::NoRoom, TargetChoice::Target)
+    }
+
+    fn best(
+        self,
+        table: &TargetTable,
+        candidates: impl Iterator<Item = TargetIndex> + Clone,
+        generator: &mut Pcg64Mcg,
+        now: Instant,
+    ) -> Option<TargetIndex> {
+        match self {
+            RoutingPolicy::RoundRobin => candidates.min_by_key(|index| table.state(*index).picks),
+            RoutingPolicy::LeastOutstanding => {
+                candidates.min_by_key(|index| table.state(*index).window.open())
+            }
+            RoutingPolicy::ExpectedWait => {
+                let count = candidates.clone().count();
+                if count == 0 {
+                    return None;
+                }
+                let first = generator.random_range(0..count);
+                let other = (first + generator.random_range(0..count.max(2) - 1) + 1) % count;
+                let first = candidates.clone().nth(first)?;
+                let other = candidates.clone().nth(other)?;
+                let wait = |index: TargetIndex| TargetState::expected_wait(table.state(index), now);
+                Some(if wait(other) < wait(first) { other } else { first })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/routing/state.rs
@@ -0,0 +1,156 @@
+//! What is known of one target.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::LoadReport;
+use crate::RefusalCause;
+use crate::TargetId;
+use crate::TargetPhase;
+use crate::TargetSpec;
+use crate::latency::LatencyMean;
+use crate::routing::FailureBackoff;
+use crate::slots::ShardQueue;
+use crate::slots::TargetWindow;
+
+/// How long a load report counts.
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+/// Most calls of others that a report can add to the expected wait, in slots of the target.
+const REPORT_CAP_SLOTS: u32 = 4;
+/// How long a target counts as shedding after it shed a call.
+const SHED_HOLD: Duration = Duration::from_secs(1);
+/// Latency taken for a target without samples, in seconds.
+const UNKNOWN_LATENCY: f64 = 0.001;
+
+/// One target: what the platform says, what it says itself and what was seen.
+#[derive(Debug)]
+pub(crate) struct TargetState {
+    pub(crate) target: TargetId,
+    pub(crate) window: TargetWindow,
+    pub(crate) queue: ShardQueue,
+    pub(crate) latency: LatencyMean,
+    pub(crate) backoff: FailureBackoff,
+    /// Grows with each call, for choices by turn.
+    pub(crate) picks: u64,
+    /// When the platform stopped listing it.
+    pub(crate) unlisted_at: Option<Instant>,
+    is_listed: bool,
+    is_draining: bool,
+    others_open: u32,
+    reported_at: Option<Instant>,
+    shed_at: Option<Instant>,
+}
+
+impl TargetState {
+    /// A target that the platform has not listed yet.
+    pub(crate) fn new(target: TargetId) -> TargetState {
+        TargetState {
+            target,
+            window: TargetWindow::new(1, 0),
+            queue: ShardQueue::default(),
+            latency: LatencyMean::default(),
+            backoff: FailureBackoff::default(),
+            picks: 0,
+            unlisted_at: None,
+            is_listed: false,
+            is_draining: false,
+            others_open: 0,
+            reported_at: None,
+            shed_at: None,
+        }
+    }
+
+    /// Takes over what the platform lists.
+    pub(crate) fn list(&mut self, spec: &TargetSpec) {
+        if !self.is_listed {
+            self.window.set_initial(spec.slots);
+        }
+        self.window.set_shape(spec.slots, spec.connection_limit);
+        // The platform's word may lag behind the target's own: only a target that was gone from
+        // the list comes back from draining.
+        let is_back = !self.is_listed;
+        let is_draining = spec.phase == TargetPhase::Draining;
+        self.is_draining = is_draining || (self.is_draining && !is_back);
+        self.is_listed = true;
+        self.unlisted_at = None;
+    }
+
+    /// Notes that the platform lists it no more.
+    pub(crate) fn unlist(&mut self, now: Instant) {
+        self.is_listed = false;
+        self.unlisted_at.get_or_insert(now);
+    }
+
+    /// Notes that it is leaving.
+    pub(crate) fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Notes that it is leaving, when it says so.
+    pub(crate) fn drain_if(&mut self, is_draining: bool) {
+        self.is_draining |= is_draining;
+    }
+
+    /// Whether it may take new calls at all.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.is_listed && !self.is_draining && self.window.has_connections()
+    }
+
+    /// Whether it shed a call lately.
+    pub(crate) fn is_shedding(&self, now: Instant) -> bool {
+        self.shed_at.is_some_and(|at| now.saturating_duration_since(at) < SHED_HOLD)
+    }
+
+    /// Takes in an answer, before its call is closed.
+    pub(crate) fn note_answer(&mut self, latency: Duration, load: LoadReport, now: Instant) {
+        self.latency.record(latency, now);
+        self.backoff.note_alive();
+        self.note_load(load, now);
+        self.window.note_answer(load, self.latency.is_slow(), now);
+    }
+
+    /// Takes in a refused call.
+    pub(crate) fn note_refusal(&mut self, cause: RefusalCause, load: LoadReport, now: Instant) {
+        self.backoff.note_alive();
+        self.note_load(load, now);
+        if matches!(cause, RefusalCause::Shedding | RefusalCause::DeadlinePassed) {
+            self.shed_at = Some(now);
+            self.window.note_shed(now);
+        }
+    }
+
+    /// Takes in a cancelled call that had run for `elapsed`.
+    ///
+    /// Its latency is at least that long; only a deadline that it let pass counts as a failure.
+    pub(crate) fn note_unanswered(&mut self, elapsed: Duration, is_timeout: bool, now: Instant) {
+        if elapsed.as_secs_f64() > self.latency.expected(now) {
+            self.latency.record(elapsed, now);
+        }
+        if is_timeout {
+            self.note_failure(now);
+        }
+    }
+
+    /// Takes in a failed call.
+    pub(crate) fn note_failure(&mut self, now: Instant) {
+        self.backoff.note_failure(now);
+        self.window.note_shed(now);
+    }
+
+    /// Expected time to an answer, in seconds: waiting calls, own and others', share the slots.
+    pub(crate) fn expected_wait(&self, now: Instant) -> f64 {
+        let latency = self.latency.expected(now).max(UNKNOWN_LATENCY);
+        let is_fresh =
+            self.reported_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_LIFETIME);
+        let others = if is_fresh { self.others_open } else { 0 };
+        let ahead = f64::from(self.window.open() + others);
+        latency * (1.0 + ahead / f64::from(self.window.slots()))
+    }
+
+    fn note_load(&mut self, load: LoadReport, now: Instant) {
+        let reported = load.busy.saturating_add(load.queued);
+        let others = reported.saturating_sub(self.window.open());
+        self.others_open = others.min(self.window.slots().saturating_mul(REPORT_CAP_SLOTS));
+        self.reported_at = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/slots/mod.rs
@@ -0,0 +1,8 @@
+//! Room for calls: a window of open calls a target, and the shard calls that wait for it.
+
+mod queue;
+mod window;
+
+pub(crate) use queue::ShardQueue;
+pub(crate) use queue::WaitingCall;
+pub(crate) use window::TargetWindow;
