feat(targets): hold back connections that a target may still count

Cause: a connection that went silent is closed here while the target goes on counting it, so replacing it at once can pass the target's limit. Before: 3 connections in use of a limit of 25 with 7 VMs, replacements on top.

--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::FanoutAction;
 use oleanderwind_policy::FanoutEvent;
 use oleanderwind_policy::FanoutPlan;
@@ -17,12 +18,12 @@
 use crate::fanout::FanoutService;
 use crate::targets::CallOutcome;
 
-/// VMs that share a target's connections, with one more while a VM is replaced.
-const SHARING_VMS: u32 = 8;
+/// VMs that hold connections to a target.
+const HOLDING_VMS: u32 = 7;
 
-/// Connections that this VM may hold to a target that accepts `limit`.
-pub(crate) fn connection_budget(limit: u32) -> usize {
-    usize::try_from((limit / SHARING_VMS).max(1)).unwrap_or(1)
+/// This VM's share of the connections that a target accepts.
+pub(crate) fn connection_share(limit: u32) -> ConnectionShare {
+    ConnectionShare::of_limit(limit, HOLDING_VMS)
 }
 
 /// Wakes the engine whenever one of its timers is due.
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -14,11 +14,14 @@
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::TargetId;
+use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::SearchHit;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::directory::DirectoryService;
+use crate::fanout::driver::connection_share;
+use crate::fanout::driver::run_timers;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
 use crate::settings::DaemonSettings;
@@ -68,7 +71,7 @@
             next_query: Cell::new(1),
         });
         actix_rt::spawn(follow_targets(fanout.clone(), directory));
-        actix_rt::spawn(crate::fanout::driver::run_timers(fanout.clone()));
+        actix_rt::spawn(run_timers(fanout.clone()));
         Ok(fanout)
     }
 
@@ -95,6 +98,16 @@
         reply
     }
 
+    /// Tells the engine of the targets and of this VM's share of their connections.
+    fn apply_targets(&self, specs: Vec<TargetSpec>) {
+        let mut engine = self.engine.borrow_mut();
+        for spec in &specs {
+            let share = connection_share(spec.connection_limit);
+            engine.set_connection_budget(&spec.target, share.working);
+        }
+        engine.apply_targets(specs, Instant::now());
+    }
+
     /// Notes that a target said, here or to a peer, that it is leaving.
     pub(crate) fn mark_draining(&self, target: &TargetId) {
         self.engine.borrow_mut().mark_draining(target, Instant::now());
@@ -125,6 +138,8 @@
 fn engine_settings(settings: &DaemonSettings) -> FanoutSettings {
     let mut engine = FanoutSettings::default();
     engine.seed = settings.seed;
+    engine.hedge = settings.hedge;
+    engine.routing = settings.routing;
     // The process start is mixed in, so that a restarted VM reuses no call id.
     let start = std::time::SystemTime::now();
     let since = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -139,18 +154,8 @@
     let mut changes = directory.target_changes();
     loop {
         let specs = directory.targets();
-        fanout.targets.apply_targets(&specs, |spec| {
-            crate::fanout::driver::connection_budget(spec.connection_limit)
-        });
-        {
-            let mut engine = fanout.engine.borrow_mut();
-            for spec in &specs {
-                let budget = crate::fanout::driver::connection_budget(spec.connection_limit);
-                engine
-                    .set_connection_budget(&spec.target, u32::try_from(budget).unwrap_or(u32::MAX));
-            }
-            engine.apply_targets(specs, Instant::now());
-        }
+        fanout.targets.apply_targets(&specs, |spec| connection_share(spec.connection_limit));
+        fanout.apply_targets(specs);
         if changes.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -7,7 +7,10 @@
 
 use log::LevelFilter;
 use oleanderwind_policy::FailureDomainId;
+use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FindingList;
+use oleanderwind_policy::HedgePolicy;
+use oleanderwind_policy::RoutingPolicy;
 use oleanderwind_policy::VmId;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -39,6 +42,10 @@
     pub address_keep: Duration,
     /// How long a graceful shutdown waits for open requests.
     pub drain_patience: Duration,
+    /// When a second call is sent.
+    pub hedge: HedgePolicy,
+    /// How a target is chosen.
+    pub routing: RoutingPolicy,
     /// What is logged.
     pub log_level: LevelFilter,
     /// Seed of every random choice.
@@ -82,6 +89,8 @@
                 15_000,
                 &mut findings,
             ),
+            hedge: hedge(&raw.hedge, &mut findings),
+            routing: routing(&raw.routing, &mut findings),
             log_level: parsed(&raw.log_level, "--log-level", LevelFilter::Info, &mut findings),
             seed: parsed(&raw.seed, "--seed", seed, &mut findings),
             vm: vm.into(),
@@ -104,6 +113,8 @@
         writeln!(f, "operator-token={token}")?;
         writeln!(f, "address-keep-ms={}", self.address_keep.as_millis())?;
         writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
+        writeln!(f, "hedge={:?}", self.hedge)?;
+        writeln!(f, "routing={:?}", self.routing)?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
@@ -166,3 +177,41 @@
         }
     }
 }
+
+fn hedge(option: &Option<String>, findings: &mut FindingList) -> HedgePolicy {
+    let default = FanoutSettings::default().hedge;
+    let Some(text) = option else { return default };
+    let policy = match text.split_once(':') {
+        None if text == "none" => Some(HedgePolicy::None),
+        Some(("fixed", delay)) => {
+            delay.parse().ok().map(|ms| HedgePolicy::FixedDelay(Duration::from_millis(ms)))
+        }
+        Some(("quantile", part)) => part
+            .parse()
+            .ok()
+            .filter(|permille| (1..1_000).contains(permille))
+            .map(|permille| HedgePolicy::Quantile { permille }),
+        _ => None,
+    };
+    policy.unwrap_or_else(|| {
+        let problem = format!("is \"{text}\"; give none, fixed:MS or quantile:PERMILLE");
+        findings.add(place("--hedge"), problem);
+        default
+    })
+}
+
+fn routing(option: &Option<String>, findings: &mut FindingList) -> RoutingPolicy {
+    let default = FanoutSettings::default().routing;
+    match option.as_deref() {
+        None => default,
+        Some("expected-wait") => RoutingPolicy::ExpectedWait,
+        Some("least-outstanding") => RoutingPolicy::LeastOutstanding,
+        Some("round-robin") => RoutingPolicy::RoundRobin,
+        Some(text) => {
+            let problem =
+                format!("is \"{text}\"; give expected-wait, least-outstanding or round-robin");
+            findings.add(place("--routing"), problem);
+            default
+        }
+    }
+}
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -40,6 +40,12 @@
     /// milliseconds that a graceful shutdown waits for open requests; default: 15000
     #[argh(option)]
     pub drain_patience_ms: Option<String>,
+    /// none, fixed:MS or quantile:PERMILLE; default: quantile:950
+    #[argh(option)]
+    pub hedge: Option<String>,
+    /// expected-wait, least-outstanding or round-robin; default: expected-wait
+    #[argh(option)]
+    pub routing: Option<String>,
     /// error, warn, info, debug or trace; default: info
     #[argh(option)]
     pub log_level: Option<String>,
@@ -65,6 +71,8 @@
             ("OPERATOR_TOKEN", &mut self.operator_token),
             ("ADDRESS_KEEP_MS", &mut self.address_keep_ms),
             ("DRAIN_PATIENCE_MS", &mut self.drain_patience_ms),
+            ("HEDGE", &mut self.hedge),
+            ("ROUTING", &mut self.routing),
             ("LOG_LEVEL", &mut self.log_level),
             ("SEED", &mut self.seed),
         ];
--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use awc::Client;
 use awc::Connector;
@@ -23,8 +22,10 @@
 pub(crate) enum LaneError {
     /// The connection could not be made; nothing was sent.
     NotConnected,
-    /// The connection broke or stayed silent after something may have been sent.
+    /// The connection broke after something may have been sent.
     Broken,
+    /// Nothing came in time after something may have been sent.
+    Silent,
 }
 
 /// A reply as bytes.
@@ -38,7 +39,6 @@
 pub(crate) struct Lane {
     base: String,
     client: Client,
-    last_reply: Option<Instant>,
 }
 
 impl Lane {
@@ -50,12 +50,7 @@
             .conn_lifetime(Duration::from_secs(3_600))
             .limit(1);
         let client = Client::builder().connector(connector).disable_timeout().finish();
-        Lane { base: format!("http://{address}"), client, last_reply: None }
-    }
-
-    /// When the last reply came over this lane.
-    pub(crate) fn last_reply(&self) -> Option<Instant> {
-        self.last_reply
+        Lane { base: format!("http://{address}"), client }
     }
 
     /// Posts JSON and reads the whole reply within `patience`.
@@ -66,8 +61,7 @@
         patience: Duration,
     ) -> Result<LaneReply, LaneError> {
         let request = self.client.post(format!("{}{path}", self.base)).send_json(call);
-        let reply = timeout(patience, read_reply(request)).await;
-        self.note_reply(reply)
+        timeout(patience, read_reply(request)).await.unwrap_or(Err(LaneError::Silent))
     }
 
     /// Gets a path within `patience`.
@@ -77,19 +71,7 @@
         patience: Duration,
     ) -> Result<LaneReply, LaneError> {
         let request = self.client.get(format!("{}{path}", self.base)).send();
-        let reply = timeout(patience, read_reply(request)).await;
-        self.note_reply(reply)
-    }
-
-    fn note_reply(
-        &mut self,
-        reply: Result<Result<LaneReply, LaneError>, tokio::time::error::Elapsed>,
-    ) -> Result<LaneReply, LaneError> {
-        let reply = reply.unwrap_or(Err(LaneError::Broken));
-        if reply.is_ok() {
-            self.last_reply = Some(Instant::now());
-        }
-        reply
+        timeout(patience, read_reply(request)).await.unwrap_or(Err(LaneError::Silent))
     }
 }
 
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -8,6 +8,7 @@
 
 use awc::http::StatusCode;
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::CancelCall;
@@ -41,14 +42,14 @@
     pub(crate) fn apply_targets(
         &self,
         specs: &[TargetSpec],
-        connections: impl Fn(&TargetSpec) -> usize,
+        share: impl Fn(&TargetSpec) -> ConnectionShare,
     ) {
         let mut pools = self.pools.borrow_mut();
         let mut kept = HashMap::with_capacity(specs.len());
         for spec in specs {
             let pool = match pools.remove(&spec.target) {
                 Some(pool) if pool.address() == spec.address => pool,
-                _ => TargetPool::new(spec.address, connections(spec)),
+                _ => TargetPool::new(spec.address, share(spec)),
             };
             kept.insert(spec.target.clone(), pool);
         }
@@ -85,8 +86,14 @@
             return CallOutcome::NotSent;
         };
         let patience = PROBE_TIME.min(time_until(deadline));
-        if loan.lane().get("/v1/health", patience).await.is_err() || Instant::now() >= deadline {
-            return CallOutcome::NotSent;
+        match loan.lane().get("/v1/health", patience).await {
+            Err(LaneError::Silent) => {
+                loan.close_silent();
+                return CallOutcome::NotSent;
+            }
+            Err(_) => return CallOutcome::NotSent,
+            Ok(_) if Instant::now() >= deadline => return CallOutcome::NotSent,
+            Ok(_) => {}
         }
         let reply = loan.lane().post("/v1/execute", call, time_until(deadline)).await;
         let is_own = |answer: &ExecuteAnswer| answer.call_id == call.call_id;
@@ -99,8 +106,10 @@
         let Some(mut loan) = pool.and_then(|pool| pool.try_borrow()) else { return };
         let reply =
             loan.lane().post("/v1/cancel", &CancelCall { call_id: call }, CANCEL_TIME).await;
-        if reply.is_ok() {
-            loan.give_back();
+        match reply {
+            Ok(_) => loan.give_back(),
+            Err(LaneError::Silent) => loan.close_silent(),
+            Err(_) => {}
         }
     }
 
@@ -121,6 +130,10 @@
             Ok(reply) => reply,
             Err(LaneError::NotConnected) => return CallOutcome::NotSent,
             Err(LaneError::Broken) => return CallOutcome::Failed,
+            Err(LaneError::Silent) => {
+                loan.close_silent();
+                return CallOutcome::Failed;
+            }
         };
         let outcome = match reply.status {
             StatusCode::OK => match serde_json::from_slice::<A>(&reply.body) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Events and the time go in, actions come out; random numbers come from a seeded generator.
 
 mod budget;
+mod connection;
 mod contract;
 mod fanout;
 mod finding;
@@ -14,6 +15,7 @@
 mod slots;
 mod snapshot;
 
+pub use connection::ConnectionShare;
 pub use contract::AnswerPreference;
 pub use contract::ClassPriority;
 pub use contract::ClassTerms;
