feat(load): run an open-loop load, check every answer, compare reports

Cause: latency, coverage and extra load could not be measured, and nothing told a wrong answer from a right one.

Change: `oleanderwind-load run` sends seeded Poisson arrivals, counts latency from the intended send time, keeps address answers as callers do, repeats keyed requests with the same key and checks id, digest, coverage, order, outcome and status of every answer. The report is versioned JSON with a summary table and an SVG plot; `compare` checks stated bounds. `demo` ends with an error until the daemon and the stand-ins can be embedded.

Requests over the concurrency bound wait and are counted, with the wait in their latency: dropping them would have flattered a stalled tier.

--- /dev/null
+++ b/crates/load/src/command/flags.rs
@@ -0,0 +1,133 @@
+//! The flags of every command.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::DeploymentName;
+
+/// Sends an open-loop load to running VMs. Latency counts from the intended send time.
+///
+/// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3
+/// could not run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+#[argh(
+    example = "{command_name} --deployment haneul --seed-address 127.0.0.1:8080 --rate 50 --seconds 30 --contract haneul.json --report run.json"
+)]
+pub(crate) struct RunFlags {
+    /// deployment to put under load: tsagaan or haneul; may be repeated
+    #[argh(option)]
+    pub(crate) deployment: Vec<DeploymentName>,
+
+    /// ip:port of a VM to ask for addresses; may be repeated
+    #[argh(option)]
+    pub(crate) seed_address: Vec<String>,
+
+    /// requests a second for each deployment (default 50)
+    #[argh(option, default = "50.0")]
+    pub(crate) rate: f64,
+
+    /// arrivals end after this many seconds (default 10)
+    #[argh(option, default = "10.0")]
+    pub(crate) seconds: f64,
+
+    /// arrivals end after this many requests (default 1000000)
+    #[argh(option, default = "1_000_000")]
+    pub(crate) count: u64,
+
+    /// seed of arrivals, classes and texts (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+
+    /// thousandths of keyed requests that are repeated with the same key when they did not run or
+    /// may have (default 500)
+    #[argh(option, default = "500")]
+    pub(crate) repeat_permille: u32,
+
+    /// most requests under way; the others wait and are counted (default 1000)
+    #[argh(option, default = "1_000")]
+    pub(crate) concurrency: usize,
+
+    /// callers of each deployment, each with its own kept address (default 8)
+    #[argh(option, default = "8")]
+    pub(crate) callers: usize,
+
+    /// longest wait for a reply, in milliseconds (default 10000)
+    #[argh(option, default = "10_000")]
+    pub(crate) timeout_ms: u64,
+
+    /// time between lines of progress, in milliseconds (default 3000)
+    #[argh(option, default = "3_000")]
+    pub(crate) progress_ms: u64,
+
+    /// file of a contract in JSON, whose terms are checked; may be repeated
+    #[argh(option)]
+    pub(crate) contract: Vec<PathBuf>,
+
+    /// ip:port of a VM's admin listener, whose /metrics tell the extra load; may be repeated
+    #[argh(option)]
+    pub(crate) metrics_address: Vec<String>,
+
+    /// process whose CPU seconds and memory are measured; may be repeated
+    #[argh(option)]
+    pub(crate) pid: Vec<u32>,
+
+    /// file for the report in JSON
+    #[argh(option)]
+    pub(crate) report: Option<PathBuf>,
+
+    /// file for a plot of the latency distributions in SVG
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
+}
+
+/// Prints two reports side by side with their differences, and checks the stated bounds.
+///
+/// Exit codes: 0 every bound holds, 1 a bound is broken, 2 wrong usage, 3 could not run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+#[argh(
+    example = "{command_name} before.json after.json --max-p99-growth-permille 50 --max-wrong-answers 0"
+)]
+pub(crate) struct CompareFlags {
+    /// report to compare with
+    #[argh(positional)]
+    pub(crate) first: PathBuf,
+
+    /// report to check
+    #[argh(positional)]
+    pub(crate) second: PathBuf,
+
+    /// most growth of a class's 99th percentile, in thousandths of the first report's
+    #[argh(option)]
+    pub(crate) max_p99_growth_permille: Option<f64>,
+
+    /// most loss of a class's mean coverage, in thousandths of the documents
+    #[argh(option)]
+    pub(crate) max_coverage_drop_permille: Option<f64>,
+
+    /// most growth of a customer's extra load, in thousandths of its first calls
+    #[argh(option)]
+    pub(crate) max_extra_load_growth_permille: Option<f64>,
+
+    /// most wrong answers of a class in the second report
+    #[argh(option)]
+    pub(crate) max_wrong_answers: Option<u64>,
+
+    /// most requests of a class without a reply in the second report
+    #[argh(option)]
+    pub(crate) max_connection_errors: Option<u64>,
+
+    /// file for a plot of both latency distributions in SVG
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
+}
+
+/// Serves both deployments in this process on loopback and puts them under load.
+///
+/// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3
+/// could not run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct DemoFlags {}
--- /dev/null
+++ b/crates/load/src/deployment/mod.rs
@@ -0,0 +1,100 @@
+//! The named deployments and the mix of requests that each receives.
+
+use std::str::FromStr;
+
+use oleanderwind_policy::OperationKind;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One class of requests and its share of a deployment's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassShare {
+    /// Name of the class in the customer's contract.
+    pub class: &'static str,
+    /// Share of the deployment's requests, in percent.
+    pub percent: u32,
+    /// Search, or an operation that needs an idempotency key.
+    pub operation: OperationKind,
+}
+
+/// A search class.
+const fn search(class: &'static str, percent: u32) -> ClassShare {
+    ClassShare { class, percent, operation: OperationKind::Search }
+}
+
+/// A class of operations that may not be repeated.
+const fn execute(class: &'static str, percent: u32) -> ClassShare {
+    ClassShare { class, percent, operation: OperationKind::Execute }
+}
+
+/// Classes of the deployment `tsagaan`.
+const TSAGAAN_CLASSES: &[ClassShare] = &[
+    search("module-finder", 20),
+    search("quick-lookup", 60),
+    search("certificate-check", 8),
+    execute("certificate-entry", 2),
+    search("trainer-lookup", 10),
+];
+
+/// Classes of the deployment `haneul`.
+const HANEUL_CLASSES: &[ClassShare] = &[
+    search("find-bed", 45),
+    search("desk-balance", 25),
+    search("counter-lookup", 12),
+    execute("booking", 10),
+    execute("redemption", 5),
+    search("dividend", 3),
+];
+
+/// A deployment that the tool can put under load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DeploymentName {
+    /// Customer `tsagaan-ordon`.
+    Tsagaan,
+    /// Customer `haneul`.
+    Haneul,
+}
+
+impl DeploymentName {
+    /// The customer whose contract the load falls under.
+    pub fn customer(self) -> &'static str {
+        match self {
+            DeploymentName::Tsagaan => "tsagaan-ordon",
+            DeploymentName::Haneul => "haneul",
+        }
+    }
+
+    /// The mix of requests; the shares add up to 100.
+    pub fn classes(self) -> &'static [ClassShare] {
+        match self {
+            DeploymentName::Tsagaan => TSAGAAN_CLASSES,
+            DeploymentName::Haneul => HANEUL_CLASSES,
+        }
+    }
+
+    /// The class at `point` of the mix, a percentage from 0 to 99.
+    pub(crate) fn class_at(self, point: u32) -> ClassShare {
+        let classes = self.classes();
+        let mut rest = point;
+        for share in classes {
+            if rest < share.percent {
+                return *share;
+            }
+            rest -= share.percent;
+        }
+        classes[0]
+    }
+}
+
+impl FromStr for DeploymentName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<DeploymentName, String> {
+        match text {
+            "tsagaan" => Ok(DeploymentName::Tsagaan),
+            "haneul" => Ok(DeploymentName::Haneul),
+            other => Err(format!("`{other}` is no deployment; give tsagaan or haneul")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/runner/mod.rs
@@ -0,0 +1,241 @@
+//! Runs a load: sends each request at its time, however slow the tier is.
+
+mod settings;
+mod tallies;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use eyre::Context;
+use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::RequestOutcome;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+pub use settings::RunSettings;
+
+use crate::AddressBook;
+use crate::AnswerCheck;
+use crate::ArrivalPlan;
+use crate::CallFailure;
+use crate::CallReply;
+use crate::DeploymentName;
+use crate::LoadCounters;
+use crate::PlannedRequest;
+use crate::ProcessUsage;
+use crate::REPORT_VERSION;
+use crate::RequestSample;
+use crate::RunReport;
+use crate::TierCaller;
+use crate::caller::CallRequest;
+use crate::runner::tallies::RunTallies;
+
+/// Longest wait before a caller repeats a keyed request.
+const MAX_REPEAT_WAIT: Duration = Duration::from_secs(1);
+
+/// What every request of a run shares.
+struct RunContext {
+    id: String,
+    start: Instant,
+    callers: Vec<(DeploymentName, Vec<TierCaller>)>,
+    tallies: RefCell<RunTallies>,
+    permits: Semaphore,
+    overflowed: Cell<u64>,
+}
+
+/// Sends the load that `settings` describe and measures it. Call it within an actix runtime.
+///
+/// # Errors
+///
+/// When a VM's metrics or a watched process can't be read.
+pub async fn run_load(
+    settings: &RunSettings,
+    contracts: &[CustomerContract],
+) -> eyre::Result<RunReport> {
+    let processes = read_processes(&settings.pids)?;
+    let counters = read_counters(&settings.metrics_addresses).await?;
+    let context = Rc::new(RunContext::new(settings, contracts)?);
+    let progress = tokio::task::spawn_local(print_progress(context.clone(), settings.progress()));
+    send_all(&context, settings).await;
+    progress.abort();
+    let elapsed = context.start.elapsed();
+    let later = read_counters(&settings.metrics_addresses).await?;
+    let after = read_processes(&settings.pids)?;
+    Ok(RunReport {
+        version: REPORT_VERSION,
+        settings: settings.clone(),
+        elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        overflowed: context.overflowed.get(),
+        reconnects: context.reconnects(),
+        customers: context.tallies.borrow().report(contracts, &counters, &later),
+        processes: after.iter().zip(&processes).map(|(now, then)| now.since(then)).collect(),
+    })
+}
+
+/// Starts every request at its intended time and waits until all are done.
+async fn send_all(context: &Rc<RunContext>, settings: &RunSettings) {
+    let mut tasks = JoinSet::new();
+    for request in ArrivalPlan::new(settings.arrivals()) {
+        tokio::time::sleep_until(context.start + request.at).await;
+        tasks.spawn_local(run_request(context.clone(), request));
+        while tasks.try_join_next().is_some() {}
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Sends one request, checks the reply, counts it and repeats it where the plan says so.
+async fn run_request(context: Rc<RunContext>, planned: PlannedRequest) {
+    if context.permits.available_permits() == 0 {
+        context.overflowed.set(context.overflowed.get() + 1);
+    }
+    let Ok(_permit) = context.permits.acquire().await else {
+        return;
+    };
+    let request = context.request(&planned);
+    let caller = context.caller(&planned);
+    let reply = caller.send(&request).await;
+    let sample = take_sample(&request, &reply, context.start + planned.at);
+    context.tallies.borrow_mut().tally(&planned).record(&sample);
+    if !planned.repeats || is_settled(sample.outcome) {
+        return;
+    }
+    let wait_ms = reply.ok().and_then(|reply| reply.answer.retry_after_ms).unwrap_or(0);
+    tokio::time::sleep(Duration::from_millis(wait_ms).min(MAX_REPEAT_WAIT)).await;
+    let sent_at = Instant::now();
+    let reply = caller.send(&request).await;
+    let sample = take_sample(&request, &reply, sent_at);
+    context.tallies.borrow_mut().tally(&planned).record_repeat(&sample);
+}
+
+/// Whether an outcome leaves a caller nothing to repeat.
+fn is_settled(outcome: Option<RequestOutcome>) -> bool {
+    matches!(outcome, Some(RequestOutcome::Answered | RequestOutcome::Partial))
+}
+
+/// Checks a reply; the latency counts from `intended`.
+fn take_sample(
+    request: &CallRequest,
+    reply: &Result<CallReply, CallFailure>,
+    intended: Instant,
+) -> RequestSample {
+    let latency = intended.elapsed();
+    match reply {
+        Ok(reply) => {
+            let check =
+                AnswerCheck { request_id: request.id.clone(), operation: request.operation };
+            let faults = check.faults(reply.status, &reply.answer);
+            if !faults.is_empty() {
+                log::warn!("request {}: wrong answer: {faults:?}", request.id);
+            }
+            RequestSample {
+                outcome: Some(reply.answer.outcome),
+                latency,
+                coverage: reply.answer.coverage,
+                is_wrong: !faults.is_empty(),
+            }
+        }
+        Err(failure) => {
+            log::warn!("request {}: {failure}", request.id);
+            let is_wrong = matches!(failure, CallFailure::Unreadable(_));
+            RequestSample { outcome: None, latency, coverage: None, is_wrong }
+        }
+    }
+}
+
+impl RunContext {
+    /// A run that starts now.
+    fn new(settings: &RunSettings, contracts: &[CustomerContract]) -> eyre::Result<RunContext> {
+        let make_callers = |deployment: &DeploymentName| {
+            let make = |index| {
+                let book = AddressBook::new(settings.seed_addresses.clone(), index);
+                TierCaller::new(deployment.customer(), book, settings.timeout())
+            };
+            (*deployment, (0..settings.callers).map(make).collect())
+        };
+        // The seed repeats; idempotency keys must not, so the start time is part of them.
+        let started_at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(RunContext {
+            id: format!("{:x}-{:x}", started_at.as_nanos(), std::process::id()),
+            start: Instant::now(),
+            callers: settings.deployments.iter().map(make_callers).collect(),
+            tallies: RefCell::new(RunTallies::new(&settings.deployments, contracts)?),
+            permits: Semaphore::new(settings.concurrency),
+            overflowed: Cell::new(0),
+        })
+    }
+
+    /// The request that a plan asks for, with a fresh id and key.
+    fn request(&self, planned: &PlannedRequest) -> CallRequest {
+        CallRequest {
+            id: format!("{}-{}", self.id, planned.number),
+            class: planned.share.class,
+            operation: planned.share.operation,
+            text: format!("text {}", planned.query),
+            issued_at: SystemTime::now(),
+        }
+    }
+
+    /// The caller whose turn it is.
+    fn caller(&self, planned: &PlannedRequest) -> &TierCaller {
+        let (_, callers) = self
+            .callers
+            .iter()
+            .find(|(deployment, _)| *deployment == planned.deployment)
+            .unwrap_or(&self.callers[0]);
+        &callers[planned.number as usize % callers.len()]
+    }
+
+    /// Reconnects of all callers.
+    fn reconnects(&self) -> u64 {
+        let callers = self.callers.iter().flat_map(|(_, callers)| callers);
+        callers.map(TierCaller::reconnects).sum()
+    }
+}
+
+/// Prints a line of progress at each interval.
+async fn print_progress(context: Rc<RunContext>, interval: Duration) {
+    loop {
+        tokio::time::sleep(interval).await;
+        let counts = context.tallies.borrow().totals();
+        eprintln!(
+            "{:.0} s: {} done, {} not run, {} unknown, {} cut, {} missed, {} wrong, {} overflowed",
+            context.start.elapsed().as_secs_f64(),
+            counts.sent,
+            counts.not_run,
+            counts.unknown,
+            counts.connection_errors,
+            counts.deadline_misses,
+            counts.wrong_answers,
+            context.overflowed.get()
+        );
+    }
+}
+
+/// Usage of every watched process.
+fn read_processes(pids: &[u32]) -> eyre::Result<Vec<ProcessUsage>> {
+    let read = |pid: &u32| {
+        ProcessUsage::read(*pid).wrap_err_with(|| format!("process {pid} can't be read"))
+    };
+    pids.iter().map(read).collect()
+}
+
+/// Counters of every VM, added up.
+async fn read_counters(addresses: &[String]) -> eyre::Result<LoadCounters> {
+    let mut total = LoadCounters::default();
+    for address in addresses {
+        let url = format!("http://{address}/metrics");
+        let mut response = awc::Client::default()
+            .get(url)
+            .send()
+            .await
+            .map_err(|error| eyre::eyre!("metrics of {address} can't be read: {error}"))?;
+        let body = response.body().await.wrap_err("metrics are cut")?;
+        total.add(&LoadCounters::parse(&String::from_utf8_lossy(&body))?);
+    }
+    Ok(total)
+}
--- /dev/null
+++ b/crates/load/src/runner/settings.rs
@@ -0,0 +1,65 @@
+//! Settings of a run.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ArrivalSettings;
+use crate::DeploymentName;
+
+/// Everything that shapes a run; part of its report.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunSettings {
+    /// Deployments under load.
+    pub deployments: Vec<DeploymentName>,
+    /// `ip:port` of VMs that are asked for addresses.
+    pub seed_addresses: Vec<String>,
+    /// Requests a second for each deployment.
+    pub rate: f64,
+    /// Arrivals end after this time, in milliseconds.
+    pub duration_ms: u64,
+    /// Arrivals end after this many requests.
+    pub count: u64,
+    /// Seed of arrivals, classes and texts.
+    pub seed: u64,
+    /// Thousandths of keyed requests that are repeated when they did not run or may have.
+    pub repeat_permille: u32,
+    /// Most requests under way; the others wait and are counted as overflowed.
+    pub concurrency: usize,
+    /// Callers of each deployment, each with its own kept address.
+    pub callers: usize,
+    /// Longest wait for a reply, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time between lines of progress, in milliseconds.
+    pub progress_ms: u64,
+    /// `ip:port` of admin listeners whose `/metrics` tell the extra load.
+    pub metrics_addresses: Vec<String>,
+    /// Processes whose usage is measured.
+    pub pids: Vec<u32>,
+}
+
+impl RunSettings {
+    /// The part that shapes the arrivals.
+    pub fn arrivals(&self) -> ArrivalSettings {
+        ArrivalSettings {
+            deployments: self.deployments.clone(),
+            rate: self.rate,
+            duration: Duration::from_millis(self.duration_ms),
+            count: self.count,
+            seed: self.seed,
+            repeat_permille: self.repeat_permille,
+        }
+    }
+
+    /// Longest wait for a reply.
+    pub(crate) fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+
+    /// Time between lines of progress.
+    pub(crate) fn progress(&self) -> Duration {
+        Duration::from_millis(self.progress_ms)
+    }
+}
--- /dev/null
+++ b/crates/load/tests/arrival.rs
@@ -0,0 +1,66 @@
+//! Arrivals are fixed by their seed and follow the rate and the mix.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use oleanderwind_load::ArrivalPlan;
+use oleanderwind_load::ArrivalSettings;
+use oleanderwind_load::DeploymentName;
+use oleanderwind_load::PlannedRequest;
+use oleanderwind_policy::OperationKind;
+
+/// Settings of both deployments at 100 requests a second each.
+fn settings(seed: u64) -> ArrivalSettings {
+    ArrivalSettings {
+        deployments: vec![DeploymentName::Tsagaan, DeploymentName::Haneul],
+        rate: 100.0,
+        duration: Duration::from_secs(100),
+        count: 1_000_000,
+        seed,
+        repeat_permille: 500,
+    }
+}
+
+/// Every request of a plan.
+fn plan(seed: u64) -> Vec<PlannedRequest> {
+    ArrivalPlan::new(settings(seed)).collect()
+}
+
+#[test]
+fn arrival_plan_follows_the_seed() {
+    assert_eq!(plan(3), plan(3));
+    assert_ne!(plan(3), plan(4));
+}
+
+#[test]
+fn arrival_plan_follows_rate_and_mix() {
+    let requests = plan(3);
+    // 20,000 are expected; five standard deviations of a Poisson count are 707.
+    assert!(requests.len().abs_diff(20_000) < 707, "{}", requests.len());
+    assert!(requests.is_sorted_by_key(|request| request.at));
+    for deployment in [DeploymentName::Tsagaan, DeploymentName::Haneul] {
+        let own: Vec<_> =
+            requests.iter().filter(|request| request.deployment == deployment).collect();
+        assert_eq!(deployment.classes().iter().map(|share| share.percent).sum::<u32>(), 100);
+        for share in deployment.classes() {
+            let count = own.iter().filter(|request| request.share == *share).count();
+            let fraction = count as f64 / own.len() as f64;
+            assert!((fraction - f64::from(share.percent) / 100.0).abs() < 0.025, "{share:?}");
+        }
+    }
+}
+
+#[test]
+fn arrival_plan_repeats_keyed_requests_only() {
+    let requests = plan(3);
+    let keyed = |request: &&PlannedRequest| request.share.operation == OperationKind::Execute;
+    let repeated = requests.iter().filter(|request| request.repeats).count();
+    assert!(repeated > 0 && repeated < requests.iter().filter(keyed).count());
+    assert!(requests.iter().filter(|request| request.repeats).all(|request| keyed(&request)));
+}
+
+#[test]
+fn arrival_plan_ends_at_its_count() {
+    let plan = ArrivalPlan::new(ArrivalSettings { count: 17, ..settings(3) });
+    assert_eq!(plan.count(), 17);
+}
--- /dev/null
+++ b/crates/load/tests/check.rs
@@ -0,0 +1,86 @@
+//! Each fault of an answer is found, and a right answer has none.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use oleanderwind_load::AnswerCheck;
+use oleanderwind_load::AnswerFault;
+use oleanderwind_load::answer_digest;
+use oleanderwind_policy::OperationKind;
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_policy::RunState;
+use oleanderwind_wire::CallerAnswer;
+use oleanderwind_wire::CoverageReport;
+use support::execute_answer;
+use support::refusal;
+use support::search_answer;
+use support::whole;
+
+/// Faults of an answer to the search `a`, after `change`.
+fn search_faults(status: u16, change: impl FnOnce(&mut CallerAnswer)) -> Vec<AnswerFault> {
+    let mut answer = search_answer("a");
+    change(&mut answer);
+    faults(OperationKind::Search, status, &answer)
+}
+
+/// Faults of an answer to the request `a`.
+fn faults(operation: OperationKind, status: u16, answer: &CallerAnswer) -> Vec<AnswerFault> {
+    AnswerCheck { request_id: "a".to_string(), operation }.faults(status, answer)
+}
+
+#[test]
+fn faults_right_answers() {
+    assert_eq!(search_faults(200, |_| {}), []);
+    assert_eq!(faults(OperationKind::Execute, 200, &execute_answer("a")), []);
+    assert_eq!(faults(OperationKind::Execute, 503, &refusal("a")), []);
+    let partial = search_faults(200, |answer| {
+        answer.outcome = RequestOutcome::Partial;
+        answer.coverage =
+            Some(CoverageReport { documents_covered: 5, shards_answered: 1, ..whole() });
+    });
+    assert_eq!(partial, []);
+}
+
+#[test]
+fn faults_wrong_id_and_digest() {
+    let id = search_faults(200, |answer| answer.request_id = "b".to_string());
+    assert_eq!(id, [AnswerFault::RequestId]);
+    let lost_hit = search_faults(200, |answer| {
+        answer.hits.pop();
+    });
+    assert_eq!(lost_hit, [AnswerFault::Digest]);
+    let mut result = execute_answer("a");
+    result.result = Some("other".to_string());
+    assert_eq!(faults(OperationKind::Execute, 200, &result), [AnswerFault::Digest]);
+}
+
+#[test]
+fn faults_wrong_coverage() {
+    let reports = [
+        CoverageReport { documents_covered: 11, ..whole() },
+        CoverageReport { shards_answered: 3, ..whole() },
+        CoverageReport { shards_answered: 0, ..whole() },
+        CoverageReport { documents_covered: 9, ..whole() },
+    ];
+    for report in reports {
+        let found = search_faults(200, |answer| answer.coverage = Some(report));
+        assert_eq!(found, [AnswerFault::Coverage], "{report:?}");
+    }
+    let whole_partial = search_faults(200, |answer| answer.outcome = RequestOutcome::Partial);
+    assert_eq!(whole_partial, [AnswerFault::Coverage]);
+}
+
+#[test]
+fn faults_contradictions() {
+    assert_eq!(search_faults(200, |answer| answer.ran = RunState::No), [AnswerFault::RunState]);
+    assert_eq!(search_faults(503, |_| {}), [AnswerFault::Status]);
+    assert_eq!(search_faults(200, |answer| answer.snapshot = None), [AnswerFault::Incomplete]);
+    let mut refused = refusal("a");
+    refused.ran = RunState::Yes;
+    assert_eq!(faults(OperationKind::Search, 503, &refused), [AnswerFault::RunState]);
+    let order = search_faults(200, |answer| {
+        answer.hits.reverse();
+        answer.digest = answer_digest(answer);
+    });
+    assert_eq!(order, [AnswerFault::Order]);
+}
--- /dev/null
+++ b/crates/load/tests/command.rs
@@ -0,0 +1,214 @@
+//! What a user of the command line sees, and the exit codes.
+#![allow(clippy::unwrap_used)]
+
+use std::fs;
+use std::path::PathBuf;
+
+use expect_test::Expect;
+use expect_test::expect;
+use oleanderwind_load::ExitStatus;
+use oleanderwind_load::run_command;
+
+/// Runs `args`; the status, then the output and the problems.
+fn run(args: &[&str]) -> (ExitStatus, String, String) {
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let status = run_command(args, &mut out, &mut err);
+    (status, String::from_utf8(out).unwrap(), String::from_utf8(err).unwrap())
+}
+
+/// Checks a help text.
+fn check_help(args: &[&str], expected: Expect) {
+    let (status, out, err) = run(args);
+    assert_eq!((status, err.as_str()), (ExitStatus::Success, ""));
+    expected.assert_eq(&out);
+}
+
+/// A file of the tests with `text`.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn help_of_the_program() {
+    check_help(
+        &["--help"],
+        expect![[r#"
+        Usage: oleanderwind-load <command> [<args>]
+
+        Puts oleanderwind under load, checks every answer and reports latency, coverage and extra load. Exit codes: 0 all well, 1 a stated bound is broken, 2 wrong usage, 3 could not run.
+
+        Options:
+          --help, help      display usage information
+
+        Commands:
+          run               Sends an open-loop load to running VMs. Latency counts from
+                            the intended send time. Exit codes: 0 all well, 1 a
+                            contract's term is broken or an answer is wrong, 2 wrong
+                            usage, 3 could not run.
+          compare           Prints two reports side by side with their differences, and
+                            checks the stated bounds. Exit codes: 0 every bound holds, 1
+                            a bound is broken, 2 wrong usage, 3 could not run.
+          demo              Serves both deployments in this process on loopback and puts
+                            them under load. Exit codes: 0 all well, 1 a contract's term
+                            is broken or an answer is wrong, 2 wrong usage, 3 could not
+                            run.
+    "#]],
+    );
+}
+
+#[test]
+fn help_of_run() {
+    check_help(
+        &["run", "--help"],
+        expect![[r#"
+        Usage: oleanderwind-load run [--deployment <deployment...>] [--seed-address <seed-address...>] [--rate <rate>] [--seconds <seconds>] [--count <count>] [--seed <seed>] [--repeat-permille <repeat-permille>] [--concurrency <concurrency>] [--callers <callers>] [--timeout-ms <timeout-ms>] [--progress-ms <progress-ms>] [--contract <contract...>] [--metrics-address <metrics-address...>] [--pid <pid...>] [--report <report>] [--plot <plot>]
+
+        Sends an open-loop load to running VMs. Latency counts from the intended send time. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3 could not run.
+
+        Options:
+          --deployment      deployment to put under load: tsagaan or haneul; may be
+                            repeated
+          --seed-address    ip:port of a VM to ask for addresses; may be repeated
+          --rate            requests a second for each deployment (default 50)
+          --seconds         arrivals end after this many seconds (default 10)
+          --count           arrivals end after this many requests (default 1000000)
+          --seed            seed of arrivals, classes and texts (default 1)
+          --repeat-permille thousandths of keyed requests that are repeated with the
+                            same key when they did not run or may have (default 500)
+          --concurrency     most requests under way; the others wait and are counted
+                            (default 1000)
+          --callers         callers of each deployment, each with its own kept address
+                            (default 8)
+          --timeout-ms      longest wait for a reply, in milliseconds (default 10000)
+          --progress-ms     time between lines of progress, in milliseconds (default
+                            3000)
+          --contract        file of a contract in JSON, whose terms are checked; may be
+                            repeated
+          --metrics-address ip:port of a VM's admin listener, whose /metrics tell the
+                            extra load; may be repeated
+          --pid             process whose CPU seconds and memory are measured; may be
+                            repeated
+          --report          file for the report in JSON
+          --plot            file for a plot of the latency distributions in SVG
+          --help, help      display usage information
+
+        Examples:
+          oleanderwind-load run --deployment haneul --seed-address 127.0.0.1:8080 --rate 50 --seconds 30 --contract haneul.json --report run.json
+    "#]],
+    );
+}
+
+#[test]
+fn help_of_compare() {
+    check_help(
+        &["compare", "--help"],
+        expect![[r#"
+        Usage: oleanderwind-load compare [--max-p99-growth-permille <max-p99-growth-permille>] [--max-coverage-drop-permille <max-coverage-drop-permille>] [--max-extra-load-growth-permille <max-extra-load-growth-permille>] [--max-wrong-answers <max-wrong-answers>] [--max-connection-errors <max-connection-errors>] [--plot <plot>] [--] <first> <second>
+
+        Prints two reports side by side with their differences, and checks the stated bounds. Exit codes: 0 every bound holds, 1 a bound is broken, 2 wrong usage, 3 could not run.
+
+        Positional Arguments:
+          first             report to compare with
+          second            report to check
+
+        Options:
+          --max-p99-growth-permille
+                            most growth of a class's 99th percentile, in thousandths of
+                            the first report's
+          --max-coverage-drop-permille
+                            most loss of a class's mean coverage, in thousandths of the
+                            documents
+          --max-extra-load-growth-permille
+                            most growth of a customer's extra load, in thousandths of
+                            its first calls
+          --max-wrong-answers
+                            most wrong answers of a class in the second report
+          --max-connection-errors
+                            most requests of a class without a reply in the second
+                            report
+          --plot            file for a plot of both latency distributions in SVG
+          --help, help      display usage information
+
+        Examples:
+          oleanderwind-load compare before.json after.json --max-p99-growth-permille 50 --max-wrong-answers 0
+    "#]],
+    );
+}
+
+#[test]
+fn run_reports_every_finding() {
+    let contract = file(
+        "broken-contract.json",
+        r#"{"customer": "haneul", "preference": "latency",
+        "requests_per_second": 0, "extra_load_permille": 50, "placement": [], "classes": {}}"#,
+    );
+    let args = [
+        "run",
+        "--seed-address",
+        "here",
+        "--rate",
+        "0",
+        "--repeat-permille",
+        "1001",
+        "--count",
+        "0",
+    ];
+    let contract = contract.to_string_lossy().to_string();
+    let (status, out, err) = run(&[&args[..], &["--contract", &contract]].concat());
+    assert_eq!((status, out.as_str()), (ExitStatus::WrongUsage, ""));
+    expect![[r#"
+        --deployment: is missing; give tsagaan or haneul
+        --seed-address: `here` is no address; give ip:port
+        --rate: is 0; give more than 0 and at most 100000
+        --repeat-permille: is 1001; give 0 to 1000
+        --count: is 0; give 1 or more
+        --contract FILE: requests_per_second: is 0; give more than 0 and at most 1000000
+        --contract FILE: placement: shares add up to 0; give 1000
+        --contract FILE: classes: is empty; give at least one class
+    "#]]
+    .assert_eq(&err.replace(&contract, "FILE"));
+}
+
+#[test]
+fn run_unknown_flag() {
+    let (status, _, err) = run(&["run", "--speed", "3"]);
+    assert_eq!(status, ExitStatus::WrongUsage);
+    expect![[r#"
+        Unrecognized argument: --speed
+    "#]]
+    .assert_eq(&err);
+}
+
+#[test]
+fn run_unreadable_process() {
+    let args = ["run", "--deployment", "haneul", "--seed-address", "127.0.0.1:1"];
+    let (status, _, err) = run(&[&args[..], &["--pid", "4294967295"]].concat());
+    assert_eq!(status, ExitStatus::CouldNotRun);
+    expect![[r#"
+        could not run: process 4294967295 can't be read: No such file or directory (os error 2)
+    "#]]
+    .assert_eq(&err);
+}
+
+#[test]
+fn compare_reports_both_findings() {
+    let broken = file("no-report.json", "{}").to_string_lossy().to_string();
+    let (status, _, err) = run(&["compare", &broken, "/does/not/exist.json"]);
+    assert_eq!(status, ExitStatus::WrongUsage);
+    expect![[r#"
+        FILE: missing field `version` at line 1 column 2
+        /does/not/exist.json: No such file or directory (os error 2)
+    "#]]
+    .assert_eq(&err.replace(&broken, "FILE"));
+}
+
+#[test]
+fn demo_without_embedded_programs() {
+    let (status, _, err) = run(&["demo"]);
+    assert_eq!(status, ExitStatus::CouldNotRun);
+    expect![[r#"
+        could not run: this build embeds no daemon and no stand-ins yet; start them as programs and use `oleanderwind-load run`
+    "#]].assert_eq(&err);
+}
