fix(wire): one digest for callers' answers

Change: CallerAnswer::content_digest serves both. After: not yet run again; the load tool's own tests pass with the shared function. Conclusion: a format that two sides read lives in the wire crate.

--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -10,7 +10,6 @@
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::RefusalReport;
 use oleanderwind_wire::SearchHit;
-use xxhash_rust::xxh3::Xxh3;
 
 /// Hits in an answer.
 const MAX_HITS: usize = 10;
@@ -108,13 +107,8 @@
 pub(crate) fn set_hits(answer: &mut CallerAnswer, mut hits: Vec<SearchHit>) {
     hits.sort_unstable_by(|a, b| b.score.cmp(&a.score).then(a.document.cmp(&b.document)));
     hits.truncate(MAX_HITS);
-    let mut hasher = Xxh3::new();
-    for hit in &hits {
-        hasher.update(&hit.document.to_le_bytes());
-        hasher.update(&hit.score.to_le_bytes());
-    }
-    answer.digest = format!("{:016x}", hasher.digest());
     answer.hits = hits;
+    answer.digest = answer.content_digest();
 }
 
 /// Writes the reply.
--- a/crates/load/src/check/mod.rs
+++ b/crates/load/src/check/mod.rs
@@ -5,7 +5,6 @@
 use oleanderwind_policy::RunState;
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::CoverageReport;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// HTTP status of an answer.
 const STATUS_OK: u16 = 200;
@@ -38,15 +37,6 @@
     pub operation: OperationKind,
 }
 
-/// XXH3 of the result's bytes, or of the hits' JSON when there is no result, as 16 hex digits.
-pub fn answer_digest(answer: &CallerAnswer) -> String {
-    let hash = match &answer.result {
-        Some(result) => xxh3_64(result.as_bytes()),
-        None => xxh3_64(&serde_json::to_vec(&answer.hits).unwrap_or_default()),
-    };
-    format!("{hash:016x}")
-}
-
 impl AnswerCheck {
     /// Every fault of `answer`, which came with HTTP status `status`.
     pub fn faults(&self, status: u16, answer: &CallerAnswer) -> Vec<AnswerFault> {
@@ -59,7 +49,7 @@
         let in_order = answer.hits.windows(2).all(|pair| pair[0].score >= pair[1].score);
         let checks = [
             (AnswerFault::RequestId, answer.request_id == self.request_id),
-            (AnswerFault::Digest, !answered || answer.digest == answer_digest(answer)),
+            (AnswerFault::Digest, !answered || answer.digest == answer.content_digest()),
             (AnswerFault::Coverage, self.coverage_fits(answer)),
             (AnswerFault::RunState, ran_fits),
             (AnswerFault::Status, answered == (status == STATUS_OK)),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -25,7 +25,6 @@
 pub use caller::TierCaller;
 pub use check::AnswerCheck;
 pub use check::AnswerFault;
-pub use check::answer_digest;
 pub use command::ExitStatus;
 pub use command::run_command;
 pub use compare::CompareBounds;
--- a/crates/load/tests/check.rs
+++ b/crates/load/tests/check.rs
@@ -5,7 +5,6 @@
 
 use oleanderwind_load::AnswerCheck;
 use oleanderwind_load::AnswerFault;
-use oleanderwind_load::answer_digest;
 use oleanderwind_policy::OperationKind;
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_policy::RunState;
@@ -80,7 +79,7 @@
     assert_eq!(faults(OperationKind::Search, 503, &refused), [AnswerFault::RunState]);
     let order = search_faults(200, |answer| {
         answer.hits.reverse();
-        answer.digest = answer_digest(answer);
+        answer.digest = answer.content_digest();
     });
     assert_eq!(order, [AnswerFault::Order]);
 }
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -18,7 +18,6 @@
 use futures_util::StreamExt;
 use oleanderwind_load::DeploymentName;
 use oleanderwind_load::RunSettings;
-use oleanderwind_load::answer_digest;
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_policy::RunState;
 use oleanderwind_wire::AddressAnswer;
@@ -181,7 +180,7 @@
         retry_after_ms: None,
         digest: String::new(),
     };
-    answer.digest = answer_digest(&answer);
+    answer.digest = answer.content_digest();
     answer
 }
 
@@ -194,7 +193,7 @@
         result: Some("booked".to_string()),
         ..search_answer(id)
     };
-    answer.digest = answer_digest(&answer);
+    answer.digest = answer.content_digest();
     answer
 }
 
--- a/crates/wire/src/caller/mod.rs
+++ b/crates/wire/src/caller/mod.rs
@@ -7,6 +7,7 @@
 use oleanderwind_policy::RunState;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::SearchHit;
 
@@ -50,11 +51,30 @@
     /// When to come back, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
-    /// XXH3 of the answer's hits or result as 16 hex digits.
+    /// What [`CallerAnswer::content_digest`] gives for the whole answer.
     #[serde(default)]
     pub digest: String,
 }
 
+impl CallerAnswer {
+    /// XXH3 of the result, else of the hits, as 16 hex digits.
+    ///
+    /// Each hit counts with its document and its score as little-endian bytes.
+    pub fn content_digest(&self) -> String {
+        let mut hasher = Xxh3::new();
+        match &self.result {
+            Some(result) => hasher.update(result.as_bytes()),
+            None => {
+                for hit in &self.hits {
+                    hasher.update(&hit.document.to_le_bytes());
+                    hasher.update(&hit.score.to_le_bytes());
+                }
+            }
+        }
+        format!("{:016x}", hasher.digest())
+    }
+}
+
 /// Why a request has no whole answer.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct RefusalReport {
