feat(ledger): claim unrepeatable requests before dispatch

Cause: a request that may not be repeated must run at most once over VMs that pause, crash and lose replies. Change: LedgerEngine claims a key by conditional update of a segment's object, settles lost replies by its token at a later revision, dispatches once and records the outcome. A breadth-first search over two engines checks it. Conclusion: search found no violation to the depths in its tests; with the store's fence off, or a lost reply taken for a success, it finds a key run twice.

--- /dev/null
+++ b/crates/policy/src/ledger/mod.rs
@@ -0,0 +1,68 @@
+//! At most once: requests that may not be repeated, claimed in the platform before dispatch.
+//!
+//! A key hashes to a segment, one object of kind `ledger` in the Object API. The claim is a
+//! conditional update of that object; its revision is the only fence. There is no lease: a claim
+//! is never taken from its claimer, so a VM that was paused and wakes either still holds its
+//! claim or loses its update.
+//!
+//! # Transitions of an entry
+//!
+//! | from | to | by whom |
+//! |---|---|---|
+//! | absent, `NotRun(n)` with n < attempt | `Claimed(token)` | any VM |
+//! | `Claimed(token)` | `Done` | the VM that holds the token, after the reply |
+//! | `Claimed(token)` | `NotRun(attempt)` | the VM that holds the token, once it can't dispatch |
+//! | absent, `NotRun(n)` with n < attempt | `NotRun(attempt)` | a VM that gave its own claim up |
+//! | any | absent | any VM, past the window and the skew |
+//!
+//! Each try of a key carries an attempt number that the caller counts up from 1. `NotRun(n)` says
+//! that every try up to n is dead, so an earlier try on a paused VM can't claim after a caller
+//! was told `not run`. A refusal that is not recorded says `not run` only when every earlier
+//! attempt is known dead (attempt 1 has none); else it says `unknown`.
+//!
+//! # Lost replies
+//!
+//! A write at base revision r lands only while the object is at r. So an uncertain claim is
+//! settled by the first body seen at a later revision: it holds the claim's token or the claim
+//! will never land. While the object stays at r, another write at r settles it.
+//!
+//! # Clocks
+//!
+//! VMs' clocks may differ from each other by [`LedgerSettings::clock_skew`]. A key is refused
+//! when its age passes the window and an entry is pruned only past window and skew, so no VM
+//! accepts a key whose entry another VM has pruned.
+//!
+//! # Capacity, by arithmetic
+//!
+//! With g claims in a group, claims and earlier outcomes ride the same writes: 1/g writes a
+//! request when busy, 2/g when they don't meet. At 300 writes/s the ceiling is 150 g to 300 g
+//! requests/s; one object a request (g = 1, claim and outcome apart) ends at 150. Keys of one
+//! segment must meet on one VM for g to grow: the front should prefer one VM a segment, as a
+//! hint only. The size bounds it too: segments x bytes / (entry bytes x kept seconds). With the
+//! default 64 segments of 900,000 bytes, 630 s kept and 128 bytes an entry that is 714
+//! requests/s; results of the longest kept size lower it.
+
+mod action;
+mod engine;
+mod event;
+mod key;
+mod request;
+mod segment;
+mod settings;
+mod settle;
+
+pub use action::LedgerAction;
+pub use engine::LedgerEngine;
+pub use event::ExecuteOutcome;
+pub use event::LedgerEvent;
+pub use key::LedgerKey;
+pub use key::LedgerKeyError;
+pub use key::SegmentId;
+pub use request::LedgerRequest;
+pub use request::LedgerRequestId;
+pub use segment::ClaimToken;
+pub use segment::EntryState;
+pub use segment::LedgerEntry;
+pub use segment::LedgerSegment;
+pub use settings::ClaimMode;
+pub use settings::LedgerSettings;
--- /dev/null
+++ b/crates/policy/src/ledger/settle.rs
@@ -0,0 +1,418 @@
+//! How claims are written, settled and recorded, one call a segment at a time.
+
+use std::time::Instant;
+use std::time::SystemTime;
+
+use crate::RequestOutcome;
+use crate::Revision;
+use crate::RunState;
+
+use super::action::LedgerAction;
+use super::engine::LedgerEngine;
+use super::engine::SegmentCall;
+use super::engine::SegmentView;
+use super::engine::SegmentWrite;
+use super::key::SegmentId;
+use super::key::millis;
+use super::key::wall_ms;
+use super::request::LedgerRequestId;
+use super::request::RequestPhase;
+use super::segment::EntryState;
+use super::segment::LedgerEntry;
+use super::segment::LedgerSegment;
+use super::settings::ClaimMode;
+
+/// Ends of platform calls.
+impl LedgerEngine {
+    pub(super) fn take_read(
+        &mut self,
+        segment: SegmentId,
+        body: LedgerSegment,
+        revision: Revision,
+    ) {
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        work.call = SegmentCall::Idle;
+        work.view = Some(SegmentView { body, revision });
+        for id in &work.requests {
+            if let Some(request) = self.requests.get_mut(id) {
+                request.is_fresh = true;
+            }
+        }
+    }
+
+    pub(super) fn take_accepted(&mut self, segment: SegmentId, revision: Revision, now: Instant) {
+        let interval = self.settings.commit_interval;
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        if let SegmentCall::Writing(write) = std::mem::take(&mut work.call) {
+            work.view = Some(SegmentView { body: write.body, revision });
+            work.not_before = Some(now + interval);
+        }
+    }
+
+    /// A conflict or a lost reply: only a read tells what is there.
+    pub(super) fn forget_view(&mut self, segment: SegmentId) {
+        if let Some(work) = self.segments.get_mut(&segment) {
+            work.call = SegmentCall::Idle;
+            work.view = None;
+        }
+    }
+
+    /// The write had no effect, so the claims that only it carried are not exposed.
+    pub(super) fn take_refused(&mut self, segment: SegmentId) {
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        if let SegmentCall::Writing(write) = std::mem::take(&mut work.call) {
+            for id in write.exposed {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.exposed = None;
+                }
+            }
+        }
+    }
+
+    /// The platform can't be reached: refuses what certainly wrote nothing, tries the rest later.
+    pub(super) fn fail_call(
+        &mut self,
+        segment: SegmentId,
+        now: Instant,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let backoff = self.settings.backoff;
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        work.call = SegmentCall::Idle;
+        work.not_before = Some(now + backoff);
+        let ids: Vec<LedgerRequestId> = work.requests.iter().copied().collect();
+        for id in ids {
+            let is_unwritten = self.requests.get(&id).is_some_and(|request| {
+                request.phase == RequestPhase::Claiming && request.exposed.is_none()
+            });
+            if is_unwritten {
+                self.refuse(id, actions);
+            }
+        }
+        if let Some(work) = self.segments.get_mut(&segment) {
+            work.view = None;
+        }
+    }
+}
+
+/// Progress of a segment.
+impl LedgerEngine {
+    /// Starts the segment's next call, if it is due and there is something to do.
+    pub(super) fn advance(
+        &mut self,
+        segment: SegmentId,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        if work.call != SegmentCall::Idle {
+            return;
+        }
+        work.not_before = work.not_before.filter(|instant| *instant > now);
+        if work.requests.is_empty() {
+            if self.settings.mode == ClaimMode::PerRequestObject {
+                self.segments.remove(&segment);
+            }
+            return;
+        }
+        let Some(view) = work.view.clone() else {
+            self.read(segment, now, actions);
+            return;
+        };
+        let ids: Vec<LedgerRequestId> = work.requests.iter().copied().collect();
+        for id in &ids {
+            self.settle(*id, &view, now, wall, actions);
+        }
+        self.commit(segment, &ids, view, now, wall, actions);
+    }
+
+    fn read(&mut self, segment: SegmentId, now: Instant, actions: &mut Vec<LedgerAction>) {
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        let needs_read = work.requests.iter().any(|id| {
+            self.requests.get(id).is_some_and(|request| request.phase != RequestPhase::Running)
+        });
+        if needs_read && work.not_before.is_none_or(|instant| instant <= now) {
+            work.not_before = None;
+            work.call = SegmentCall::Reading;
+            actions.push(LedgerAction::ReadSegment { segment });
+        }
+    }
+
+    /// Draws from the newest body what it proves about one try.
+    fn settle(
+        &mut self,
+        id: LedgerRequestId,
+        view: &SegmentView,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let is_mine =
+            view.body.state(&request.entry_name) == Some(&EntryState::Claimed(request.token));
+        match &request.phase {
+            RequestPhase::Running => {}
+            RequestPhase::Recording(EntryState::NotRun(_)) if !is_mine => {
+                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                self.remove(id);
+            }
+            RequestPhase::Recording(_) if !is_mine => self.remove(id),
+            RequestPhase::Recording(_) => {}
+            RequestPhase::Claiming => {
+                if request.exposed.is_none_or(|base| base >= view.revision) {
+                    return;
+                }
+                request.exposed = None;
+                if is_mine {
+                    self.hold(id, now, wall, actions);
+                } else if request.is_answered {
+                    self.remove(id);
+                }
+            }
+        }
+    }
+
+    /// The claim is proven: dispatches it, or gives it up for good.
+    fn hold(
+        &mut self,
+        id: LedgerRequestId,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(work) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if work.is_answered || work.is_expired(now, wall) {
+            work.phase = RequestPhase::Recording(EntryState::NotRun(work.request.attempt));
+            return;
+        }
+        work.phase = RequestPhase::Running;
+        actions.push(LedgerAction::Dispatch {
+            request: id,
+            provider_hash: work.request.key.hash(&work.request.customer),
+            deadline: work.request.deadline,
+            wall_deadline: work.request.wall_deadline,
+        });
+    }
+
+    /// Writes every change of the segment in one conditional update.
+    fn commit(
+        &mut self,
+        segment: SegmentId,
+        ids: &[LedgerRequestId],
+        view: SegmentView,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let mut body = view.body.clone();
+        let kept = millis(self.settings.window) + millis(self.settings.clock_skew);
+        body.prune(wall_ms(wall).saturating_sub(kept));
+        let mut claims = Vec::new();
+        let mut has_change = false;
+        for id in ids {
+            let Some(state) = self.change(*id, &view.body, &body, now, wall, actions) else {
+                continue;
+            };
+            let Some(work) = self.requests.get(id) else {
+                continue;
+            };
+            if matches!(state, EntryState::Claimed(_)) {
+                claims.push(*id);
+            }
+            let issued_ms = work.request.key.issued_ms();
+            body.entries.insert(work.entry_name.clone(), LedgerEntry { issued_ms, state });
+            has_change = true;
+        }
+        let Some(work) = self.segments.get_mut(&segment) else {
+            return;
+        };
+        let needs_read = work.requests.iter().any(|id| {
+            self.requests.get(id).is_some_and(|request| {
+                request.phase == RequestPhase::Claiming
+                    && !request.is_fresh
+                    && matches!(view.body.state(&request.entry_name), Some(EntryState::Claimed(_)))
+            })
+        });
+        if work.not_before.is_some() {
+            return;
+        }
+        if needs_read {
+            work.view = None;
+            self.read(segment, now, actions);
+            return;
+        }
+        if !has_change {
+            return;
+        }
+        let mut exposed = Vec::new();
+        for id in claims {
+            if let Some(request) = self.requests.get_mut(&id) {
+                if request.exposed.is_none() {
+                    exposed.push(id);
+                }
+                request.exposed = request.exposed.max(Some(view.revision));
+            }
+        }
+        work.call = SegmentCall::Writing(SegmentWrite { body: body.clone(), exposed });
+        actions.push(match view.revision {
+            0 => LedgerAction::CreateSegment { segment, body },
+            expected => LedgerAction::UpdateSegment { segment, body, expected },
+        });
+    }
+
+    /// What one try wants to have written, if anything; answers those that may not claim.
+    fn change(
+        &mut self,
+        id: LedgerRequestId,
+        proven: &LedgerSegment,
+        body: &LedgerSegment,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<LedgerAction>,
+    ) -> Option<EntryState> {
+        let work = self.requests.get(&id)?;
+        let attempt = work.request.attempt;
+        let token = work.token;
+        let state = body.state(&work.entry_name);
+        match &work.phase {
+            RequestPhase::Running => return None,
+            RequestPhase::Recording(record) => {
+                return (state == Some(&EntryState::Claimed(token))).then(|| record.clone());
+            }
+            RequestPhase::Claiming => {}
+        }
+        if work.exposed.is_some() && (work.is_answered || work.is_expired(now, wall)) {
+            // A write at the same base shuts out the one whose reply was lost.
+            return Some(EntryState::NotRun(attempt));
+        }
+        match state {
+            Some(EntryState::Done { result, .. }) => {
+                let result = result.clone();
+                self.answer(id, RequestOutcome::Answered, RunState::Yes, result, actions);
+                self.remove(id);
+                return None;
+            }
+            Some(EntryState::Claimed(_)) if work.is_fresh => {
+                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+                self.remove(id);
+                return None;
+            }
+            Some(EntryState::Claimed(_)) => return None,
+            Some(EntryState::NotRun(dead)) if *dead >= attempt => {
+                if proven.state(&work.entry_name) != state {
+                    return None;
+                }
+                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                self.remove(id);
+                return None;
+            }
+            Some(EntryState::NotRun(_)) | None => {}
+        }
+        if work.exposed.is_some() {
+            return Some(EntryState::Claimed(token));
+        }
+        if self.refuse_by_age(id, wall, actions) {
+            return None;
+        }
+        let mut grown = body.clone();
+        let entry = LedgerEntry { issued_ms: 0, state: EntryState::Claimed(token) };
+        grown.entries.insert(self.requests.get(&id)?.entry_name.clone(), entry);
+        if grown.reserved_bytes(self.settings.max_result_bytes) > self.settings.max_segment_bytes
+            || self.requests.get(&id)?.is_expired(now, wall)
+        {
+            self.refuse(id, actions);
+            return None;
+        }
+        Some(EntryState::Claimed(token))
+    }
+}
+
+/// Answers.
+impl LedgerEngine {
+    /// Refuses a key that is too old or from too far in the future.
+    pub(super) fn refuse_by_age(
+        &mut self,
+        id: LedgerRequestId,
+        wall: SystemTime,
+        actions: &mut Vec<LedgerAction>,
+    ) -> bool {
+        let Some(work) = self.requests.get(&id) else {
+            return false;
+        };
+        let issued_ms = work.request.key.issued_ms();
+        if issued_ms.saturating_add(millis(self.settings.window)) < wall_ms(wall) {
+            self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+            self.remove(id);
+            return true;
+        }
+        if issued_ms > wall_ms(wall).saturating_add(millis(self.settings.clock_skew)) {
+            self.refuse(id, actions);
+            return true;
+        }
+        false
+    }
+
+    /// Drops a try that wrote nothing: `not run` if every earlier try is known dead.
+    pub(super) fn refuse(&mut self, id: LedgerRequestId, actions: &mut Vec<LedgerAction>) {
+        let Some(work) = self.requests.get(&id) else {
+            return;
+        };
+        let view = self.segments.get(&work.segment).and_then(|segment| segment.view.as_ref());
+        let dead = match view.and_then(|view| view.body.state(&work.entry_name)) {
+            Some(EntryState::NotRun(dead)) => *dead,
+            Some(EntryState::Claimed(_) | EntryState::Done { .. }) | None => 0,
+        };
+        let is_certain = work.request.attempt > 0 && work.request.attempt - 1 <= dead;
+        if is_certain {
+            self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+        } else {
+            self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+        }
+        self.remove(id);
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        id: LedgerRequestId,
+        outcome: RequestOutcome,
+        ran: RunState,
+        result: Option<String>,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(work) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if work.is_answered {
+            return;
+        }
+        work.is_answered = true;
+        let retry_after = (ran != RunState::Yes).then_some(self.settings.retry_after);
+        actions.push(LedgerAction::Answer { request: id, outcome, ran, result, retry_after });
+    }
+
+    pub(super) fn remove(&mut self, id: LedgerRequestId) {
+        let Some(work) = self.requests.remove(&id) else {
+            return;
+        };
+        if let Some(segment) = self.segments.get_mut(&work.segment) {
+            segment.requests.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/ledger_world/mod.rs
@@ -0,0 +1,390 @@
+//! Two engines, one segment of the platform and the messages between them, moved step by step.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use oleanderwind_policy::ClaimMode;
+use oleanderwind_policy::ExecuteOutcome;
+use oleanderwind_policy::LedgerAction;
+use oleanderwind_policy::LedgerEngine;
+use oleanderwind_policy::LedgerEvent;
+use oleanderwind_policy::LedgerKey;
+use oleanderwind_policy::LedgerRequest;
+use oleanderwind_policy::LedgerSegment;
+use oleanderwind_policy::LedgerSettings;
+use oleanderwind_policy::RequestOutcome;
+
+/// Wall time at the start, in milliseconds since 1970.
+pub(crate) const START_MS: u64 = 1_800_000_000_000;
+/// Time that a try has.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(100);
+
+/// A fault built into the fakes, for the search to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Flaw {
+    None,
+    /// The store ignores the expected revision.
+    FenceOff,
+    /// The driver takes a lost reply for a success.
+    GuessAccepted,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Try {
+    pub(crate) key: String,
+    pub(crate) attempt: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Message {
+    Read { segment: u64 },
+    Write { segment: u64, expected: u64, body: LedgerSegment },
+    Execute { request: u64, deadline: Instant },
+    Reply(LedgerEvent),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Step {
+    Submit {
+        vm: usize,
+    },
+    /// Serves a read, write or execution; the reply waits.
+    Serve {
+        vm: usize,
+        index: usize,
+    },
+    Deliver {
+        vm: usize,
+        index: usize,
+    },
+    FailRead {
+        vm: usize,
+        index: usize,
+    },
+    /// Takes effect; the reply is lost.
+    LoseReply {
+        vm: usize,
+        index: usize,
+    },
+    /// Has no effect; nobody knows.
+    LoseCall {
+        vm: usize,
+        index: usize,
+    },
+    /// May take effect later; nobody knows.
+    DelayCall {
+        vm: usize,
+        index: usize,
+    },
+    RefuseCall {
+        vm: usize,
+        index: usize,
+    },
+    NotSent {
+        vm: usize,
+        index: usize,
+    },
+    /// The VM's clocks pass every deadline.
+    Expire {
+        vm: usize,
+    },
+    Tick {
+        vm: usize,
+    },
+    Crash {
+        vm: usize,
+    },
+    LateWrite {
+        index: usize,
+    },
+    LateExecute {
+        index: usize,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct VmWorld {
+    pub(crate) engine: LedgerEngine,
+    pub(crate) messages: Vec<Message>,
+    pub(crate) elapsed: Duration,
+    /// The wall clock's lead over true time.
+    pub(crate) lead: Duration,
+    starts: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct World {
+    pub(crate) vms: Vec<VmWorld>,
+    pub(crate) store: BTreeMap<u64, (u64, LedgerSegment)>,
+    revision: u64,
+    pub(crate) late_writes: Vec<Message>,
+    pub(crate) late_executions: Vec<u64>,
+    pub(crate) tries: Vec<Try>,
+    pub(crate) submitted: usize,
+    /// Tries in the order in which a target ran them.
+    pub(crate) executed: Vec<u64>,
+    pub(crate) answers: BTreeMap<u64, (RequestOutcome, Option<String>)>,
+    pub(crate) faults_left: u32,
+    pub(crate) flaw: Flaw,
+    pub(crate) settings: LedgerSettings,
+    start: Instant,
+}
+
+pub(crate) fn settings() -> LedgerSettings {
+    LedgerSettings {
+        mode: ClaimMode::Grouped,
+        segments: 1,
+        commit_interval: Duration::ZERO,
+        backoff: Duration::from_millis(10),
+        ..LedgerSettings::default()
+    }
+}
+
+impl World {
+    pub(crate) fn new(tries: &[(&str, u32)], settings: LedgerSettings, flaw: Flaw) -> World {
+        let vm = |number: u64| VmWorld {
+            engine: LedgerEngine::new(LedgerSettings { token_seed: number, ..settings.clone() }),
+            messages: Vec::new(),
+            elapsed: Duration::ZERO,
+            lead: Duration::ZERO,
+            starts: 0,
+        };
+        World {
+            vms: vec![vm(0), vm(1)],
+            store: BTreeMap::new(),
+            revision: 0,
+            late_writes: Vec::new(),
+            late_executions: Vec::new(),
+            tries: tries
+                .iter()
+                .map(|(key, attempt)| Try { key: (*key).into(), attempt: *attempt })
+                .collect(),
+            submitted: 0,
+            executed: Vec::new(),
+            answers: BTreeMap::new(),
+            faults_left: 0,
+            flaw,
+            settings,
+            start: Instant::now(),
+        }
+    }
+
+    pub(crate) fn now(&self, vm: usize) -> Instant {
+        self.start + self.vms[vm].elapsed
+    }
+
+    pub(crate) fn wall(&self, vm: usize) -> SystemTime {
+        SystemTime::UNIX_EPOCH
+            + Duration::from_millis(START_MS)
+            + self.vms[vm].elapsed
+            + self.vms[vm].lead
+    }
+
+    /// Takes one step and returns the engine's actions.
+    pub(crate) fn take(&mut self, step: Step) -> Vec<LedgerAction> {
+        match step {
+            Step::Submit { vm } => return self.submit(vm),
+            Step::Serve { vm, index } => self.serve(vm, index),
+            Step::Deliver { vm, index } => return self.deliver(vm, index),
+            Step::FailRead { vm, index } => {
+                if let Message::Read { segment } = self.vms[vm].messages[index] {
+                    self.reply(vm, index, LedgerEvent::ReadFailed { segment });
+                }
+            }
+            Step::LoseReply { vm, index } => {
+                self.serve(vm, index);
+                self.lose(vm, index);
+            }
+            Step::LoseCall { vm, index } => self.lose(vm, index),
+            Step::DelayCall { vm, index } => {
+                let message = self.vms[vm].messages[index].clone();
+                self.keep_late(message);
+                self.lose(vm, index);
+            }
+            Step::RefuseCall { vm, index } => {
+                let event = match &self.vms[vm].messages[index] {
+                    Message::Write { segment, .. } => {
+                        LedgerEvent::WriteRefused { segment: *segment }
+                    }
+                    Message::Execute { request, .. } => {
+                        finished(*request, ExecuteOutcome::RefusedNotRun)
+                    }
+                    other => panic!("can't refuse {other:?}"),
+                };
+                self.reply(vm, index, event);
+            }
+            Step::NotSent { vm, index } => {
+                if let Message::Execute { request, .. } = self.vms[vm].messages[index] {
+                    self.reply(vm, index, finished(request, ExecuteOutcome::NotSent));
+                }
+            }
+            Step::Expire { vm } => {
+                self.vms[vm].elapsed += PATIENCE;
+                return self.wake(vm);
+            }
+            Step::Tick { vm } => {
+                let due = self.vms[vm].engine.next_wake().unwrap();
+                self.vms[vm].elapsed = due.max(self.now(vm)) - self.start;
+                return self.wake(vm);
+            }
+            Step::Crash { vm } => self.crash(vm),
+            Step::LateWrite { index } => {
+                let message = self.late_writes.remove(index);
+                self.write(&message);
+            }
+            Step::LateExecute { index } => {
+                let request = self.late_executions.remove(index);
+                self.executed.push(request);
+            }
+        }
+        Vec::new()
+    }
+
+    fn submit(&mut self, vm: usize) -> Vec<LedgerAction> {
+        let request = self.submitted as u64;
+        let spec = self.tries[self.submitted].clone();
+        self.submitted += 1;
+        let (now, wall) = (self.now(vm), self.wall(vm));
+        let request = LedgerRequest {
+            request,
+            customer: "salon".into(),
+            key: LedgerKey::try_from(spec.key.as_str()).unwrap(),
+            attempt: spec.attempt,
+            deadline: now + PATIENCE,
+            wall_deadline: wall + PATIENCE,
+        };
+        self.drive(vm, |engine, actions| engine.submit(request, now, wall, actions))
+    }
+
+    fn wake(&mut self, vm: usize) -> Vec<LedgerAction> {
+        let (now, wall) = (self.now(vm), self.wall(vm));
+        self.drive(vm, |engine, actions| engine.wake(now, wall, actions))
+    }
+
+    fn deliver(&mut self, vm: usize, index: usize) -> Vec<LedgerAction> {
+        let Message::Reply(event) = self.vms[vm].messages.remove(index) else {
+            panic!("no reply at {index}");
+        };
+        let (now, wall) = (self.now(vm), self.wall(vm));
+        self.drive(vm, |engine, actions| engine.handle(event, now, wall, actions))
+    }
+
+    fn drive(
+        &mut self,
+        vm: usize,
+        call: impl FnOnce(&mut LedgerEngine, &mut Vec<LedgerAction>),
+    ) -> Vec<LedgerAction> {
+        let mut actions = Vec::new();
+        call(&mut self.vms[vm].engine, &mut actions);
+        for action in actions.clone() {
+            let message = match action {
+                LedgerAction::ReadSegment { segment } => Message::Read { segment },
+                LedgerAction::CreateSegment { segment, body } => {
+                    Message::Write { segment, expected: 0, body }
+                }
+                LedgerAction::UpdateSegment { segment, body, expected } => {
+                    Message::Write { segment, expected, body }
+                }
+                LedgerAction::Dispatch { request, deadline, .. } => {
+                    Message::Execute { request, deadline }
+                }
+                LedgerAction::Answer { request, outcome, result, .. } => {
+                    let earlier = self.answers.insert(request, (outcome, result));
+                    assert!(earlier.is_none(), "try {request} answered twice");
+                    continue;
+                }
+            };
+            self.vms[vm].messages.push(message);
+        }
+        actions
+    }
+
+    fn serve(&mut self, vm: usize, index: usize) {
+        let message = self.vms[vm].messages[index].clone();
+        let event = match &message {
+            Message::Read { segment } => {
+                let stored = self.store.get(segment).cloned();
+                LedgerEvent::SegmentRead {
+                    segment: *segment,
+                    revision: stored.as_ref().map_or(0, |(revision, _)| *revision),
+                    body: stored.map(|(_, body)| body),
+                }
+            }
+            Message::Write { segment, .. } => match self.write(&message) {
+                Some(revision) => LedgerEvent::WriteAccepted { segment: *segment, revision },
+                None => LedgerEvent::WriteConflict { segment: *segment },
+            },
+            Message::Execute { request, .. } => {
+                self.executed.push(*request);
+                let outcome = ExecuteOutcome::Done {
+                    provider: "east".into(),
+                    result: format!("result of try {request}"),
+                };
+                finished(*request, outcome)
+            }
+            Message::Reply(_) => panic!("a reply is delivered, not served"),
+        };
+        self.reply(vm, index, event);
+    }
+
+    fn write(&mut self, message: &Message) -> Option<u64> {
+        let Message::Write { segment, expected, body } = message else {
+            return None;
+        };
+        let current = self.store.get(segment).map_or(0, |(revision, _)| *revision);
+        if current != *expected && self.flaw != Flaw::FenceOff {
+            return None;
+        }
+        self.revision += 1;
+        self.store.insert(*segment, (self.revision, body.clone()));
+        Some(self.revision)
+    }
+
+    fn lose(&mut self, vm: usize, index: usize) {
+        let event = match &self.vms[vm].messages[index] {
+            Message::Write { segment, .. }
+            | Message::Reply(
+                LedgerEvent::WriteAccepted { segment, .. } | LedgerEvent::WriteConflict { segment },
+            ) => match self.flaw {
+                Flaw::GuessAccepted => {
+                    LedgerEvent::WriteAccepted { segment: *segment, revision: self.revision + 1 }
+                }
+                Flaw::None | Flaw::FenceOff => LedgerEvent::WriteUncertain { segment: *segment },
+            },
+            Message::Execute { request, .. }
+            | Message::Reply(LedgerEvent::ExecuteFinished { request, .. }) => {
+                finished(*request, ExecuteOutcome::Uncertain)
+            }
+            other => panic!("can't lose {other:?}"),
+        };
+        self.reply(vm, index, event);
+    }
+
+    fn reply(&mut self, vm: usize, index: usize, event: LedgerEvent) {
+        self.vms[vm].messages[index] = Message::Reply(event);
+    }
+
+    fn keep_late(&mut self, message: Message) {
+        match message {
+            Message::Write { .. } => self.late_writes.push(message),
+            Message::Execute { request, .. } => self.late_executions.push(request),
+            Message::Read { .. } | Message::Reply(_) => {}
+        }
+    }
+
+    fn crash(&mut self, vm: usize) {
+        for message in std::mem::take(&mut self.vms[vm].messages) {
+            self.keep_late(message);
+        }
+        self.vms[vm].starts += 1;
+        let token_seed = 10 * self.vms[vm].starts + vm as u64;
+        let settings = LedgerSettings { token_seed, ..self.settings.clone() };
+        self.vms[vm].engine = LedgerEngine::new(settings);
+    }
+}
+
+fn finished(request: u64, outcome: ExecuteOutcome) -> LedgerEvent {
+    LedgerEvent::ExecuteFinished { request, outcome }
+}
