--- a/crates/policy/src/ledger/engine.rs
+++ b/crates/policy/src/ledger/engine.rs
@@ -14,6 +14,7 @@
 use super::action::LedgerAction;
 use super::event::ExecuteOutcome;
 use super::event::LedgerEvent;
+use super::key::ClockReading;
 use super::key::SegmentId;
 use super::request::LedgerRequest;
 use super::request::LedgerRequestId;
@@ -26,6 +27,9 @@
 use super::settings::ClaimMode;
 use super::settings::LedgerSettings;
 
+/// Bits of a token, so that every JSON parser keeps it whole.
+const TOKEN_BITS: u32 = 53;
+
 /// Every unrepeatable request of one VM, with the segments it works on.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LedgerEngine {
@@ -109,11 +113,13 @@
         if self.refuse_by_age(id, wall, actions) {
             return;
         }
-        if self.requests[&id].is_expired(now, wall) || self.is_backing_off(segment, now) {
+        if self.requests[&id].is_expired(ClockReading { now, wall })
+            || self.is_backing_off(segment, now)
+        {
             self.refuse(id, actions);
             return;
         }
-        self.advance(segment, now, wall, actions);
+        self.advance(segment, ClockReading { now, wall }, actions);
     }
 
     /// Takes the end of an action.
@@ -154,12 +160,13 @@
                 segment
             }
         };
-        self.advance(segment, now, wall, actions);
+        self.advance(segment, ClockReading { now, wall }, actions);
     }
 
     /// Answers what is due and takes up what has waited.
     pub fn wake(&mut self, now: Instant, wall: SystemTime, actions: &mut Vec<LedgerAction>) {
-        let is_due = |work: &RequestWork| !work.is_answered && work.is_expired(now, wall);
+        let is_due =
+            |work: &RequestWork| !work.is_answered && work.is_expired(ClockReading { now, wall });
         let due: Vec<LedgerRequestId> =
             self.requests.iter().filter(|(_, work)| is_due(work)).map(|(id, _)| *id).collect();
         for id in due {
@@ -167,7 +174,7 @@
         }
         let segments: Vec<SegmentId> = self.segments.keys().copied().collect();
         for segment in segments {
-            self.advance(segment, now, wall, actions);
+            self.advance(segment, ClockReading { now, wall }, actions);
         }
     }
 
@@ -190,7 +197,8 @@
 
     fn fresh_token(&mut self) -> ClaimToken {
         self.next_token += 1;
-        xxh3_64_with_seed(&self.next_token.to_le_bytes(), self.settings.token_seed)
+        let hash = xxh3_64_with_seed(&self.next_token.to_le_bytes(), self.settings.token_seed);
+        hash >> (u64::BITS - TOKEN_BITS)
     }
 
     fn is_backing_off(&self, segment: SegmentId, now: Instant) -> bool {
--- a/crates/policy/src/ledger/key.rs
+++ b/crates/policy/src/ledger/key.rs
@@ -1,6 +1,7 @@
 //! Keys of requests that may not be repeated.
 
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -81,6 +82,13 @@
     }
 }
 
+/// Both clocks of a VM at one moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClockReading {
+    pub(crate) now: Instant,
+    pub(crate) wall: SystemTime,
+}
+
 /// Milliseconds since 1970, 0 for earlier times.
 pub(crate) fn wall_ms(wall: SystemTime) -> u64 {
     millis(wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default())
--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -34,15 +34,23 @@
 //!
 //! # Capacity, by arithmetic
 //!
-//! With g claims in a group, claims and earlier outcomes ride the same writes: 1/g writes a
-//! request when busy, 2/g when they don't meet. At 300 writes/s the ceiling is 150 g to 300 g
-//! requests/s; one object a request (g = 1, claim and outcome apart) ends at 150. Keys of one
-//! segment must meet on one VM for g to grow: the front should prefer one VM a segment, as a
-//! hint only. The size bounds it too: segments x bytes / (entry bytes x kept seconds). With the
-//! default 64 segments of 900,000 bytes, 630 s kept and 128 bytes an entry that is 714
-//! requests/s; results of the longest kept size lower it.
+//! Writes: with g claims in a group, claims and earlier outcomes ride the same writes: 1/g writes
+//! a request when busy, 2/g when they don't meet. At 300 writes/s the ceiling is 150 g to 300 g
+//! requests/s; one object a request (claim and outcome apart) ends at 150. Keys of one segment
+//! must meet on one VM for g to grow, so the front should prefer one VM a segment, as a hint.
+//!
+//! Size: `segment_entry_bytes` prints 86 bytes for a claim, 125 for an outcome with a result of
+//! 40 bytes and 67 for `not run`. A segment counts an outcome as 96 bytes, its provider and its
+//! result: 144 here, so 6,250 fit in 900,000 bytes, 400,000 in the default 64 segments, and over
+//! the 630 s that entries are kept (window 600 s, skew 30 s) that is 634 requests/s. With results
+//! of the longest kept size, 256 bytes, it is 255 requests/s.
+//!
+//! Bytes: a write carries its whole segment. At 20 requests/s a segment holds about 197 entries,
+//! 25 KB; at the size ceiling every write carries close to 0.9 MB. More segments make writes
+//! smaller and groups too.
 
 mod action;
+mod answer;
 mod engine;
 mod event;
 mod key;
--- a/crates/policy/src/ledger/request.rs
+++ b/crates/policy/src/ledger/request.rs
@@ -6,6 +6,7 @@
 use crate::CustomerId;
 use crate::Revision;
 
+use super::key::ClockReading;
 use super::key::LedgerKey;
 use super::key::SegmentId;
 use super::segment::ClaimToken;
@@ -60,7 +61,7 @@
 
 impl RequestWork {
     /// Whether a dispatch would come too late.
-    pub(crate) fn is_expired(&self, now: Instant, wall: SystemTime) -> bool {
-        now >= self.request.deadline || wall >= self.request.wall_deadline
+    pub(crate) fn is_expired(&self, clock: ClockReading) -> bool {
+        clock.now >= self.request.deadline || clock.wall >= self.request.wall_deadline
     }
 }
--- a/crates/policy/src/ledger/segment.rs
+++ b/crates/policy/src/ledger/segment.rs
@@ -10,8 +10,10 @@
 /// Names one claim; drawn once and never used again.
 pub type ClaimToken = u64;
 
-/// Room for the entry of a key before its result, in bytes of JSON.
-const ENTRY_BYTES: usize = 160;
+/// Room for an entry besides its provider and result, in bytes of JSON.
+const ENTRY_BYTES: usize = 96;
+/// Room for a provider's name, in bytes of JSON.
+const PROVIDER_BYTES: usize = 64;
 
 /// What is known of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
@@ -66,12 +68,17 @@
         self.entries.retain(|_, entry| entry.issued_ms >= oldest_ms);
     }
 
+    /// Bytes of JSON kept free for a claim until its outcome is recorded.
+    pub(crate) fn claim_bytes(max_result_bytes: usize) -> usize {
+        ENTRY_BYTES + PROVIDER_BYTES + max_result_bytes
+    }
+
     /// Bytes of JSON that the segment may come to once every claim has its longest result.
     pub(crate) fn reserved_bytes(&self, max_result_bytes: usize) -> usize {
         let entry_bytes = |entry: &LedgerEntry| match &entry.state {
-            EntryState::Claimed(_) => ENTRY_BYTES + max_result_bytes,
-            EntryState::Done { result, .. } => {
-                ENTRY_BYTES + result.as_deref().map_or(0, json_bytes)
+            EntryState::Claimed(_) => Self::claim_bytes(max_result_bytes),
+            EntryState::Done { provider, result } => {
+                ENTRY_BYTES + json_bytes(provider) + result.as_deref().map_or(0, json_bytes)
             }
             EntryState::NotRun(_) => ENTRY_BYTES,
         };
--- a/crates/policy/src/ledger/settings.rs
+++ b/crates/policy/src/ledger/settings.rs
@@ -29,6 +29,8 @@
     pub clock_skew: Duration,
     /// Least time between two writes of one segment, in which changes gather.
     pub commit_interval: Duration,
+    /// Segments remembered, beyond those at work, to save a read.
+    pub cached_segments: usize,
     /// Wait before the platform is tried again.
     pub backoff: Duration,
     /// When a refused caller should come back.
@@ -47,6 +49,7 @@
             window: Duration::from_secs(600),
             clock_skew: Duration::from_secs(30),
             commit_interval: Duration::from_millis(20),
+            cached_segments: 8,
             backoff: Duration::from_millis(200),
             retry_after: Duration::from_secs(1),
             token_seed: 0,
--- a/crates/policy/src/ledger/settle.rs
+++ b/crates/policy/src/ledger/settle.rs
@@ -1,7 +1,6 @@
 //! How claims are written, settled and recorded, one call a segment at a time.
 
 use std::time::Instant;
-use std::time::SystemTime;
 
 use crate::RequestOutcome;
 use crate::Revision;
@@ -12,6 +11,7 @@
 use super::engine::SegmentCall;
 use super::engine::SegmentView;
 use super::engine::SegmentWrite;
+use super::key::ClockReading;
 use super::key::SegmentId;
 use super::key::millis;
 use super::key::wall_ms;
@@ -109,8 +109,7 @@
     pub(super) fn advance(
         &mut self,
         segment: SegmentId,
-        now: Instant,
-        wall: SystemTime,
+        clock: ClockReading,
         actions: &mut Vec<LedgerAction>,
     ) {
         let Some(work) = self.segments.get_mut(&segment) else {
@@ -119,22 +118,26 @@
         if work.call != SegmentCall::Idle {
             return;
         }
-        work.not_before = work.not_before.filter(|instant| *instant > now);
+        work.not_before = work.not_before.filter(|instant| *instant > clock.now);
         if work.requests.is_empty() {
-            if self.settings.mode == ClaimMode::PerRequestObject {
+            let kept_views = match self.settings.mode {
+                ClaimMode::Grouped => self.settings.cached_segments,
+                ClaimMode::PerRequestObject => 0,
+            };
+            if work.not_before.is_none() && self.segments.len() > kept_views {
                 self.segments.remove(&segment);
             }
             return;
         }
         let Some(view) = work.view.clone() else {
-            self.read(segment, now, actions);
+            self.read(segment, clock.now, actions);
             return;
         };
         let ids: Vec<LedgerRequestId> = work.requests.iter().copied().collect();
         for id in &ids {
-            self.settle(*id, &view, now, wall, actions);
+            self.settle(*id, &view, clock, actions);
         }
-        self.commit(segment, &ids, view, now, wall, actions);
+        self.commit(segment, &ids, view, clock, actions);
     }
 
     fn read(&mut self, segment: SegmentId, now: Instant, actions: &mut Vec<LedgerAction>) {
@@ -156,8 +159,7 @@
         &mut self,
         id: LedgerRequestId,
         view: &SegmentView,
-        now: Instant,
-        wall: SystemTime,
+        clock: ClockReading,
         actions: &mut Vec<LedgerAction>,
     ) {
         let Some(request) = self.requests.get_mut(&id) else {
@@ -179,7 +181,7 @@
                 }
                 request.exposed = None;
                 if is_mine {
-                    self.hold(id, now, wall, actions);
+                    self.hold(id, clock, actions);
                 } else if request.is_answered {
                     self.remove(id);
                 }
@@ -188,17 +190,11 @@
     }
 
     /// The claim is proven: dispatches it, or gives it up for good.
-    fn hold(
-        &mut self,
-        id: LedgerRequestId,
-        now: Instant,
-        wall: SystemTime,
-        actions: &mut Vec<LedgerAction>,
-    ) {
+    fn hold(&mut self, id: LedgerRequestId, clock: ClockReading, actions: &mut Vec<LedgerAction>) {
         let Some(work) = self.requests.get_mut(&id) else {
             return;
         };
-        if work.is_answered || work.is_expired(now, wall) {
+        if work.is_answered || work.is_expired(clock) {
             work.phase = RequestPhase::Recording(EntryState::NotRun(work.request.attempt));
             return;
         }
@@ -217,17 +213,19 @@
         segment: SegmentId,
         ids: &[LedgerRequestId],
         view: SegmentView,
-        now: Instant,
-        wall: SystemTime,
+        clock: ClockReading,
         actions: &mut Vec<LedgerAction>,
     ) {
         let mut body = view.body.clone();
         let kept = millis(self.settings.window) + millis(self.settings.clock_skew);
-        body.prune(wall_ms(wall).saturating_sub(kept));
+        body.prune(wall_ms(clock.wall).saturating_sub(kept));
+        let claim_bytes = LedgerSegment::claim_bytes(self.settings.max_result_bytes);
+        let mut bytes = body.reserved_bytes(self.settings.max_result_bytes);
         let mut claims = Vec::new();
         let mut has_change = false;
         for id in ids {
-            let Some(state) = self.change(*id, &view.body, &body, now, wall, actions) else {
+            let has_room = bytes + claim_bytes <= self.settings.max_segment_bytes;
+            let Some(state) = self.change(*id, &view.body, &body, has_room, clock, actions) else {
                 continue;
             };
             let Some(work) = self.requests.get(id) else {
@@ -235,6 +233,7 @@
             };
             if matches!(state, EntryState::Claimed(_)) {
                 claims.push(*id);
+                bytes += claim_bytes;
             }
             let issued_ms = work.request.key.issued_ms();
             body.entries.insert(work.entry_name.clone(), LedgerEntry { issued_ms, state });
@@ -255,7 +254,7 @@
         }
         if needs_read {
             work.view = None;
-            self.read(segment, now, actions);
+            self.read(segment, clock.now, actions);
             return;
         }
         if !has_change {
@@ -283,8 +282,8 @@
         id: LedgerRequestId,
         proven: &LedgerSegment,
         body: &LedgerSegment,
-        now: Instant,
-        wall: SystemTime,
+        has_room: bool,
+        clock: ClockReading,
         actions: &mut Vec<LedgerAction>,
     ) -> Option<EntryState> {
         let work = self.requests.get(&id)?;
@@ -298,7 +297,7 @@
             }
             RequestPhase::Claiming => {}
         }
-        if work.exposed.is_some() && (work.is_answered || work.is_expired(now, wall)) {
+        if work.exposed.is_some() && (work.is_answered || work.is_expired(clock)) {
             // A write at the same base shuts out the one whose reply was lost.
             return Some(EntryState::NotRun(attempt));
         }
@@ -328,91 +327,13 @@
         if work.exposed.is_some() {
             return Some(EntryState::Claimed(token));
         }
-        if self.refuse_by_age(id, wall, actions) {
+        if self.refuse_by_age(id, clock.wall, actions) {
             return None;
         }
-        let mut grown = body.clone();
-        let entry = LedgerEntry { issued_ms: 0, state: EntryState::Claimed(token) };
-        grown.entries.insert(self.requests.get(&id)?.entry_name.clone(), entry);
-        if grown.reserved_bytes(self.settings.max_result_bytes) > self.settings.max_segment_bytes
-            || self.requests.get(&id)?.is_expired(now, wall)
-        {
+        if !has_room || self.requests.get(&id)?.is_expired(clock) {
             self.refuse(id, actions);
             return None;
         }
         Some(EntryState::Claimed(token))
     }
 }
-
-/// Answers.
-impl LedgerEngine {
-    /// Refuses a key that is too old or from too far in the future.
-    pub(super) fn refuse_by_age(
-        &mut self,
-        id: LedgerRequestId,
-        wall: SystemTime,
-        actions: &mut Vec<LedgerAction>,
-    ) -> bool {
-        let Some(work) = self.requests.get(&id) else {
-            return false;
-        };
-        let issued_ms = work.request.key.issued_ms();
-        if issued_ms.saturating_add(millis(self.settings.window)) < wall_ms(wall) {
-            self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
-            self.remove(id);
-            return true;
-        }
-        if issued_ms > wall_ms(wall).saturating_add(millis(self.settings.clock_skew)) {
-            self.refuse(id, actions);
-            return true;
-        }
-        false
-    }
-
-    /// Drops a try that wrote nothing: `not run` if every earlier try is known dead.
-    pub(super) fn refuse(&mut self, id: LedgerRequestId, actions: &mut Vec<LedgerAction>) {
-        let Some(work) = self.requests.get(&id) else {
-            return;
-        };
-        let view = self.segments.get(&work.segment).and_then(|segment| segment.view.as_ref());
-        let dead = match view.and_then(|view| view.body.state(&work.entry_name)) {
-            Some(EntryState::NotRun(dead)) => *dead,
-            Some(EntryState::Claimed(_) | EntryState::Done { .. }) | None => 0,
-        };
-        let is_certain = work.request.attempt > 0 && work.request.attempt - 1 <= dead;
-        if is_certain {
-            self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
-        } else {
-            self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
-        }
-        self.remove(id);
-    }
-
-    pub(super) fn answer(
-        &mut self,
-        id: LedgerRequestId,
-        outcome: RequestOutcome,
-        ran: RunState,
-        result: Option<String>,
-        actions: &mut Vec<LedgerAction>,
-    ) {
-        let Some(work) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if work.is_answered {
-            return;
-        }
-        work.is_answered = true;
-        let retry_after = (ran != RunState::Yes).then_some(self.settings.retry_after);
-        actions.push(LedgerAction::Answer { request: id, outcome, ran, result, retry_after });
-    }
-
-    pub(super) fn remove(&mut self, id: LedgerRequestId) {
-        let Some(work) = self.requests.remove(&id) else {
-            return;
-        };
-        if let Some(segment) = self.segments.get_mut(&work.segment) {
-            segment.requests.remove(&id);
-        }
-    }
-}
--- a/crates/policy/tests/ledger_search.rs
+++ b/crates/policy/tests/ledger_search.rs
@@ -120,7 +120,7 @@
                 }
             }
             RequestOutcome::Answered => {
-                let expected = run.map(|run| format!("result of try {run}"));
+                let expected = run.map(|run| world.result_text(*run));
                 if *result != expected {
                     return Some(format!("try {answered} got {result:?}, not {expected:?}"));
                 }
@@ -188,7 +188,7 @@
 }
 
 fn print(name: &str, depth: usize, found: &Search) {
-    println!("{name}: {} states, depth {depth}, whole {}", found.states, found.is_whole);
+    println!("{name}: {} states, depth bound {depth}, to the end {}", found.states, found.is_whole);
     println!("{:?}", found.kinds);
 }
 
--- a/crates/policy/tests/ledger_world/mod.rs
+++ b/crates/policy/tests/ledger_world/mod.rs
@@ -1,5 +1,7 @@
 //! Two engines, one segment of the platform and the messages between them, moved step by step.
 
+#![allow(dead_code)] // Each test file uses a part.
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -131,6 +133,10 @@
     pub(crate) may_stay_claimed: bool,
     pub(crate) flaw: Flaw,
     pub(crate) settings: LedgerSettings,
+    /// The provider that the contract names now.
+    pub(crate) provider: &'static str,
+    /// Least length of a result.
+    pub(crate) result_bytes: usize,
     start: Instant,
 }
 
@@ -170,6 +176,8 @@
             may_stay_claimed: false,
             flaw,
             settings,
+            provider: "east",
+            result_bytes: 0,
             start: Instant::now(),
         }
     }
@@ -245,6 +253,12 @@
         Vec::new()
     }
 
+    /// What the target answers to a try.
+    pub(crate) fn result_text(&self, request: u64) -> String {
+        let text = format!("result of try {request}");
+        format!("{text:.<width$}", width = self.result_bytes)
+    }
+
     fn submit(&mut self, vm: usize) -> Vec<LedgerAction> {
         let request = self.submitted as u64;
         let spec = self.tries[self.submitted].clone();
@@ -324,8 +338,8 @@
             Message::Execute { request, .. } => {
                 self.executed.push(*request);
                 let outcome = ExecuteOutcome::Done {
-                    provider: "east".into(),
-                    result: format!("result of try {request}"),
+                    provider: self.provider.into(),
+                    result: self.result_text(*request),
                 };
                 finished(*request, outcome)
             }
