test(ledger): search tries that carry no attempt number

Cause: callers that don't count their tries had no search of their own. Change: two tries with attempt 0 are searched with two faults to depth 11; the module says what a deleted or unreadable segment means. Conclusion: no violation found.

--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -20,6 +20,9 @@
 //! was told `not run`. A refusal that is not recorded says `not run` only when every earlier
 //! attempt is known dead (attempt 1 has none); else it says `unknown`.
 //!
+//! A segment's object must never be deleted by hand: absent means that no key was claimed. A
+//! body that can't be parsed counts as a failed read, so its keys are refused.
+//!
 //! # Lost replies
 //!
 //! A write at base revision r lands only while the object is at r. So an uncertain claim is
--- a/crates/policy/tests/ledger_search.rs
+++ b/crates/policy/tests/ledger_search.rs
@@ -248,6 +248,11 @@
     assert_holds("three tries", world(&[1, 2, 3], 2, ClaimMode::Grouped, Flaw::None), 10);
 }
 
+#[test]
+fn search_holds_for_uncounted_tries() {
+    assert_holds("uncounted tries", world(&[0, 0], 2, ClaimMode::Grouped, Flaw::None), 11);
+}
+
 #[test]
 fn search_holds_for_two_keys() {
     let mut start = world(&[1, 2], 2, ClaimMode::Grouped, Flaw::None);
