fix(daemon): a connection closed before its reply proves nothing

Cause: the HTTP client reports a connection that closes before the reply as ConnectError::Disconnected. It was read as 'never connected', so a contract's write that took effect was reported 'not_written', and a call to a target that may have run would have been reported as not sent. Ruled out: the stand-in (its write took effect and the object held the token). Change: one function says what a failed send proves; both edges use it. Proofs run in one binary with shared fleets, one fleet at a time. Before: put_contract_settles_a_lost_reply_by_reading_back failed with NotWritten for a closed connection.

--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,8 +1,10 @@
 //! Traits at the edges of the process.
 
 mod platform;
+mod send;
 
 pub(crate) use platform::ObjectKind;
 pub(crate) use platform::PlatformEdge;
 pub(crate) use platform::PlatformError;
 pub(crate) use platform::WatchStream;
+pub(crate) use send::is_never_sent;
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -24,6 +24,7 @@
 use crate::edge::PlatformEdge;
 use crate::edge::PlatformError;
 use crate::edge::WatchStream;
+use crate::edge::is_never_sent;
 use crate::platform::lines::EventLines;
 
 /// Longest time for a call that is not a watch.
@@ -187,9 +188,9 @@
 
 /// A call that never connected had no effect; any other failure may have had one.
 fn send_error(error: &awc::error::SendRequestError) -> PlatformError {
-    match error {
-        awc::error::SendRequestError::Connect(error) => PlatformError::Refused(error.to_string()),
-        _ => PlatformError::Uncertain(error.to_string()),
+    match is_never_sent(error) {
+        true => PlatformError::Refused(error.to_string()),
+        false => PlatformError::Uncertain(error.to_string()),
     }
 }
 
--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
+use crate::edge::is_never_sent;
+
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// An idle connection older than this is closed.
@@ -83,8 +85,8 @@
 }
 
 fn lane_error(error: &awc::error::SendRequestError) -> LaneError {
-    match error {
-        awc::error::SendRequestError::Connect(_) => LaneError::NotConnected,
-        _ => LaneError::Broken,
+    match is_never_sent(error) {
+        true => LaneError::NotConnected,
+        false => LaneError::Broken,
     }
 }
--- /dev/null
+++ b/tests/proofs/main.rs
@@ -0,0 +1,10 @@
+//! Proofs of what must always hold, under the faults that threaten it.
+//!
+//! Most tests run stand-ins and daemons in one process over real sockets; `processes` starts
+//! real processes where a kill or a freeze is the point.
+#![allow(clippy::unwrap_used)]
+
+mod contracts;
+mod planned_stop;
+mod support;
+mod whole_path;
--- /dev/null
+++ b/tests/proofs/support/process.rs
@@ -0,0 +1,131 @@
+//! Stand-ins and daemons as processes of their own.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::MutexGuard;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::TestCaller;
+use crate::support::take_turn;
+use crate::support::wait_for;
+
+/// A process that is killed when the test ends.
+pub(crate) struct VmProcess {
+    child: Child,
+    /// The line that it printed once it served.
+    pub(crate) addresses: Value,
+}
+
+/// Stand-ins and daemons as processes.
+pub(crate) struct ProcessFleet {
+    pub(crate) standin: VmProcess,
+    pub(crate) vms: Vec<VmProcess>,
+    pub(crate) caller: TestCaller,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl VmProcess {
+    /// Starts a program and reads the line that it prints once it serves.
+    fn start(program: &str, arguments: &[&str]) -> VmProcess {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let addresses = serde_json::from_str(&line).unwrap();
+        VmProcess { child, addresses }
+    }
+
+    /// One of the printed addresses.
+    pub(crate) fn address(&self, name: &str) -> String {
+        self.addresses[name].as_str().unwrap().to_owned()
+    }
+
+    /// Sends a signal by its name, for example `TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// The exit code, once the process has ended by itself.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().unwrap().and_then(|status| status.code())
+    }
+}
+
+impl Drop for VmProcess {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl ProcessFleet {
+    /// Starts the stand-in of a deployment and `count` daemons and waits until each is ready.
+    pub(crate) async fn start(deployment: &str, count: usize) -> ProcessFleet {
+        let turn = take_turn();
+        let program = env!("CARGO_BIN_EXE_oleanderwind-standin");
+        let standin = VmProcess::start(program, &["--deployment", deployment]);
+        let caller = TestCaller::new();
+        let mut fleet = ProcessFleet { standin, vms: Vec::new(), caller, _turn: turn };
+        for _ in 0..count {
+            fleet.add_vm().await;
+        }
+        fleet
+    }
+
+    /// Starts one more daemon, lists it and waits until it is ready.
+    pub(crate) async fn add_vm(&mut self) -> usize {
+        let index = self.vms.len();
+        let platform = self.standin.address("platform");
+        let vm = format!("vm-{index}");
+        let domain = format!("fd-{}", index % 3);
+        let program = env!("CARGO_BIN_EXE_oleanderwindd");
+        let process = VmProcess::start(
+            program,
+            &[
+                "--vm",
+                &vm,
+                "--failure-domain",
+                &domain,
+                "--platform",
+                &platform,
+                "--caller-listen",
+                "127.0.0.1:0",
+                "--admin-listen",
+                "127.0.0.1:0",
+                "--peer-listen",
+                "127.0.0.1:0",
+                "--address-keep-ms",
+                "200",
+            ],
+        );
+        let object = json!({
+            "kind": "vms",
+            "metadata": {"name": vm},
+            "spec": {
+                "vm": vm,
+                "failure_domain": domain,
+                "caller_address": process.address("caller"),
+                "peer_address": process.address("peer"),
+                "phase": "live",
+            },
+        });
+        self.caller.post(&platform, "/apis/oleanderwind/v1/vms", &object).await;
+        let address = process.address("caller");
+        self.vms.push(process);
+        let caller = self.caller.clone();
+        wait_for("the VM is ready", async || caller.is_ready(&address).await).await;
+        index
+    }
+}
--- /dev/null
+++ b/tests/proofs/whole_path.rs
@@ -0,0 +1,27 @@
+//! A request served end to end.
+
+use oleanderwind_standin::StandinSettings;
+
+use crate::support::ProcessFleet;
+use crate::support::TestFleet;
+
+#[actix_rt::test]
+async fn search_covers_the_whole_snapshot() {
+    let fleet = TestFleet::start(StandinSettings::default(), 3).await;
+    let seed = fleet.caller_address(0);
+    let addresses = fleet.caller.addresses(&seed, "tsagaan-ordon").await.unwrap();
+    let vm = &addresses.addresses[0];
+    let answer = fleet.caller.search(vm, "tsagaan-ordon", "module-finder", "budget").await.unwrap();
+    let coverage = answer.coverage.unwrap();
+    assert_eq!(coverage.shards_answered, 20);
+    assert_eq!(coverage.documents_covered, coverage.documents_total);
+    assert_eq!(answer.digest, answer.content_digest());
+}
+
+#[actix_rt::test]
+async fn search_crosses_processes() {
+    let fleet = ProcessFleet::start("haneul", 3).await;
+    let vm = fleet.vms[1].address("caller");
+    let answer = fleet.caller.search(&vm, "haneul", "find-bed", "window").await.unwrap();
+    assert_eq!(answer.coverage.unwrap().shards_total, 20);
+}
