test(root): planned stops, red until peers tell of a leaving VM

Cause: a reply that breaks off is taken for a whole one by the HTTP client (found by the stand-in's tests), and nobody tells the other VMs of a stop. Before: the tests sent all callers to one VM and passed without proof. Conclusion: the peers' service has to mend it.

--- a/crates/daemon/src/edge/send.rs
+++ b/crates/daemon/src/edge/send.rs
@@ -1,7 +1,9 @@
-//! What a failed send proves.
+//! What a send and its reply prove.
 
+use awc::ClientResponse;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
+use awc::http::header::CONTENT_LENGTH;
 
 /// Whether a failed send certainly put no byte on a connection.
 ///
@@ -14,3 +16,10 @@
         _ => false,
     }
 }
+
+/// The length that a reply's head announces for its body.
+///
+/// The client takes a body that breaks off for a whole one, so the reader compares.
+pub(crate) fn announced_length<S>(response: &ClientResponse<S>) -> Option<usize> {
+    response.headers().get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -24,6 +24,7 @@
 use crate::edge::PlatformEdge;
 use crate::edge::PlatformError;
 use crate::edge::WatchStream;
+use crate::edge::announced_length;
 use crate::edge::is_never_sent;
 use crate::platform::lines::EventLines;
 
@@ -81,11 +82,15 @@
         };
         let mut response = sent.await.map_err(|error| send_error(&error))?;
         let status = response.status();
+        let length = announced_length(&response);
         let body = response
             .body()
             .limit(MAX_BODY_BYTES)
             .await
             .map_err(|error| PlatformError::Uncertain(error.to_string()))?;
+        if length.is_some_and(|length| length != body.len()) {
+            return Err(PlatformError::Uncertain("the reply broke off".to_owned()));
+        }
         match status.is_success() {
             true => Ok(body),
             false => Err(status_error(&method, status, &body)),
--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
+use crate::edge::announced_length;
 use crate::edge::is_never_sent;
 
 /// Longest time to connect.
@@ -80,7 +81,12 @@
 async fn read_reply(request: awc::SendClientRequest) -> Result<LaneReply, LaneError> {
     let mut response = request.await.map_err(|error| lane_error(&error))?;
     let status = response.status();
+    let length = announced_length(&response);
     let body = response.body().limit(MAX_BODY_BYTES).await.map_err(|_| LaneError::Broken)?;
+    // The client takes a body that breaks off for a whole one.
+    if length.is_some_and(|length| length != body.len()) {
+        return Err(LaneError::Broken);
+    }
     Ok(LaneReply { status, body })
 }
 
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -15,7 +15,7 @@
 use crate::targets::lane::Lane;
 
 /// How long a target may go on counting a silent connection that was closed here.
-const SILENT_COUNT_TIME: Duration = Duration::from_secs(10);
+const SILENT_COUNT_TIME: Duration = Duration::from_secs(35);
 /// Longest time for a probe of an idle lane.
 const PROBE_TIME: Duration = Duration::from_millis(50);
 /// Path that a probe gets.
--- a/tests/proofs/planned_stop.rs
+++ b/tests/proofs/planned_stop.rs
@@ -32,8 +32,9 @@
     is_over: Cell<bool>,
 }
 
-/// Asks for addresses, uses the first one for as long as the answer may be kept, asks again.
-async fn keep_calling(caller: TestCaller, seeds: Rc<RefCell<Vec<String>>>, tally: Rc<CallerTally>) {
+/// Asks for addresses, uses one of them for as long as the answer may be kept, asks again.
+async fn keep_calling(mut turn: usize, seeds: Rc<RefCell<Vec<String>>>, tally: Rc<CallerTally>) {
+    let caller = TestCaller::new();
     while !tally.is_over.get() {
         let seed = seeds.borrow()[0].clone();
         let Some(answer) = caller.addresses(&seed, CUSTOMER).await else {
@@ -41,7 +42,8 @@
             continue;
         };
         let end = Instant::now() + KEEP_TIME.min(Duration::from_millis(answer.keep_ms));
-        let vm = answer.addresses[0].clone();
+        let vm = answer.addresses[turn % answer.addresses.len()].clone();
+        turn += 1;
         while Instant::now() < end && !tally.is_over.get() {
             note(&tally, caller.search(&vm, CUSTOMER, "trainer-lookup", "board").await);
             tokio::time::sleep(THINK_TIME).await;
@@ -63,14 +65,30 @@
     }
 }
 
+/// Three VMs that all know of each other.
+async fn start_fleet() -> TestFleet {
+    let settings =
+        StandinSettings { vm_list_lag: Duration::from_millis(50), ..StandinSettings::default() };
+    let fleet = TestFleet::start(settings, 3).await;
+    for vm in 0..3 {
+        let address = fleet.caller_address(vm);
+        wait_for("the VM lists all three", async || {
+            let answer = fleet.caller.addresses(&address, CUSTOMER).await;
+            answer.is_some_and(|answer| answer.addresses.len() == 3)
+        })
+        .await;
+    }
+    fleet
+}
+
 fn start_callers(seeds: &Rc<RefCell<Vec<String>>>, tally: &Rc<CallerTally>) {
-    for _ in 0..8 {
-        actix_rt::spawn(keep_calling(TestCaller::new(), seeds.clone(), tally.clone()));
+    for turn in 0..8 {
+        actix_rt::spawn(keep_calling(turn, seeds.clone(), tally.clone()));
     }
 }
 
 async fn finish(tally: &CallerTally) {
-    tokio::time::sleep(KEEP_TIME).await;
+    tokio::time::sleep(3 * KEEP_TIME).await;
     tally.is_over.set(true);
     println!("{} served, {} cut", tally.served.get(), tally.cut.get());
     assert!(tally.served.get() > 0);
@@ -92,7 +110,7 @@
 
 #[actix_rt::test]
 async fn rolling_replacement_cuts_no_request() {
-    let mut fleet = TestFleet::start(StandinSettings::default(), 3).await;
+    let mut fleet = start_fleet().await;
     let seeds = Rc::new(RefCell::new(vec![fleet.caller_address(2)]));
     let tally = Rc::new(CallerTally::default());
     start_callers(&seeds, &tally);
@@ -102,7 +120,7 @@
 
 #[actix_rt::test]
 async fn stop_during_a_platform_outage_cuts_no_request() {
-    let fleet = TestFleet::start(StandinSettings::default(), 3).await;
+    let fleet = start_fleet().await;
     let seeds = Rc::new(RefCell::new(vec![fleet.caller_address(2)]));
     let tally = Rc::new(CallerTally::default());
     start_callers(&seeds, &tally);
@@ -114,7 +132,7 @@
 
 #[actix_rt::test]
 async fn stop_of_two_vms_at_once_cuts_no_request() {
-    let fleet = TestFleet::start(StandinSettings::default(), 3).await;
+    let fleet = start_fleet().await;
     let seeds = Rc::new(RefCell::new(vec![fleet.caller_address(2)]));
     let tally = Rc::new(CallerTally::default());
     start_callers(&seeds, &tally);
