fix(http): a caller that went away no longer holds work

Cause: the listener allowed half-closed connections, so a caller that closed its connection mid-request went unseen and its searchers ran on: of 1 dropped search 0 calls were cancelled (proofs, refusals, end Abandoned). Change: a connection whose peer has closed its half is ended, which abandons the request and cancels its calls. A peer that closes only its own half gets no reply any more. After: 1 of 1 cancelled in the same test.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -95,6 +95,9 @@
         HttpService::build()
             .client_request_timeout(head_timeout)
             .keep_alive(KeepAlive::Timeout(keep_alive))
+            // A peer that went away must not go on holding work; it looks like one that closed
+            // only its own half, and callers have no need for that.
+            .h1_allow_half_closed(false)
             .h1(service)
     };
     let Ok(service) = factory.new_service(()).await else { return };
