fix(policy): a deadline or cancel refusal proves no 'not run'

Cause: every refusal counted as proof that the target ran nothing; a target whose deadline or a cancel ended a run under way refuses as well, so 'ran: no' could be untrue.

--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -15,6 +15,7 @@
 use crate::FanoutSettings;
 use crate::FinishReason;
 use crate::QueryId;
+use crate::RefusalCause;
 use crate::budget::BudgetTable;
 use crate::fanout::manifest::ManifestCache;
 use crate::fanout::query::RunningQuery;
@@ -130,7 +131,7 @@
                 self.cancel_open(&mut running, position, false, now, actions);
             }
             FanoutEvent::Refused { cause, .. } => {
-                running.calls_refused += 1;
+                running.calls_refused += u32::from(is_proof_of_no_run(cause));
                 self.retry_refused(&mut running, &open, cause, now, actions);
             }
             FanoutEvent::Failed { .. } => self.retry_failed(&mut running, &open, now, actions),
@@ -232,3 +233,16 @@
         timer.kind == TimerKind::Answer || shard.is_some_and(|shard| shard.step == timer.step)
     }
 }
+
+/// Whether a target that refuses for this cause certainly ran nothing.
+///
+/// A cancel and a deadline may have ended a run that was under way.
+fn is_proof_of_no_run(cause: RefusalCause) -> bool {
+    match cause {
+        RefusalCause::Shedding
+        | RefusalCause::Draining
+        | RefusalCause::SnapshotUnknown
+        | RefusalCause::Malformed => true,
+        RefusalCause::Cancelled | RefusalCause::DeadlinePassed => false,
+    }
+}
--- a/crates/policy/tests/fanout/baseline.rs
+++ b/crates/policy/tests/fanout/baseline.rs
@@ -1,6 +1,7 @@
 //! What every fan-out has to do: hedge, retry, keep a margin, give up at once, count once.
 
 use oleanderwind_policy::FanoutEvent;
+use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FinishReason;
 use oleanderwind_policy::LoadReport;
@@ -74,18 +75,31 @@
     assert!(result.retry_after.is_some());
 }
 
-#[test]
-fn handle_tells_not_run_when_every_call_was_refused() {
+/// The result of a query whose every call is refused for one cause.
+fn refused_result(cause: RefusalCause) -> FanoutResult {
     let mut fleet = FakeFleet::new(FanoutSettings::default(), 4, 1);
     for shard in 0..4 {
-        fleet.target(&format!("s{shard}r0")).behaviour = Behaviour::Refuse(RefusalCause::Draining);
+        fleet.target(&format!("s{shard}r0")).behaviour = Behaviour::Refuse(cause);
     }
     let mut plan = fleet.plan();
     plan.coverage_floor_permille = 1;
     fleet.submit(1, plan);
     fleet.advance(ms(300));
-    assert_eq!(fleet.result(1).ran, RunState::No);
-    assert_eq!(fleet.result(1).outcome, RequestOutcome::NotRun);
+    fleet.result(1).clone()
+}
+
+#[test]
+fn handle_tells_not_run_when_every_call_was_refused() {
+    let result = refused_result(RefusalCause::Draining);
+    assert_eq!((result.ran, result.outcome), (RunState::No, RequestOutcome::NotRun));
+}
+
+#[test]
+fn handle_tells_unknown_when_a_run_may_have_been_ended() {
+    for cause in [RefusalCause::DeadlinePassed, RefusalCause::Cancelled] {
+        let result = refused_result(cause);
+        assert_eq!((result.ran, result.outcome), (RunState::Unknown, RequestOutcome::Unknown));
+    }
 }
 
 #[test]
