feat(standin): foreign answers, thawing, query texts, silent platform connections

Change: such replies carry the other call's hits; frozen calls go on once the fault ends; texts of searches that got a slot are kept on demand; PlatformFault::SilenceConnections.

--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -34,6 +34,8 @@
         /// How the reply is lost.
         manner: SilenceManner,
     },
+    /// The connections that are open now go silent for good; new ones work.
+    SilenceConnections,
     /// Everything works again.
     Clear,
 }
@@ -57,6 +59,7 @@
                 self.lost_replies = count;
                 self.lost_manner = Some(manner);
             }
+            PlatformFault::SilenceConnections => {}
             PlatformFault::Clear => *self = FaultState::default(),
         }
     }
--- a/crates/standin/src/platform/node.rs
+++ b/crates/standin/src/platform/node.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use crate::net::ConnectionGate;
 use crate::net::HttpReply;
 use crate::net::StreamControl;
 use crate::net::json_reply;
@@ -28,6 +29,7 @@
 use crate::platform::route::CallRoute;
 use crate::platform::watch::watch_reply;
 use crate::server::StandinSettings;
+use crate::server::open_gate;
 
 /// Largest object in bytes.
 const MAX_OBJECT_BYTES: usize = 1 << 20;
@@ -51,6 +53,7 @@
     pub(crate) changed: Notify,
     pub(crate) fault: RefCell<FaultState>,
     pub(crate) open_watches: Cell<u64>,
+    pub(crate) gate: Rc<ConnectionGate>,
     vm_list_lag: Cell<Duration>,
     counter: RefCell<CallCounter>,
     reads: RefCell<RateWindow>,
@@ -80,6 +83,7 @@
             changed: Notify::new(),
             fault: RefCell::default(),
             open_watches: Cell::new(0),
+            gate: open_gate(settings.silent_hold),
             vm_list_lag: Cell::new(settings.vm_list_lag),
             counter: RefCell::default(),
             reads: window(settings.reads_per_second),
@@ -91,6 +95,9 @@
     /// Puts a fault in force.
     pub(crate) fn apply(&self, fault: PlatformFault) {
         self.fault.borrow_mut().apply(fault);
+        if fault == PlatformFault::SilenceConnections {
+            self.gate.silence();
+        }
         self.changed.notify_waiters();
     }
 
--- a/crates/standin/src/searcher/fault.rs
+++ b/crates/standin/src/searcher/fault.rs
@@ -21,9 +21,9 @@
     LostBySilence,
     /// The body breaks off half-way and the connection is closed.
     ClosedMidReply,
-    /// The reply carries another call's id.
+    /// The reply is another call's: its id and its hits.
     CrossedAnswer,
-    /// The reply names another snapshot.
+    /// The reply comes from another snapshot and names it.
     WrongSnapshot,
     /// The reply covers half of the shard and says so.
     HalfAnswer,
@@ -43,7 +43,7 @@
         /// Multiple, in thousandths.
         factor_permille: u64,
     },
-    /// Accepts calls and never answers.
+    /// Accepts calls and answers none of them until the fault ends.
     Freeze,
     /// Refuses every search and execute call.
     Shed,
--- a/crates/standin/src/searcher/node.rs
+++ b/crates/standin/src/searcher/node.rs
@@ -14,6 +14,7 @@
 use oleanderwind_policy::TargetPhase;
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::CancelCall;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 
 use crate::deployment::ServicePlan;
@@ -63,6 +64,8 @@
     pub(crate) clock: ServiceClock,
     pub(crate) open_calls: OpenCalls,
     pub(crate) executions: Rc<ExecutionLog>,
+    /// Tells that faults have changed.
+    pub(crate) thawed: Notify,
 }
 
 impl SearcherNode {
@@ -91,6 +94,7 @@
             queue_bound: settings.queue_bound,
             open_calls: OpenCalls::default(),
             executions,
+            thawed: Notify::new(),
         }
     }
 
@@ -141,8 +145,8 @@
         if matches!(path.as_str(), "/v1/search" | "/v1/execute") {
             self.count_arrival();
         }
-        if self.fault.borrow().frozen {
-            std::future::pending::<()>().await;
+        while self.fault.borrow().frozen {
+            self.thawed.notified().await;
         }
         match (&method, path.as_str()) {
             (&Method::POST, "/v1/search") => self.search(&mut request, control.as_ref()).await,
--- a/crates/standin/src/searcher/record.rs
+++ b/crates/standin/src/searcher/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -73,6 +74,8 @@
 pub(crate) struct ExecutionLog {
     started: Instant,
     records: RefCell<Vec<ExecutionRecord>>,
+    /// Texts of the searches that got a slot, once they are asked for.
+    queries: RefCell<Option<BTreeSet<String>>>,
 }
 
 /// Calls of one searcher that a cancel can end.
@@ -84,7 +87,11 @@
 impl ExecutionLog {
     /// An empty log whose time starts now.
     pub(crate) fn new() -> ExecutionLog {
-        ExecutionLog { started: Instant::now(), records: RefCell::default() }
+        ExecutionLog {
+            started: Instant::now(),
+            records: RefCell::default(),
+            queries: RefCell::default(),
+        }
     }
 
     /// Milliseconds since the start.
@@ -97,6 +104,23 @@
         self.records.borrow_mut().push(record);
     }
 
+    /// Starts to keep the texts of searches that run.
+    pub(crate) fn keep_queries(&self) {
+        self.queries.borrow_mut().get_or_insert_default();
+    }
+
+    /// Notes the text of a search that got a slot, if texts are kept.
+    pub(crate) fn note_query(&self, query: &str) {
+        if let Some(queries) = &mut *self.queries.borrow_mut() {
+            queries.insert(query.to_owned());
+        }
+    }
+
+    /// Whether a search with that text got a slot since texts are kept.
+    pub(crate) fn has_query(&self, query: &str) -> bool {
+        self.queries.borrow().as_ref().is_some_and(|queries| queries.contains(query))
+    }
+
     /// Every run so far, in order.
     pub(crate) fn records(&self) -> Vec<ExecutionRecord> {
         self.records.borrow().clone()
--- a/crates/standin/src/searcher/reply.rs
+++ b/crates/standin/src/searcher/reply.rs
@@ -29,6 +29,8 @@
 
 /// Added to a call's id to make it another call's.
 const FOREIGN_CALL_OFFSET: CallId = 1 << 40;
+/// Added to a query's text to make it another call's.
+const FOREIGN_QUERY_SUFFIX: &str = " (another call)";
 /// Bytes of a body that still go out before the connection is closed.
 const PARTIAL_BODY_BYTES: usize = 16;
 
@@ -58,6 +60,7 @@
         }
         let _slot = ticket.slot().await?;
         ticket.count_run();
+        self.executions.note_query(&call.query);
         ticket.run_search().await
     }
 
@@ -65,11 +68,20 @@
     fn reply_search(&self, call: &ShardCall, control: Option<&StreamControl>) -> HttpReply {
         let fault = self.fault.borrow_mut().take_reply_fault();
         let service = &self.identity.spec.service;
+        let mut call = call.clone();
+        match fault {
+            Some(ReplyFault::CrossedAnswer) => {
+                call.call_id += FOREIGN_CALL_OFFSET;
+                call.query.push_str(FOREIGN_QUERY_SUFFIX);
+            }
+            Some(ReplyFault::WrongSnapshot) => call.index_version += 1,
+            _ => {}
+        }
         let mut documents = shard_documents(service, call.index_version, call.shard);
         if fault == Some(ReplyFault::HalfAnswer) {
             documents /= 2;
         }
-        let mut answer = ShardAnswer {
+        let answer = ShardAnswer {
             call_id: call.call_id,
             shard: call.shard,
             index_version: call.index_version,
@@ -78,11 +90,6 @@
             load: self.load(),
             draining: self.draining(),
         };
-        match fault {
-            Some(ReplyFault::CrossedAnswer) => answer.call_id += FOREIGN_CALL_OFFSET,
-            Some(ReplyFault::WrongSnapshot) => answer.index_version += 1,
-            _ => {}
-        }
         send(&answer, fault, control)
     }
 
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -13,5 +13,6 @@
 pub use order::SnapshotOrder;
 pub use settings::StandinSettings;
 pub use standin::StandinServer;
+pub(crate) use standin::open_gate;
 pub(crate) use state::ServerState;
 pub(crate) use state::serve_searcher;
--- a/crates/standin/src/server/standin.rs
+++ b/crates/standin/src/server/standin.rs
@@ -102,7 +102,7 @@
         bound.into_iter().for_each(|searcher| serve_searcher(&searcher.node, searcher.socket));
         let hold = settings.silent_hold;
         let served = ServedEndpoint::Platform(Rc::clone(&state.platform));
-        let platform_listener = serve(platform_socket, open_gate(hold), served);
+        let platform_listener = serve(platform_socket, Rc::clone(&state.platform.gate), served);
         let control_listener =
             serve(control_socket, open_gate(hold), ServedEndpoint::Control(Rc::clone(&state)));
         Ok(StandinServer {
@@ -157,6 +157,16 @@
         self.state.executions()
     }
 
+    /// Starts to keep the texts of searches that run.
+    pub fn keep_queries(&self) {
+        self.state.executions.keep_queries();
+    }
+
+    /// Whether a search with that text got a slot since texts are kept.
+    pub fn has_run_query(&self, query: &str) -> bool {
+        self.state.executions.has_query(query)
+    }
+
     /// What each searcher received and did.
     pub fn calls(&self) -> Vec<CallReport> {
         self.state.calls()
@@ -228,6 +238,6 @@
 }
 
 /// A gate that limits little.
-fn open_gate(silent_hold: Duration) -> Rc<ConnectionGate> {
+pub(crate) fn open_gate(silent_hold: Duration) -> Rc<ConnectionGate> {
     Rc::new(ConnectionGate::new(OPEN_CONNECTION_LIMIT, Duration::ZERO, silent_hold))
 }
--- a/crates/standin/src/server/state.rs
+++ b/crates/standin/src/server/state.rs
@@ -42,7 +42,7 @@
 pub(crate) struct ServerState {
     pub(crate) platform: Rc<PlatformNode>,
     pub(crate) searchers: Vec<Rc<SearcherNode>>,
-    executions: Rc<ExecutionLog>,
+    pub(crate) executions: Rc<ExecutionLog>,
     snapshot_keep: Duration,
     snapshots: RefCell<BTreeMap<(ServiceId, ProviderId), SnapshotState>>,
 }
@@ -168,6 +168,7 @@
     fn apply_to(&self, node: &Rc<SearcherNode>, fault: SearcherFault) -> io::Result<()> {
         let slots = node.identity.plan.slots;
         node.fault.borrow_mut().apply(fault, slots, Instant::now());
+        node.thawed.notify_waiters();
         match fault {
             SearcherFault::SilenceConnections => node.gate.silence(),
             SearcherFault::Drain { object_lag_ms } => {
