--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -16,7 +16,7 @@
 
 /// Why a request was refused before any work, and the status that says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RefusalKind {
+pub enum RefusalKind {
     /// The body, a header or the path is wrong.
     BadRequest,
     /// No such customer.
@@ -30,7 +30,8 @@
 }
 
 impl RefusalKind {
-    pub(crate) fn reason(self) -> &'static str {
+    /// The stable name that callers see.
+    pub fn reason(self) -> &'static str {
         match self {
             RefusalKind::BadRequest => "bad_request",
             RefusalKind::UnknownCustomer => "unknown_customer",
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -6,4 +6,5 @@
 mod search;
 mod service;
 
+pub use answer::RefusalKind;
 pub(crate) use service::FrontService;
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -1,6 +1,7 @@
 //! Serving a search.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use oleanderwind_policy::CustomerContract;
@@ -19,6 +20,11 @@
 use crate::front::request::CallerRequest;
 use crate::front::service::FrontService;
 
+/// Longest wait for word of the snapshot that follows a retired one.
+const NEWER_SNAPSHOT_TIME: Duration = Duration::from_millis(20);
+/// Pause between two looks for it.
+const NEWER_SNAPSHOT_POLL: Duration = Duration::from_millis(2);
+
 /// What one search came to.
 pub(crate) struct SearchEnd {
     pub(crate) answer: CallerAnswer,
@@ -52,8 +58,7 @@
             };
             let reply = self.fanout.search(plan, &request.text).await?;
             if reply.result.reason == FinishReason::SnapshotRetired
-                && self.has_newer(&manifest)
-                && Instant::now() < deadline
+                && self.wait_for_newer(&manifest, deadline).await
             {
                 extra_calls += reply.result.calls_sent;
                 continue;
@@ -65,10 +70,17 @@
         }
     }
 
-    fn has_newer(&self, manifest: &SnapshotManifest) -> bool {
-        self.directory
-            .snapshot(&manifest.service, &manifest.provider)
-            .is_some_and(|newest| newest.index_version > manifest.index_version)
+    /// Whether a newer snapshot is known soon enough; targets may retire one before that.
+    async fn wait_for_newer(&self, manifest: &SnapshotManifest, deadline: Instant) -> bool {
+        let end = deadline.min(Instant::now() + NEWER_SNAPSHOT_TIME);
+        while Instant::now() < end {
+            let newest = self.directory.snapshot(&manifest.service, &manifest.provider);
+            if newest.is_some_and(|newest| newest.index_version > manifest.index_version) {
+                return true;
+            }
+            tokio::time::sleep(NEWER_SNAPSHOT_POLL).await;
+        }
+        false
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use daemon::Daemon;
 pub use daemon::DaemonAddresses;
+pub use front::RefusalKind;
 pub use logging::start_logging;
 pub use settings::DaemonSettings;
 pub use settings::RawSettings;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,5 @@
 pub use oleanderwind_daemon::DaemonAddresses;
 pub use oleanderwind_daemon::DaemonSettings;
 pub use oleanderwind_daemon::RawSettings;
+pub use oleanderwind_daemon::RefusalKind;
 pub use oleanderwind_daemon::start_logging;
