fix(daemon): a late reply brings its connection back, and silence makes idle ones doubtful

Cause: a call past its deadline closed its connection and counted it for 35 s, so two or three slow calls left a VM without connections to that target; idle connections that had gone silent were each found only by a call of its own. Seen in the proofs: after every target held its calls for a moment, 11 to 25 of 160 requests were still partial or unknown in each of five batches; after every connection went silent, 1 to 13. Change: a connection whose call got no reply keeps its place among the counted ones until the reply comes, at most 35 s, and then serves again. One call without a reply makes the VM probe every idle connection that has brought nothing since that call was sent, at most twice a second. Tried before: closing such a connection half and waiting for the target's end; the client gives no hold of its socket.

--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -7,8 +7,9 @@
 use awc::Connector;
 use awc::http::StatusCode;
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
-use tokio::time::timeout;
 
 use crate::edge::announced_length;
 use crate::edge::is_never_sent;
@@ -27,10 +28,11 @@
     NotConnected,
     /// The connection broke after something may have been sent.
     Broken,
-    /// Nothing came in time after something may have been sent.
-    Silent,
 }
 
+/// A call under way; it owns its connection until its reply is whole.
+pub(crate) type LaneExchange = LocalBoxFuture<'static, Result<LaneReply, LaneError>>;
+
 /// A reply as bytes.
 #[derive(Debug)]
 pub(crate) struct LaneReply {
@@ -56,25 +58,14 @@
         Lane { base: format!("http://{address}"), client }
     }
 
-    /// Posts JSON and reads the whole reply within `patience`.
-    pub(crate) async fn post<T: Serialize>(
-        &mut self,
-        path: &str,
-        call: &T,
-        patience: Duration,
-    ) -> Result<LaneReply, LaneError> {
-        let request = self.client.post(format!("{}{path}", self.base)).send_json(call);
-        timeout(patience, read_reply(request)).await.unwrap_or(Err(LaneError::Silent))
+    /// Posts JSON and reads the whole reply, however long it takes.
+    pub(crate) fn post<T: Serialize>(&self, path: &str, call: &T) -> LaneExchange {
+        read_reply(self.client.post(format!("{}{path}", self.base)).send_json(call)).boxed_local()
     }
 
-    /// Gets a path within `patience`.
-    pub(crate) async fn get(
-        &mut self,
-        path: &str,
-        patience: Duration,
-    ) -> Result<LaneReply, LaneError> {
-        let request = self.client.get(format!("{}{path}", self.base)).send();
-        timeout(patience, read_reply(request)).await.unwrap_or(Err(LaneError::Silent))
+    /// Gets a path, however long it takes.
+    pub(crate) fn get(&self, path: &str) -> LaneExchange {
+        read_reply(self.client.get(format!("{}{path}", self.base)).send()).boxed_local()
     }
 }
 
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -1,11 +1,11 @@
 //! The lanes to one target.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use oleanderwind_policy::ConnectionShare;
 use tokio::sync::OwnedSemaphorePermit;
@@ -13,11 +13,10 @@
 use tokio::time::timeout;
 
 use crate::targets::lane::Lane;
+use crate::targets::lane::LaneExchange;
 
-/// How long a target may go on counting a silent connection that was closed here.
+/// How long a target may go on counting a connection that has gone silent.
 const SILENT_COUNT_TIME: Duration = Duration::from_secs(35);
-/// Longest time for a probe of an idle lane.
-const PROBE_TIME: Duration = Duration::from_millis(50);
 /// Path that a probe gets.
 const PROBE_PATH: &str = "/v1/health";
 
@@ -29,13 +28,14 @@
     /// One permit a connection in use.
     working: Arc<Semaphore>,
     idle: RefCell<Vec<IdleLane>>,
-    is_probing: Cell<bool>,
 }
 
 /// A connected lane that waits for its next call.
 struct IdleLane {
     lane: Lane,
     counted: OwnedSemaphorePermit,
+    /// When it brought its last reply.
+    proven_at: Instant,
 }
 
 /// A lane taken out of its pool; it goes back only when its call went well.
@@ -55,7 +55,6 @@
             counted: permits(share.total),
             working: permits(share.working),
             idle: RefCell::new(Vec::new()),
-            is_probing: Cell::new(false),
         })
     }
 
@@ -79,19 +78,35 @@
         Some(self.loan(Lane::new(self.address), counted, working))
     }
 
-    /// Probes every idle lane and closes those that stay silent.
-    pub(crate) fn probe_idle(self: &Rc<Self>) {
-        if self.is_probing.replace(true) {
-            return;
+    /// Probes the lanes that have brought no reply since `since`; silent ones are not used again.
+    pub(crate) fn probe_idle(self: &Rc<Self>, since: Instant) {
+        let doubtful: Vec<IdleLane> =
+            self.idle.borrow_mut().extract_if(.., |idle| idle.proven_at < since).collect();
+        for idle in doubtful {
+            let exchange = idle.lane.get(PROBE_PATH);
+            let pool = self.clone();
+            actix_rt::spawn(
+                async move { pool.await_late(exchange, idle.lane, idle.counted).await },
+            );
         }
-        let pool = self.clone();
-        actix_rt::spawn(async move {
-            let lanes = std::mem::take(&mut *pool.idle.borrow_mut());
-            for idle in lanes {
-                pool.probe(idle).await;
-            }
-            pool.is_probing.set(false);
-        });
+    }
+
+    /// Takes a lane back once its reply has come.
+    ///
+    /// Until then, and for as long as the target may count a silent connection, the lane counts.
+    async fn await_late(
+        self: Rc<Self>,
+        exchange: LaneExchange,
+        lane: Lane,
+        counted: OwnedSemaphorePermit,
+    ) {
+        if let Ok(Ok(_)) = timeout(SILENT_COUNT_TIME, exchange).await {
+            self.put_back(lane, counted);
+        }
+    }
+
+    fn put_back(&self, lane: Lane, counted: OwnedSemaphorePermit) {
+        self.idle.borrow_mut().push(IdleLane { lane, counted, proven_at: Instant::now() });
     }
 
     async fn borrow_next(self: &Rc<Self>) -> Option<LaneLoan> {
@@ -103,13 +118,6 @@
         Some(self.loan(Lane::new(self.address), counted, working))
     }
 
-    async fn probe(&self, mut idle: IdleLane) {
-        match idle.lane.get(PROBE_PATH, PROBE_TIME).await {
-            Ok(_) => self.idle.borrow_mut().push(idle),
-            Err(_) => count_as_silent(idle.counted),
-        }
-    }
-
     fn loan(
         self: &Rc<Self>,
         lane: Lane,
@@ -122,25 +130,19 @@
 
 impl LaneLoan {
     /// The lane.
-    pub(crate) fn lane(&mut self) -> &mut Lane {
-        &mut self.lane
+    pub(crate) fn lane(&self) -> &Lane {
+        &self.lane
     }
 
     /// Puts the lane back for the next call; without this its connection is closed.
     pub(crate) fn give_back(self) {
-        self.pool.idle.borrow_mut().push(IdleLane { lane: self.lane, counted: self.counted });
+        self.pool.put_back(self.lane, self.counted);
     }
 
-    /// Closes a lane that stayed silent; the target may go on counting it for a while.
-    pub(crate) fn close_silent(self) {
-        count_as_silent(self.counted);
-        self.pool.probe_idle();
+    /// Lets another lane take this one's turn while its reply is still to come.
+    ///
+    /// A late reply shows that the connection works; a silent connection brings none.
+    pub(crate) fn give_up(self, exchange: LaneExchange) {
+        actix_rt::spawn(self.pool.await_late(exchange, self.lane, self.counted));
     }
 }
-
-fn count_as_silent(counted: OwnedSemaphorePermit) {
-    actix_rt::spawn(async move {
-        tokio::time::sleep(SILENT_COUNT_TIME).await;
-        drop(counted);
-    });
-}
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -1,5 +1,6 @@
 //! Calls to targets as the other services make them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -19,9 +20,11 @@
 use oleanderwind_wire::ShardCall;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
 use crate::targets::CallOutcome;
 use crate::targets::lane::LaneError;
+use crate::targets::lane::LaneExchange;
 use crate::targets::lane::LaneReply;
 use crate::targets::pool::LaneLoan;
 use crate::targets::pool::TargetPool;
@@ -30,11 +33,15 @@
 const CANCEL_TIME: Duration = Duration::from_millis(50);
 /// Longest time to prove a connection live.
 const PROBE_TIME: Duration = Duration::from_millis(50);
+/// Least time between two probes of all idle connections.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pools of every target that has been called.
 #[derive(Default)]
 pub(crate) struct TargetService {
     pools: RefCell<HashMap<TargetId, Rc<TargetPool>>>,
+    /// When idle lanes were last probed.
+    probed_at: Cell<Option<Instant>>,
 }
 
 impl TargetService {
@@ -63,10 +70,13 @@
         call: &ShardCall,
         deadline: Instant,
     ) -> CallOutcome<ShardAnswer> {
-        let Some(mut loan) = self.borrow(target, deadline).await else {
+        let Some(loan) = self.borrow(target, deadline).await else {
             return CallOutcome::NotSent;
         };
-        let reply = loan.lane().post("/v1/search", call, time_until(deadline)).await;
+        let exchange = loan.lane().post("/v1/search", call);
+        let Some((loan, reply)) = self.finish(loan, exchange, time_until(deadline)).await else {
+            return CallOutcome::Failed;
+        };
         let is_own = |answer: &ShardAnswer| {
             answer.call_id == call.call_id
                 && answer.shard == call.shard
@@ -82,20 +92,19 @@
         call: &ExecuteCall,
         deadline: Instant,
     ) -> CallOutcome<ExecuteAnswer> {
-        let Some(mut loan) = self.borrow(target, deadline).await else {
+        let Some(loan) = self.borrow(target, deadline).await else {
             return CallOutcome::NotSent;
         };
         let patience = PROBE_TIME.min(time_until(deadline));
-        match loan.lane().get("/v1/health", patience).await {
-            Err(LaneError::Silent) => {
-                loan.close_silent();
-                return CallOutcome::NotSent;
-            }
-            Err(_) => return CallOutcome::NotSent,
-            Ok(_) if Instant::now() >= deadline => return CallOutcome::NotSent,
-            Ok(_) => {}
-        }
-        let reply = loan.lane().post("/v1/execute", call, time_until(deadline)).await;
+        let probe = loan.lane().get("/v1/health");
+        let loan = match self.finish(loan, probe, patience).await {
+            Some((loan, Ok(_))) if Instant::now() < deadline => loan,
+            _ => return CallOutcome::NotSent,
+        };
+        let exchange = loan.lane().post("/v1/execute", call);
+        let Some((loan, reply)) = self.finish(loan, exchange, time_until(deadline)).await else {
+            return CallOutcome::Failed;
+        };
         let is_own = |answer: &ExecuteAnswer| answer.call_id == call.call_id;
         self.settle(loan, reply, call.call_id, is_own)
     }
@@ -103,16 +112,44 @@
     /// Asks a target to drop a call, if a lane is free right now.
     pub(crate) async fn cancel(&self, target: &TargetId, call: CallId) {
         let pool = self.pools.borrow().get(target).cloned();
-        let Some(mut loan) = pool.and_then(|pool| pool.try_borrow()) else { return };
-        let reply =
-            loan.lane().post("/v1/cancel", &CancelCall { call_id: call }, CANCEL_TIME).await;
-        match reply {
-            Ok(_) => loan.give_back(),
-            Err(LaneError::Silent) => loan.close_silent(),
-            Err(_) => {}
+        let Some(loan) = pool.and_then(|pool| pool.try_borrow()) else { return };
+        let exchange = loan.lane().post("/v1/cancel", &CancelCall { call_id: call });
+        if let Some((loan, Ok(_))) = self.finish(loan, exchange, CANCEL_TIME).await {
+            loan.give_back();
         }
     }
 
+    /// Waits for a reply; `None` when it did not come in time and the lane was given up.
+    async fn finish(
+        &self,
+        loan: LaneLoan,
+        mut exchange: LaneExchange,
+        patience: Duration,
+    ) -> Option<(LaneLoan, Result<LaneReply, LaneError>)> {
+        let sent_at = Instant::now();
+        match timeout(patience, &mut exchange).await {
+            Ok(reply) => Some((loan, reply)),
+            Err(_) => {
+                loan.give_up(exchange);
+                self.probe_idle(sent_at);
+                None
+            }
+        }
+    }
+
+    /// Doubts every lane that has brought nothing since a call that got no reply was sent.
+    ///
+    /// What made one connection silent has often made many silent.
+    fn probe_idle(&self, since: Instant) {
+        let now = Instant::now();
+        let is_too_soon = |at: Instant| now.duration_since(at) < PROBE_PAUSE;
+        if self.probed_at.get().is_some_and(is_too_soon) {
+            return;
+        }
+        self.probed_at.set(Some(now));
+        self.pools.borrow().values().for_each(|pool| pool.probe_idle(since));
+    }
+
     async fn borrow(&self, target: &TargetId, deadline: Instant) -> Option<LaneLoan> {
         let pool = self.pools.borrow().get(target).cloned()?;
         pool.borrow(time_until(deadline)).await
@@ -130,10 +167,6 @@
             Ok(reply) => reply,
             Err(LaneError::NotConnected) => return CallOutcome::NotSent,
             Err(LaneError::Broken) => return CallOutcome::Failed,
-            Err(LaneError::Silent) => {
-                loan.close_silent();
-                return CallOutcome::Failed;
-            }
         };
         let outcome = match reply.status {
             StatusCode::OK => match serde_json::from_slice::<A>(&reply.body) {
