test(root): proofs for searches

Not seen failing: the call id check and the length check by themselves, since the engine ignores foreign calls and broken JSON is no answer.

--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -4,7 +4,13 @@
 //! real processes where a kill or a freeze is the point.
 #![allow(clippy::unwrap_used)]
 
+mod bad_input;
+mod combined_faults;
 mod contracts;
+mod leaving_targets;
 mod planned_stop;
+mod refusals;
+mod searches;
+mod silence;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/tests/proofs/refusals.rs
@@ -0,0 +1,235 @@
+//! A search that was told "not run" was run by no searcher, and one told "ran" was.
+
+use std::time::Duration;
+
+use oleanderwind::RefusalKind;
+use oleanderwind_policy::FinishReason;
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_policy::RunState;
+use oleanderwind_standin::FaultScope;
+use oleanderwind_standin::PlatformFault;
+use oleanderwind_standin::SearcherFault;
+use oleanderwind_standin::SilenceManner;
+use oleanderwind_wire::CallerAnswer;
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::support::SearchFleet;
+use crate::support::wait_for;
+
+/// How long searchers keep an old snapshot here.
+const SNAPSHOT_KEEP: Duration = Duration::from_secs(10);
+/// Customer of every request here.
+const CUSTOMER: &str = "tsagaan-ordon";
+/// Index version that no searcher holds.
+const UNHELD_VERSION: u64 = 1_000;
+
+/// Every way in which a search can end.
+#[derive(Clone, Copy, Debug)]
+enum SearchEnd {
+    Refused(RefusalKind),
+    Finished(FinishReason),
+}
+
+/// Every end, kept whole by the exhaustive matches of [`provoke`] and [`reason`].
+const SEARCH_ENDS: [SearchEnd; 12] = [
+    SearchEnd::Refused(RefusalKind::BadRequest),
+    SearchEnd::Refused(RefusalKind::UnknownCustomer),
+    SearchEnd::Refused(RefusalKind::UnknownPath),
+    SearchEnd::Refused(RefusalKind::NotReady),
+    SearchEnd::Refused(RefusalKind::NoSnapshot),
+    SearchEnd::Finished(FinishReason::Complete),
+    SearchEnd::Finished(FinishReason::FloorMet),
+    SearchEnd::Finished(FinishReason::DeadlineNear),
+    SearchEnd::Finished(FinishReason::TargetsBusy),
+    SearchEnd::Finished(FinishReason::ShardLost),
+    SearchEnd::Finished(FinishReason::SnapshotRetired),
+    SearchEnd::Finished(FinishReason::Abandoned),
+];
+
+/// One request of a situation.
+struct ProvokedRequest {
+    vm: usize,
+    customer: &'static str,
+    class: &'static str,
+    deadline_ms: Option<u64>,
+}
+
+impl ProvokedRequest {
+    fn of_class(class: &'static str) -> ProvokedRequest {
+        ProvokedRequest { vm: 0, customer: CUSTOMER, class, deadline_ms: None }
+    }
+}
+
+/// Brings the situation about and names the request that meets it.
+async fn provoke(searches: &mut SearchFleet, end: SearchEnd) -> ProvokedRequest {
+    let request = ProvokedRequest::of_class;
+    match end {
+        SearchEnd::Refused(kind) => match kind {
+            RefusalKind::BadRequest => request("no-such-class"),
+            RefusalKind::UnknownCustomer => {
+                ProvokedRequest { customer: "nobody", ..request("module-finder") }
+            }
+            RefusalKind::UnknownPath => {
+                ProvokedRequest { customer: "a/b", ..request("module-finder") }
+            }
+            RefusalKind::NotReady => {
+                let fault = PlatformFault::Outage { manner: SilenceManner::Closed };
+                searches.fleet.standin.apply_platform(fault);
+                let vm = searches.fleet.add_unready_vm().await;
+                ProvokedRequest { vm, ..request("module-finder") }
+            }
+            RefusalKind::NoSnapshot => {
+                searches.place_elsewhere().await;
+                request("module-finder")
+            }
+        },
+        SearchEnd::Finished(reason) => match reason {
+            FinishReason::Complete => request("module-finder"),
+            FinishReason::FloorMet => {
+                let slow = SearcherFault::Delay { extra_ms: 1_000 };
+                searches.publish_all(20);
+                searches.fault_some("member-app", 0..2, slow);
+                ProvokedRequest { customer: "haneul", ..request("find-bed") }
+            }
+            FinishReason::DeadlineNear => {
+                ProvokedRequest { deadline_ms: Some(1), ..request("certificate-check") }
+            }
+            FinishReason::TargetsBusy => {
+                searches.fault(FaultScope::All, SearcherFault::Shed);
+                request("module-finder")
+            }
+            FinishReason::ShardLost => {
+                searches.fault(FaultScope::All, SearcherFault::Down);
+                request("module-finder")
+            }
+            FinishReason::SnapshotRetired => {
+                searches.retire_snapshot().await;
+                request("module-finder")
+            }
+            FinishReason::Abandoned => {
+                searches.fault(FaultScope::All, SearcherFault::Delay { extra_ms: 700 });
+                request("certificate-check")
+            }
+        },
+    }
+}
+
+/// The reason that callers see; none for whole answers and for callers that went away.
+fn reason(end: SearchEnd) -> Option<&'static str> {
+    match end {
+        SearchEnd::Refused(kind) => Some(kind.reason()),
+        SearchEnd::Finished(reason) => match reason {
+            FinishReason::Complete | FinishReason::Abandoned => None,
+            FinishReason::FloorMet => Some("floor_met"),
+            FinishReason::DeadlineNear => Some("deadline_near"),
+            FinishReason::TargetsBusy => Some("targets_busy"),
+            FinishReason::ShardLost => Some("shard_lost"),
+            FinishReason::SnapshotRetired => Some("snapshot_retired"),
+        },
+    }
+}
+
+impl SearchFleet {
+    /// Places the customer with a provider that has no snapshot.
+    async fn place_elsewhere(&self) {
+        let path = format!("/v1/contracts/{CUSTOMER}");
+        let admin = self.fleet.admin_address(0);
+        let mut document = self.fleet.caller.get(&admin, &path).await.unwrap();
+        document["contract"]["placement"][0]["provider"] = json!("beta");
+        self.fleet.standin.put_object("contracts", CUSTOMER, &document["contract"]);
+        let caller = &self.fleet.caller;
+        wait_for("the contract is in force", async || {
+            let list = caller.get(&admin, "/v1/contracts").await.unwrap();
+            list.to_string().contains("beta")
+        })
+        .await;
+    }
+
+    /// Publishes a snapshot that no searcher holds.
+    async fn retire_snapshot(&self) {
+        let platform = self.fleet.standin.platform_address().to_string();
+        let path = "/apis/oleanderwind/v1/snapshots/course-finder.alpha";
+        let object = self.fleet.caller.get(&platform, path).await.unwrap();
+        let mut manifest = object["spec"].clone();
+        manifest["index_version"] = json!(UNHELD_VERSION);
+        self.fleet.standin.put_object("snapshots", "course-finder.alpha", &manifest);
+        wait_for("the snapshot is known", async || {
+            let vm = self.fleet.caller_address(0);
+            let answer = self.fleet.caller.search(&vm, CUSTOMER, "module-finder", "probe").await;
+            answer.is_some_and(|answer| answer.snapshot == Some(UNHELD_VERSION))
+        })
+        .await;
+    }
+
+    async fn send(&self, request: &ProvokedRequest, query: &str) -> CallerAnswer {
+        let mut body = json!({ "class": request.class, "query": query });
+        if let Some(deadline_ms) = request.deadline_ms {
+            body["deadline_ms"] = json!(deadline_ms);
+        }
+        let address = self.fleet.caller_address(request.vm);
+        let path = format!("/v1/customers/{}/requests", request.customer);
+        let answer = self.fleet.caller.post(&address, &path, &body).await;
+        serde_json::from_value(answer.unwrap()).unwrap()
+    }
+
+    /// What the answer says must be what the searchers did.
+    fn check_run(&self, query: &str, answer: &CallerAnswer) {
+        let has_run = self.fleet.standin.has_run_query(query);
+        match answer.ran {
+            RunState::No => {
+                assert!(!has_run, "{query}: told not run, but it ran: {answer:?}");
+                assert_eq!(answer.outcome, RequestOutcome::NotRun, "{query}");
+            }
+            RunState::Yes => assert!(has_run, "{query}: told run, but it did not"),
+            RunState::Unknown => assert_eq!(answer.outcome, RequestOutcome::Unknown, "{query}"),
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn search_tells_truly_whether_it_ran_for_every_end() {
+    for end in SEARCH_ENDS {
+        let mut searches = SearchFleet::start(1, SNAPSHOT_KEEP).await;
+        searches.fleet.standin.keep_queries();
+        let mut request = provoke(&mut searches, end).await;
+        if matches!(end, SearchEnd::Finished(FinishReason::Abandoned)) {
+            drop_mid_request(&searches, &request).await;
+            continue;
+        }
+        let mut reasons = Vec::new();
+        for turn in 0..40 {
+            // The shortest deadlines end before, while and after a searcher runs.
+            request.deadline_ms = request.deadline_ms.map(|_| 1 + turn % 8);
+            let query = format!("{end:?}-{turn}");
+            let answer = searches.send(&request, &query).await;
+            searches.check_run(&query, &answer);
+            reasons.push(answer.refusal.map(|refusal| refusal.reason));
+        }
+        let wanted = reason(end).map(str::to_owned);
+        assert!(reasons.contains(&wanted), "{end:?} was never seen: {reasons:?}");
+    }
+}
+
+/// A caller that goes away leaves no call behind at the searchers.
+async fn drop_mid_request(searches: &SearchFleet, request: &ProvokedRequest) {
+    let body = json!({ "class": request.class, "query": "dropped" }).to_string();
+    let head = format!(
+        "POST /v1/customers/{}/requests HTTP/1.1\r\nhost: vm\r\ncontent-length: {}\r\n\r\n",
+        request.customer,
+        body.len()
+    );
+    let mut stream = TcpStream::connect(searches.fleet.caller_address(0)).await.unwrap();
+    stream.write_all((head + &body).as_bytes()).await.unwrap();
+    let standin = &searches.fleet.standin;
+    wait_for("the request runs", async || standin.has_run_query("dropped")).await;
+    drop(stream);
+    let open_until_end = Duration::from_secs(2);
+    tokio::time::sleep(open_until_end).await;
+    let cancelled: u64 = standin.calls().iter().map(|report| report.cancelled).sum();
+    assert_eq!(cancelled, 1, "calls cancelled once the caller was gone");
+    let query = "after the drop";
+    let answer = searches.send(request, query).await;
+    assert_eq!(answer.outcome, RequestOutcome::Answered);
+}
--- a/tests/proofs/support/caller.rs
+++ b/tests/proofs/support/caller.rs
@@ -22,7 +22,7 @@
         TestCaller { client: Client::builder().timeout(REPLY_PATIENCE).finish() }
     }
 
-    /// Sends a search; `None` when the request was cut.
+    /// Sends a search whose text is its request id too; `None` when the request was cut.
     pub(crate) async fn search(
         &self,
         vm: &str,
@@ -31,7 +31,7 @@
         query: &str,
     ) -> Option<CallerAnswer> {
         let body = json!({ "class": class, "query": query });
-        self.request(vm, customer, &[], &body).await
+        self.request(vm, customer, &[("x-request-id", query)], &body).await
     }
 
     /// Sends an operation under a key; `None` when the request was cut.
--- a/tests/proofs/support/fleet.rs
+++ b/tests/proofs/support/fleet.rs
@@ -39,10 +39,8 @@
 
     /// Starts one more daemon, lists it and waits until it is ready.
     pub(crate) async fn add_vm(&mut self) -> usize {
-        let index = self.vms.len();
-        let platform = self.standin.platform_address().to_string();
-        let daemon = Daemon::start(vm_settings(index, platform)).await.unwrap();
-        let addresses = daemon.addresses().clone();
+        let index = self.add_unready_vm().await;
+        let addresses = self.vms[index].addresses();
         let spec = json!({
             "vm": addresses.vm,
             "failure_domain": format!("fd-{}", index % 3),
@@ -51,13 +49,20 @@
             "phase": "live",
         });
         self.standin.put_object("vms", &addresses.vm, &spec);
-        self.vms.push(daemon);
         let caller = self.caller.clone();
         let address = self.caller_address(index);
         wait_for("the VM is ready", async || caller.is_ready(&address).await).await;
         index
     }
 
+    /// Starts one more daemon that no other is told of.
+    pub(crate) async fn add_unready_vm(&mut self) -> usize {
+        let index = self.vms.len();
+        let platform = self.standin.platform_address().to_string();
+        self.vms.push(Daemon::start(vm_settings(index, platform)).await.unwrap());
+        index
+    }
+
     /// Where a VM listens for callers.
     pub(crate) fn caller_address(&self, vm: usize) -> String {
         self.vms[vm].addresses().caller.to_string()
@@ -69,7 +74,7 @@
     }
 }
 
-fn vm_settings(index: usize, platform: String) -> DaemonSettings {
+pub(crate) fn vm_settings(index: usize, platform: String) -> DaemonSettings {
     let any = || Some("127.0.0.1:0".to_owned());
     let raw = RawSettings {
         vm: Some(format!("vm-{index}")),
--- a/tests/proofs/support/mod.rs
+++ b/tests/proofs/support/mod.rs
@@ -1,13 +1,19 @@
 //! Fleets for the proofs.
 
 mod caller;
+mod checker;
 mod fleet;
 mod process;
+mod workload;
 
 pub(crate) use caller::TestCaller;
+pub(crate) use checker::AnswerChecker;
 pub(crate) use fleet::TestFleet;
+pub(crate) use fleet::vm_settings;
 pub(crate) use process::ProcessFleet;
 pub(crate) use process::VmProcess;
+pub(crate) use workload::PAIRED_SERVICES;
+pub(crate) use workload::SearchFleet;
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
