test(root): an operation without a key is not run

Cause: the proofs' caller could send operations, but nothing did. Change: one test. Before: none. After: refused with its place, no execution.

--- a/tests/proofs/support/mod.rs
+++ b/tests/proofs/support/mod.rs
@@ -7,7 +7,6 @@
 pub(crate) use caller::TestCaller;
 pub(crate) use fleet::TestFleet;
 pub(crate) use process::ProcessFleet;
-pub(crate) use process::VmProcess;
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
--- a/tests/proofs/whole_path.rs
+++ b/tests/proofs/whole_path.rs
@@ -1,5 +1,7 @@
 //! A request served end to end.
 
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_policy::RunState;
 use oleanderwind_standin::StandinSettings;
 
 use crate::support::ProcessFleet;
@@ -25,3 +27,15 @@
     let answer = fleet.caller.search(&vm, "haneul", "find-bed", "window").await.unwrap();
     assert_eq!(answer.coverage.unwrap().shards_total, 20);
 }
+
+#[actix_rt::test]
+async fn execute_without_a_key_is_not_run() {
+    let fleet = TestFleet::start(StandinSettings::default(), 1).await;
+    let vm = fleet.caller_address(0);
+    let class = "certificate-entry";
+    let answer = fleet.caller.execute(&vm, "tsagaan-ordon", class, "", 1).await.unwrap();
+    assert_eq!(answer.outcome, RequestOutcome::NotRun);
+    assert_eq!(answer.ran, RunState::No);
+    assert_eq!(answer.refusal.unwrap().findings[0].place, "Idempotency-Key");
+    assert!(fleet.standin.executions().is_empty());
+}
