feat(load): serve the whole tier in the demo, count only answers as held

Cause: the daemon and the stand-ins can be embedded now. The first demo run called the contracts of booking and redemption held while all 14 requests were refused: their soon refusals counted as replies in time.

Latency counts whole and partial answers only, and a contract's check counts every request without such an answer by the deadline against 1 in 100. The digest follows the daemon's, over document and score of each hit. Metrics that are no HTTP success are an error; they were read as no metrics, so extra load seemed unmeasured.

--- a/crates/load/src/check/mod.rs
+++ b/crates/load/src/check/mod.rs
@@ -5,7 +5,7 @@
 use oleanderwind_policy::RunState;
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::CoverageReport;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 /// HTTP status of an answer.
 const STATUS_OK: u16 = 200;
@@ -38,13 +38,20 @@
     pub operation: OperationKind,
 }
 
-/// XXH3 of the result's bytes, or of the hits' JSON when there is no result, as 16 hex digits.
+/// XXH3 of the result's bytes, or of each hit's document and score in little-endian order when
+/// there is no result, as 16 hex digits.
 pub fn answer_digest(answer: &CallerAnswer) -> String {
-    let hash = match &answer.result {
-        Some(result) => xxh3_64(result.as_bytes()),
-        None => xxh3_64(&serde_json::to_vec(&answer.hits).unwrap_or_default()),
-    };
-    format!("{hash:016x}")
+    let mut hasher = Xxh3::new();
+    match &answer.result {
+        Some(result) => hasher.update(result.as_bytes()),
+        None => {
+            for hit in &answer.hits {
+                hasher.update(&hit.document.to_le_bytes());
+                hasher.update(&hit.score.to_le_bytes());
+            }
+        }
+    }
+    format!("{:016x}", hasher.digest())
 }
 
 impl AnswerCheck {
--- a/crates/load/src/command/flags.rs
+++ b/crates/load/src/command/flags.rs
@@ -65,7 +65,7 @@
     #[argh(option)]
     pub(crate) contract: Vec<PathBuf>,
 
-    /// ip:port of a VM's admin listener, whose /metrics tell the extra load; may be repeated
+    /// ip:port of a VM whose /metrics tell the extra load; give every VM
     #[argh(option)]
     pub(crate) metrics_address: Vec<String>,
 
@@ -130,4 +130,16 @@
 /// could not run.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
-pub(crate) struct DemoFlags {}
+pub(crate) struct DemoFlags {
+    /// how long to send requests, in seconds (default 5)
+    #[argh(option, default = "5.0")]
+    pub(crate) seconds: f64,
+
+    /// requests a second for each deployment (default 20)
+    #[argh(option, default = "20.0")]
+    pub(crate) rate: f64,
+
+    /// seed of the load and of the stand-ins (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+}
--- a/crates/load/src/command/mod.rs
+++ b/crates/load/src/command/mod.rs
@@ -52,7 +52,7 @@
     let result = match flags.command {
         LoadCommand::Run(flags) => run::run(&flags, out),
         LoadCommand::Compare(flags) => compare::run(&flags, out),
-        LoadCommand::Demo(flags) => demo::run(&flags),
+        LoadCommand::Demo(flags) => demo::run(&flags, out),
     };
     match result {
         Ok(status) => status,
--- a/crates/load/src/command/run.rs
+++ b/crates/load/src/command/run.rs
@@ -58,26 +58,10 @@
     }
     check_addresses("--seed-address", &flags.seed_address, &mut findings);
     check_addresses("--metrics-address", &flags.metrics_address, &mut findings);
-    let mut check = |place: &str, fits: bool, problem: String| {
-        if !fits {
-            findings.add(place, problem);
-        }
-    };
-    check(
-        "--rate",
-        flags.rate > 0.0 && flags.rate <= MAX_RATE,
-        format!("is {}; give more than 0 and at most {MAX_RATE}", flags.rate),
-    );
-    check(
-        "--seconds",
-        flags.seconds > 0.0 && flags.seconds <= MAX_SECONDS,
-        format!("is {}; give more than 0 and at most {MAX_SECONDS}", flags.seconds),
-    );
-    check(
-        "--repeat-permille",
-        flags.repeat_permille <= 1_000,
-        format!("is {}; give 0 to 1000", flags.repeat_permille),
-    );
+    findings.extend(check_amounts(flags.rate, flags.seconds));
+    if flags.repeat_permille > 1_000 {
+        findings.add("--repeat-permille", format!("is {}; give 0 to 1000", flags.repeat_permille));
+    }
     let counts = [
         ("--count", flags.count),
         ("--concurrency", flags.concurrency as u64),
@@ -86,7 +70,20 @@
         ("--progress-ms", flags.progress_ms),
     ];
     for (place, value) in counts {
-        check(place, value > 0, "is 0; give 1 or more".to_string());
+        if value == 0 {
+            findings.add(place, "is 0; give 1 or more");
+        }
+    }
+    findings
+}
+
+/// Every finding about the size of a load.
+pub(crate) fn check_amounts(rate: f64, seconds: f64) -> FindingList {
+    let mut findings = FindingList::default();
+    for (place, value, most) in [("--rate", rate, MAX_RATE), ("--seconds", seconds, MAX_SECONDS)] {
+        if !(value > 0.0 && value <= most) {
+            findings.add(place, format!("is {value}; give more than 0 and at most {most}"));
+        }
     }
     findings
 }
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -59,7 +59,7 @@
     pub counts: OutcomeCounts,
     /// Outcomes of the caller's repeats with the same key.
     pub repeats: OutcomeCounts,
-    /// Latency from the intended send time, of every reply.
+    /// Latency from the intended send time, of every whole or partial answer.
     pub latency: LatencySummary,
     /// Points of the latency distribution.
     pub percentiles: Vec<PercentilePoint>,
@@ -80,6 +80,8 @@
     pub not_run: u64,
     /// Requests that may have run.
     pub unknown: u64,
+    /// Answers, whole or partial, by the contract's deadline; every answer without a contract.
+    pub in_time: u64,
     /// Requests without a reply: the connection was refused, cut or timed out.
     pub connection_errors: u64,
     /// Requests without a reply by the contract's deadline.
@@ -96,6 +98,7 @@
         self.partial += other.partial;
         self.not_run += other.not_run;
         self.unknown += other.unknown;
+        self.in_time += other.in_time;
         self.connection_errors += other.connection_errors;
         self.deadline_misses += other.deadline_misses;
         self.wrong_answers += other.wrong_answers;
@@ -116,7 +119,7 @@
 /// Latency in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 pub struct LatencySummary {
-    /// Replies.
+    /// Answers.
     pub count: u64,
     /// Median.
     pub p50_us: u64,
--- a/crates/load/src/report/summary.rs
+++ b/crates/load/src/report/summary.rs
@@ -105,7 +105,7 @@
     let place = check.class.as_deref().unwrap_or("customer");
     let (name, unit) = match check.measure {
         ContractMeasure::TailMs => ("p99 against deadline", "ms"),
-        ContractMeasure::LatePermille => ("late or cut", "permille"),
+        ContractMeasure::UnansweredPermille => ("not answered in time", "permille"),
         ContractMeasure::CoveragePermille => ("least coverage against floor", "permille"),
         ContractMeasure::ExtraLoadPermille => ("extra load against limit", "permille"),
     };
--- a/crates/load/src/report/terms.rs
+++ b/crates/load/src/report/terms.rs
@@ -9,8 +9,8 @@
 
 use crate::report::CustomerReport;
 
-/// Most requests that may be late, in thousandths.
-const MAX_LATE_PERMILLE: f64 = 10.0;
+/// Most requests that may have no answer by the deadline, in thousandths.
+const MAX_UNANSWERED_PERMILLE: f64 = 10.0;
 
 /// The term of a contract that is checked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
@@ -18,9 +18,10 @@
 pub enum ContractMeasure {
     /// The 99th percentile of latency against the deadline, in milliseconds.
     TailMs,
-    /// Requests without a reply by the deadline against 1 in 100, in thousandths. Cut requests
-    /// count, so that a tier that cuts its slow requests is not flattered.
-    LatePermille,
+    /// Requests without a whole or partial answer by the deadline against 1 in 100, in
+    /// thousandths. Refused and cut requests count, so that neither flatters the tail; send no
+    /// more than the contract's rate.
+    UnansweredPermille,
     /// The least coverage against the floor, in thousandths.
     CoveragePermille,
     /// Extra calls against the limit, in thousandths of the first calls.
@@ -54,13 +55,13 @@
                 continue;
             };
             if class.counts.sent > 0 {
-                let late = class.counts.deadline_misses as f64 * 1_000.0;
-                let late_permille = late / class.counts.sent as f64;
+                let unanswered = (class.counts.sent - class.counts.in_time) as f64;
+                let unanswered_permille = unanswered * 1_000.0 / class.counts.sent as f64;
                 checks.push(at_most(
                     Some(&class.class),
-                    ContractMeasure::LatePermille,
-                    late_permille,
-                    MAX_LATE_PERMILLE,
+                    ContractMeasure::UnansweredPermille,
+                    unanswered_permille,
+                    MAX_UNANSWERED_PERMILLE,
                 ));
             }
             if class.latency.count > 0 {
--- a/crates/load/src/runner/mod.rs
+++ b/crates/load/src/runner/mod.rs
@@ -12,7 +12,6 @@
 
 use eyre::Context;
 use oleanderwind_policy::CustomerContract;
-use oleanderwind_policy::RequestOutcome;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -38,6 +37,9 @@
 /// Longest wait before a caller repeats a keyed request.
 const MAX_REPEAT_WAIT: Duration = Duration::from_secs(1);
 
+/// Largest metrics text that is read, in bytes.
+const MAX_METRICS_BYTES: usize = 8 << 20;
+
 /// What every request of a run shares.
 struct RunContext {
     id: String,
@@ -101,7 +103,7 @@
     let reply = caller.send(&request).await;
     let sample = take_sample(&request, &reply, context.start + planned.at);
     context.tallies.borrow_mut().tally(&planned).record(&sample);
-    if !planned.repeats || is_settled(sample.outcome) {
+    if !planned.repeats || sample.is_answered() {
         return;
     }
     let wait_ms = reply.ok().and_then(|reply| reply.answer.retry_after_ms).unwrap_or(0);
@@ -112,11 +114,6 @@
     context.tallies.borrow_mut().tally(&planned).record_repeat(&sample);
 }
 
-/// Whether an outcome leaves a caller nothing to repeat.
-fn is_settled(outcome: Option<RequestOutcome>) -> bool {
-    matches!(outcome, Some(RequestOutcome::Answered | RequestOutcome::Partial))
-}
-
 /// Checks a reply; the latency counts from `intended`.
 fn take_sample(
     request: &CallRequest,
@@ -234,7 +231,9 @@
             .send()
             .await
             .map_err(|error| eyre::eyre!("metrics of {address} can't be read: {error}"))?;
-        let body = response.body().await.wrap_err("metrics are cut")?;
+        let status = response.status();
+        eyre::ensure!(status.is_success(), "metrics of {address} can't be read: HTTP {status}");
+        let body = response.body().limit(MAX_METRICS_BYTES).await.wrap_err("metrics are cut")?;
         total.add(&LoadCounters::parse(&String::from_utf8_lossy(&body))?);
     }
     Ok(total)
--- a/crates/load/src/runner/settings.rs
+++ b/crates/load/src/runner/settings.rs
@@ -34,7 +34,7 @@
     pub timeout_ms: u64,
     /// Time between lines of progress, in milliseconds.
     pub progress_ms: u64,
-    /// `ip:port` of admin listeners whose `/metrics` tell the extra load.
+    /// `ip:port` of VMs whose `/metrics` tell the extra load.
     pub metrics_addresses: Vec<String>,
     /// Processes whose usage is measured.
     pub pids: Vec<u32>,
--- a/crates/load/src/tally/mod.rs
+++ b/crates/load/src/tally/mod.rs
@@ -34,6 +34,13 @@
     pub is_wrong: bool,
 }
 
+impl RequestSample {
+    /// Whether a whole or partial answer came.
+    pub fn is_answered(&self) -> bool {
+        matches!(self.outcome, Some(RequestOutcome::Answered | RequestOutcome::Partial))
+    }
+}
+
 /// Counts and histograms of one class.
 #[derive(Clone, Debug)]
 pub struct ClassTally {
@@ -76,12 +83,12 @@
     /// Counts the first try of a request.
     pub fn record(&mut self, sample: &RequestSample) {
         count_sample(&mut self.counts, sample, self.deadline);
-        if sample.outcome.is_some() {
+        if sample.is_answered() {
             let micros = u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX);
             self.latencies.saturating_record(micros);
         }
         if let Some(report) = &sample.coverage
-            && matches!(sample.outcome, Some(RequestOutcome::Answered | RequestOutcome::Partial))
+            && sample.is_answered()
         {
             self.record_coverage(report);
         }
@@ -165,5 +172,6 @@
     let is_late =
         deadline.is_some_and(|deadline| sample.outcome.is_none() || sample.latency > deadline);
     counts.deadline_misses += u64::from(is_late);
+    counts.in_time += u64::from(sample.is_answered() && !is_late);
     counts.wrong_answers += u64::from(sample.is_wrong);
 }
--- a/crates/load/tests/command.rs
+++ b/crates/load/tests/command.rs
@@ -63,40 +63,40 @@
     check_help(
         &["run", "--help"],
         expect![[r#"
-        Usage: oleanderwind-load run [--deployment <deployment...>] [--seed-address <seed-address...>] [--rate <rate>] [--seconds <seconds>] [--count <count>] [--seed <seed>] [--repeat-permille <repeat-permille>] [--concurrency <concurrency>] [--callers <callers>] [--timeout-ms <timeout-ms>] [--progress-ms <progress-ms>] [--contract <contract...>] [--metrics-address <metrics-address...>] [--pid <pid...>] [--report <report>] [--plot <plot>]
-
-        Sends an open-loop load to running VMs. Latency counts from the intended send time. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3 could not run.
-
-        Options:
-          --deployment      deployment to put under load: tsagaan or haneul; may be
-                            repeated
-          --seed-address    ip:port of a VM to ask for addresses; may be repeated
-          --rate            requests a second for each deployment (default 50)
-          --seconds         arrivals end after this many seconds (default 10)
-          --count           arrivals end after this many requests (default 1000000)
-          --seed            seed of arrivals, classes and texts (default 1)
-          --repeat-permille thousandths of keyed requests that are repeated with the
-                            same key when they did not run or may have (default 500)
-          --concurrency     most requests under way; the others wait and are counted
-                            (default 1000)
-          --callers         callers of each deployment, each with its own kept address
-                            (default 8)
-          --timeout-ms      longest wait for a reply, in milliseconds (default 10000)
-          --progress-ms     time between lines of progress, in milliseconds (default
-                            3000)
-          --contract        file of a contract in JSON, whose terms are checked; may be
-                            repeated
-          --metrics-address ip:port of a VM's admin listener, whose /metrics tell the
-                            extra load; may be repeated
-          --pid             process whose CPU seconds and memory are measured; may be
-                            repeated
-          --report          file for the report in JSON
-          --plot            file for a plot of the latency distributions in SVG
-          --help, help      display usage information
-
-        Examples:
-          oleanderwind-load run --deployment haneul --seed-address 127.0.0.1:8080 --rate 50 --seconds 30 --contract haneul.json --report run.json
-    "#]],
+            Usage: oleanderwind-load run [--deployment <deployment...>] [--seed-address <seed-address...>] [--rate <rate>] [--seconds <seconds>] [--count <count>] [--seed <seed>] [--repeat-permille <repeat-permille>] [--concurrency <concurrency>] [--callers <callers>] [--timeout-ms <timeout-ms>] [--progress-ms <progress-ms>] [--contract <contract...>] [--metrics-address <metrics-address...>] [--pid <pid...>] [--report <report>] [--plot <plot>]
+
+            Sends an open-loop load to running VMs. Latency counts from the intended send time. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3 could not run.
+
+            Options:
+              --deployment      deployment to put under load: tsagaan or haneul; may be
+                                repeated
+              --seed-address    ip:port of a VM to ask for addresses; may be repeated
+              --rate            requests a second for each deployment (default 50)
+              --seconds         arrivals end after this many seconds (default 10)
+              --count           arrivals end after this many requests (default 1000000)
+              --seed            seed of arrivals, classes and texts (default 1)
+              --repeat-permille thousandths of keyed requests that are repeated with the
+                                same key when they did not run or may have (default 500)
+              --concurrency     most requests under way; the others wait and are counted
+                                (default 1000)
+              --callers         callers of each deployment, each with its own kept address
+                                (default 8)
+              --timeout-ms      longest wait for a reply, in milliseconds (default 10000)
+              --progress-ms     time between lines of progress, in milliseconds (default
+                                3000)
+              --contract        file of a contract in JSON, whose terms are checked; may be
+                                repeated
+              --metrics-address ip:port of a VM whose /metrics tell the extra load; give
+                                every VM
+              --pid             process whose CPU seconds and memory are measured; may be
+                                repeated
+              --report          file for the report in JSON
+              --plot            file for a plot of the latency distributions in SVG
+              --help, help      display usage information
+
+            Examples:
+              oleanderwind-load run --deployment haneul --seed-address 127.0.0.1:8080 --rate 50 --seconds 30 --contract haneul.json --report run.json
+        "#]],
     );
 }
 
@@ -205,10 +205,30 @@
 }
 
 #[test]
-fn demo_without_embedded_programs() {
-    let (status, _, err) = run(&["demo"]);
-    assert_eq!(status, ExitStatus::CouldNotRun);
+fn help_of_demo() {
+    check_help(
+        &["demo", "--help"],
+        expect![[r#"
+        Usage: oleanderwind-load demo [--seconds <seconds>] [--rate <rate>] [--seed <seed>]
+
+        Serves both deployments in this process on loopback and puts them under load. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3 could not run.
+
+        Options:
+          --seconds         how long to send requests, in seconds (default 5)
+          --rate            requests a second for each deployment (default 20)
+          --seed            seed of the load and of the stand-ins (default 1)
+          --help, help      display usage information
+    "#]],
+    );
+}
+
+#[test]
+fn demo_reports_every_finding() {
+    let (status, _, err) = run(&["demo", "--rate", "-1", "--seconds", "0"]);
+    assert_eq!(status, ExitStatus::WrongUsage);
     expect![[r#"
-        could not run: this build embeds no daemon and no stand-ins yet; start them as programs and use `oleanderwind-load run`
-    "#]].assert_eq(&err);
+        --rate: is -1; give more than 0 and at most 100000
+        --seconds: is 0; give more than 0 and at most 86400
+    "#]]
+    .assert_eq(&err);
 }
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -118,6 +118,7 @@
                     "partial": 10,
                     "not_run": 0,
                     "unknown": 0,
+                    "in_time": 100,
                     "connection_errors": 0,
                     "deadline_misses": 0,
                     "wrong_answers": 0
@@ -128,6 +129,7 @@
                     "partial": 0,
                     "not_run": 0,
                     "unknown": 0,
+                    "in_time": 0,
                     "connection_errors": 0,
                     "deadline_misses": 0,
                     "wrong_answers": 0
@@ -209,6 +211,7 @@
                     "partial": 0,
                     "not_run": 0,
                     "unknown": 0,
+                    "in_time": 99,
                     "connection_errors": 1,
                     "deadline_misses": 0,
                     "wrong_answers": 0
@@ -219,6 +222,7 @@
                     "partial": 0,
                     "not_run": 0,
                     "unknown": 0,
+                    "in_time": 0,
                     "connection_errors": 0,
                     "deadline_misses": 0,
                     "wrong_answers": 0
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -60,7 +60,9 @@
 async fn run_load_sound_vm() {
     let (report, vm) = run_against(FakeBehaviour::Sound).await;
     let (counts, repeats) = totals(&report);
-    assert_eq!(counts, OutcomeCounts { sent: 60, answered: 60, ..OutcomeCounts::default() });
+    let expected =
+        OutcomeCounts { sent: 60, answered: 60, in_time: 60, ..OutcomeCounts::default() };
+    assert_eq!(counts, expected);
     assert_eq!(repeats, OutcomeCounts::default());
     assert_eq!(vm.seen.borrow().len(), 60);
     assert!(vm.address_calls.get() < 60, "a kept address is not asked for again");
@@ -119,9 +121,18 @@
     let report = run_load(&short_run(&[&seed.address], 20), &[contract(0)]).await.unwrap();
     let (counts, _) = totals(&report);
     assert_eq!((counts.sent, counts.connection_errors, counts.answered), (20, 20, 0));
-    let late = ContractMeasure::LatePermille;
-    let expected = [(Some("booking"), late, false), (Some("find-bed"), late, false)];
-    assert_eq!(verdicts(&report), expected, "a cut request is late however soon it was cut");
+    let unanswered = ContractMeasure::UnansweredPermille;
+    let expected = [(Some("booking"), unanswered, false), (Some("find-bed"), unanswered, false)];
+    assert_eq!(verdicts(&report), expected, "a cut request is no answer in time");
+}
+
+#[actix_rt::test]
+async fn run_load_refusals_hold_no_contract() {
+    let vm = FakeVm::start(FakeBehaviour::RefusedFirst).await;
+    let report = run_load(&short_run(&[&vm.address], 20), &[contract(0)]).await.unwrap();
+    let unanswered = ContractMeasure::UnansweredPermille;
+    let expected = [(Some("booking"), unanswered, false), (Some("find-bed"), unanswered, false)];
+    assert_eq!(verdicts(&report), expected, "a soon refusal is no answer in time");
 }
 
 #[actix_rt::test]
@@ -147,9 +158,9 @@
     settings.pids = vec![std::process::id()];
     let report = run_load(&settings, &[contract(49)]).await.unwrap();
     let expected = [
-        (Some("booking"), ContractMeasure::LatePermille, true),
+        (Some("booking"), ContractMeasure::UnansweredPermille, true),
         (Some("booking"), ContractMeasure::TailMs, true),
-        (Some("find-bed"), ContractMeasure::LatePermille, true),
+        (Some("find-bed"), ContractMeasure::UnansweredPermille, true),
         (Some("find-bed"), ContractMeasure::TailMs, true),
         (Some("find-bed"), ContractMeasure::CoveragePermille, true),
         (None, ContractMeasure::ExtraLoadPermille, false),
