feat(load): run experiments of variants in turns on the same seeds

Cause: two ways of the daemon could not be set against each other fairly.

Change: `oleanderwind-load experiment` reads a plan of variants and scenarios, runs every pair once a round in alternating order with fresh stand-ins and daemons, makes the scenario's control calls at their times and prints medians and ranges, with a report and a plot.

Figures: none; no trial against the real programs is part of this commit.

Conclusion: order, findings, table, plot and the starting of programs are tested.

--- a/crates/load/src/command/flags.rs
+++ b/crates/load/src/command/flags.rs
@@ -124,6 +124,41 @@
     pub(crate) plot: Option<PathBuf>,
 }
 
+/// Sets variants of the daemon's environment against each other, in turns, on the same seeds.
+///
+/// Each trial starts stand-ins and daemons of its own. The plan's JSON: variants (name,
+/// environment), scenarios (name, control_calls of at_ms, path and body), rounds, vms,
+/// deployments, rate, duration_ms, seed.
+///
+/// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2
+/// wrong usage, 3 could not run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+#[argh(
+    example = "{command_name} --plan plan.json --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json"
+)]
+pub(crate) struct ExperimentFlags {
+    /// file of the plan in JSON
+    #[argh(option)]
+    pub(crate) plan: PathBuf,
+
+    /// path of the program oleanderwindd
+    #[argh(option)]
+    pub(crate) daemon: PathBuf,
+
+    /// path of the program oleanderwind-standin
+    #[argh(option)]
+    pub(crate) standin: PathBuf,
+
+    /// file for every trial's report in JSON
+    #[argh(option)]
+    pub(crate) report: Option<PathBuf>,
+
+    /// file for a plot of the variants' latency distributions in SVG
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
+}
+
 /// Serves both deployments in this process on loopback and puts them under load.
 ///
 /// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3
--- a/crates/load/src/command/mod.rs
+++ b/crates/load/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod compare;
 mod demo;
 mod exit_status;
+mod experiment;
 mod flags;
 mod run;
 
@@ -14,6 +15,7 @@
 
 use flags::CompareFlags;
 use flags::DemoFlags;
+use flags::ExperimentFlags;
 use flags::RunFlags;
 
 /// Name of the program in its help texts.
@@ -34,6 +36,7 @@
 enum LoadCommand {
     Run(RunFlags),
     Compare(CompareFlags),
+    Experiment(ExperimentFlags),
     Demo(DemoFlags),
 }
 
@@ -52,6 +55,7 @@
     let result = match flags.command {
         LoadCommand::Run(flags) => run::run(&flags, out),
         LoadCommand::Compare(flags) => compare::run(&flags, out),
+        LoadCommand::Experiment(flags) => experiment::run(&flags, out),
         LoadCommand::Demo(flags) => demo::run(&flags, out),
     };
     match result {
--- a/crates/load/src/demo/mod.rs
+++ b/crates/load/src/demo/mod.rs
@@ -55,7 +55,7 @@
     for daemon in &daemons {
         wait_until_ready(&daemon.addresses().caller.to_string()).await?;
     }
-    run_load(&load_settings(settings, &daemons), &demo_contracts()?).await
+    run_load(&load_settings(settings, &daemons), &standin_contracts()?).await
 }
 
 /// Settings of one VM.
@@ -81,20 +81,15 @@
         seed_addresses: addresses.clone(),
         rate: settings.rate,
         duration_ms: settings.duration_ms,
-        count: 1_000_000,
         seed: settings.seed,
-        repeat_permille: 500,
-        concurrency: 1_000,
-        callers: 8,
-        timeout_ms: 10_000,
-        progress_ms: 3_000,
         metrics_addresses: addresses,
         pids: vec![std::process::id()],
+        ..RunSettings::default()
     }
 }
 
 /// The stand-ins' contracts.
-fn demo_contracts() -> eyre::Result<Vec<CustomerContract>> {
+pub(crate) fn standin_contracts() -> eyre::Result<Vec<CustomerContract>> {
     let provider = StandinSettings::default().providers[0].clone();
     let mut contracts = Vec::new();
     for deployment in oleanderwind_standin::DeploymentName::ALL {
@@ -104,7 +99,7 @@
 }
 
 /// Waits until a VM says that it is ready.
-async fn wait_until_ready(address: &str) -> eyre::Result<()> {
+pub(crate) async fn wait_until_ready(address: &str) -> eyre::Result<()> {
     let client = awc::Client::default();
     for _ in 0..READY_LOOKS {
         let url = format!("http://{address}/readyz");
--- a/crates/load/src/deployment/mod.rs
+++ b/crates/load/src/deployment/mod.rs
@@ -57,6 +57,14 @@
 }
 
 impl DeploymentName {
+    /// The name on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DeploymentName::Tsagaan => "tsagaan",
+            DeploymentName::Haneul => "haneul",
+        }
+    }
+
     /// The customer whose contract the load falls under.
     pub fn customer(self) -> &'static str {
         match self {
--- /dev/null
+++ b/crates/load/src/experiment/plan.rs
@@ -0,0 +1,160 @@
+//! What an experiment runs, and in which order.
+
+use std::collections::BTreeMap;
+
+use oleanderwind_policy::FindingList;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DeploymentName;
+
+/// Most trials of one experiment.
+const MAX_TRIALS: usize = 1_000;
+
+/// An experiment: every variant meets every scenario once a round.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExperimentPlan {
+    /// Variants to set against each other.
+    pub variants: Vec<ExperimentVariant>,
+    /// What befalls the stand-ins.
+    pub scenarios: Vec<ExperimentScenario>,
+    /// How often each pair of variant and scenario runs.
+    pub rounds: usize,
+    /// VMs of each trial.
+    pub vms: usize,
+    /// Deployments under load.
+    pub deployments: Vec<DeploymentName>,
+    /// Requests a second for each deployment.
+    pub rate: f64,
+    /// Length of each trial, in milliseconds.
+    pub duration_ms: u64,
+    /// Seed of the first round; each further round takes the next one, the same for all variants.
+    pub seed: u64,
+}
+
+/// One variant.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExperimentVariant {
+    /// Name in the table.
+    pub name: String,
+    /// Variables of every daemon's environment, for example `OLEANDERWIND_ADDRESS_KEEP_MS`.
+    #[serde(default)]
+    pub environment: BTreeMap<String, String>,
+}
+
+/// One scenario.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExperimentScenario {
+    /// Name in the table.
+    pub name: String,
+    /// Calls to the stand-ins' control port, in the order of their times.
+    #[serde(default)]
+    pub control_calls: Vec<ControlCall>,
+}
+
+/// One call to the stand-ins' control port.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlCall {
+    /// Time after the first intended send, in milliseconds.
+    pub at_ms: u64,
+    /// Path, for example `/control/faults`.
+    pub path: String,
+    /// The order in JSON.
+    pub body: serde_json::Value,
+}
+
+/// One trial: a variant meets a scenario.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrialStep {
+    /// Round, counted from 0.
+    pub round: usize,
+    /// Index of the scenario.
+    pub scenario: usize,
+    /// Index of the variant.
+    pub variant: usize,
+    /// Seed of the load and of the stand-ins.
+    pub seed: u64,
+}
+
+impl ExperimentPlan {
+    /// Every trial in its order: even rounds go through the variants forwards, odd ones
+    /// backwards, so that a slow drift of the machine weighs on no variant alone.
+    pub fn steps(&self) -> Vec<TrialStep> {
+        let mut steps = Vec::new();
+        for round in 0..self.rounds {
+            for scenario in 0..self.scenarios.len() {
+                let mut variants: Vec<usize> = (0..self.variants.len()).collect();
+                if round % 2 == 1 {
+                    variants.reverse();
+                }
+                let seed = self.seed.wrapping_add(round as u64);
+                steps.extend(variants.into_iter().map(|variant| TrialStep {
+                    round,
+                    scenario,
+                    variant,
+                    seed,
+                }));
+            }
+        }
+        steps
+    }
+
+    /// Checks the plan.
+    ///
+    /// # Errors
+    ///
+    /// Every finding, with its place in the plan's JSON.
+    pub fn check(&self) -> Result<(), FindingList> {
+        let mut findings = FindingList::default();
+        let sizes = [
+            ("variants", self.variants.len()),
+            ("scenarios", self.scenarios.len()),
+            ("deployments", self.deployments.len()),
+            ("rounds", self.rounds),
+            ("vms", self.vms),
+        ];
+        for (place, size) in sizes {
+            if size == 0 {
+                findings.add(place, "is 0 or empty; give at least one");
+            }
+        }
+        let pairs = self.variants.len().saturating_mul(self.scenarios.len());
+        let trials = pairs.saturating_mul(self.rounds);
+        if trials > MAX_TRIALS {
+            findings.add("rounds", format!("makes {trials} trials; give at most {MAX_TRIALS}"));
+        }
+        if !(self.rate > 0.0 && self.rate.is_finite()) {
+            findings.add("rate", format!("is {}; give more than 0", self.rate));
+        }
+        if self.duration_ms == 0 {
+            findings.add("duration_ms", "is 0; give 1 or more");
+        }
+        check_names("variants", self.variants.iter().map(|it| it.name.as_str()), &mut findings);
+        check_names("scenarios", self.scenarios.iter().map(|it| it.name.as_str()), &mut findings);
+        for (index, scenario) in self.scenarios.iter().enumerate() {
+            let place = format!("scenarios[{index}].control_calls");
+            if !scenario.control_calls.is_sorted_by_key(|call| call.at_ms) {
+                findings.add(place.clone(), "is not in the order of at_ms");
+            }
+            if scenario.control_calls.iter().any(|call| !call.path.starts_with("/control/")) {
+                findings.add(place, "has a path that does not start with /control/");
+            }
+        }
+        findings.into_result(())
+    }
+}
+
+/// Adds a finding for each empty or repeated name.
+fn check_names<'a>(place: &str, names: impl Iterator<Item = &'a str>, findings: &mut FindingList) {
+    let mut seen = Vec::new();
+    for (index, name) in names.enumerate() {
+        if name.is_empty() || seen.contains(&name) {
+            findings.add(format!("{place}[{index}].name"), "is empty or repeated; give another");
+        }
+        seen.push(name);
+    }
+}
--- /dev/null
+++ b/crates/load/src/experiment/program.rs
@@ -0,0 +1,81 @@
+//! Programs that an experiment starts and ends.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use eyre::Context;
+use eyre::eyre;
+use serde_json::Value;
+
+/// Longest time from a program's start to its line of addresses.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A running program that printed one JSON line of addresses; killed when dropped.
+#[derive(Debug)]
+pub struct ChildProgram {
+    child: Child,
+    addresses: Value,
+}
+
+impl ChildProgram {
+    /// Starts a program and waits for its first line.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be started or prints no JSON line in time; it is ended then.
+    pub async fn start(
+        program: &Path,
+        args: &[String],
+        environment: &[(String, String)],
+    ) -> eyre::Result<ChildProgram> {
+        let name = program.display();
+        let mut child = Command::new(program)
+            .args(args)
+            .envs(environment.iter().map(|(variable, value)| (variable, value)))
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .wrap_err_with(|| format!("{name} can't be started"))?;
+        let stdout = child.stdout.take();
+        let mut program = ChildProgram { child, addresses: Value::Null };
+        let stdout = stdout.ok_or_else(|| eyre!("{name} has no output"))?;
+        let read = tokio::task::spawn_blocking(move || {
+            let mut line = String::new();
+            BufReader::new(stdout).read_line(&mut line).map(|_| line)
+        });
+        let line = tokio::time::timeout(START_TIMEOUT, read)
+            .await
+            .wrap_err_with(|| format!("{name} printed no addresses in time"))???;
+        program.addresses = serde_json::from_str(&line)
+            .wrap_err_with(|| format!("{name} printed no JSON line of addresses"))?;
+        Ok(program)
+    }
+
+    /// The program's process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// An address of the printed line.
+    ///
+    /// # Errors
+    ///
+    /// When the line has no such text.
+    pub fn address(&self, name: &str) -> eyre::Result<String> {
+        let address = self.addresses.get(name).and_then(Value::as_str);
+        address.map(str::to_string).ok_or_else(|| eyre!("the program printed no address `{name}`"))
+    }
+}
+
+impl Drop for ChildProgram {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/load/src/plot/mod.rs
+++ b/crates/load/src/plot/mod.rs
@@ -5,8 +5,10 @@
 use eyre::eyre;
 use plotters::prelude::*;
 
+use crate::ExperimentReport;
 use crate::PercentilePoint;
 use crate::RunReport;
+use crate::experiment::class_groups;
 
 /// Width and height of a plot, in pixels.
 const PLOT_SIZE: (u32, u32) = (1_100, 700);
@@ -41,6 +43,38 @@
     draw_lines("Latency from the intended send time, compared", &lines, path)
 }
 
+/// Draws the percentile lines of each scenario, class and variant, as medians over the rounds.
+///
+/// # Errors
+///
+/// When the file can't be written.
+pub fn draw_experiment(report: &ExperimentReport, path: &Path) -> eyre::Result<()> {
+    let mut lines = Vec::new();
+    for group in class_groups(report) {
+        let rounds: Vec<&[PercentilePoint]> = group
+            .classes
+            .iter()
+            .map(|class| class.percentiles.as_slice())
+            .filter(|points| !points.is_empty())
+            .collect();
+        if !rounds.is_empty() {
+            lines.push(PlotLine { label: group.label(), points: median_points(&rounds) });
+        }
+    }
+    draw_lines("Latency from the intended send time, medians over the rounds", &lines, path)
+}
+
+/// The median over the rounds at each percentile.
+fn median_points(rounds: &[&[PercentilePoint]]) -> Vec<(f64, f64)> {
+    let count = rounds.iter().map(|points| points.len()).min().unwrap_or(0);
+    let median = |index: usize| {
+        let mut points: Vec<PercentilePoint> = rounds.iter().map(|points| points[index]).collect();
+        points.sort_by_key(|point| point.latency_us);
+        place_point(&points[points.len() / 2])
+    };
+    (0..count).map(median).collect()
+}
+
 /// The lines of a report's classes that have a reply.
 fn report_lines(report: &RunReport, prefix: &str) -> Vec<PlotLine> {
     let mut lines = Vec::new();
--- a/crates/load/src/runner/settings.rs
+++ b/crates/load/src/runner/settings.rs
@@ -40,6 +40,26 @@
     pub pids: Vec<u32>,
 }
 
+impl Default for RunSettings {
+    fn default() -> RunSettings {
+        RunSettings {
+            deployments: Vec::new(),
+            seed_addresses: Vec::new(),
+            rate: 50.0,
+            duration_ms: 10_000,
+            count: 1_000_000,
+            seed: 1,
+            repeat_permille: 500,
+            concurrency: 1_000,
+            callers: 8,
+            timeout_ms: 10_000,
+            progress_ms: 3_000,
+            metrics_addresses: Vec::new(),
+            pids: Vec::new(),
+        }
+    }
+}
+
 impl RunSettings {
     /// The part that shapes the arrivals.
     pub fn arrivals(&self) -> ArrivalSettings {
--- a/crates/load/tests/command.rs
+++ b/crates/load/tests/command.rs
@@ -35,26 +35,34 @@
     check_help(
         &["--help"],
         expect![[r#"
-        Usage: oleanderwind-load <command> [<args>]
+            Usage: oleanderwind-load <command> [<args>]
 
-        Puts oleanderwind under load, checks every answer and reports latency, coverage and extra load. Exit codes: 0 all well, 1 a stated bound is broken, 2 wrong usage, 3 could not run.
+            Puts oleanderwind under load, checks every answer and reports latency, coverage and extra load. Exit codes: 0 all well, 1 a stated bound is broken, 2 wrong usage, 3 could not run.
 
-        Options:
-          --help, help      display usage information
+            Options:
+              --help, help      display usage information
 
-        Commands:
-          run               Sends an open-loop load to running VMs. Latency counts from
-                            the intended send time. Exit codes: 0 all well, 1 a
-                            contract's term is broken or an answer is wrong, 2 wrong
-                            usage, 3 could not run.
-          compare           Prints two reports side by side with their differences, and
-                            checks the stated bounds. Exit codes: 0 every bound holds, 1
-                            a bound is broken, 2 wrong usage, 3 could not run.
-          demo              Serves both deployments in this process on loopback and puts
-                            them under load. Exit codes: 0 all well, 1 a contract's term
-                            is broken or an answer is wrong, 2 wrong usage, 3 could not
-                            run.
-    "#]],
+            Commands:
+              run               Sends an open-loop load to running VMs. Latency counts from
+                                the intended send time. Exit codes: 0 all well, 1 a
+                                contract's term is broken or an answer is wrong, 2 wrong
+                                usage, 3 could not run.
+              compare           Prints two reports side by side with their differences, and
+                                checks the stated bounds. Exit codes: 0 every bound holds, 1
+                                a bound is broken, 2 wrong usage, 3 could not run.
+              experiment        Sets variants of the daemon's environment against each
+                                other, in turns, on the same seeds. Each trial starts
+                                stand-ins and daemons of its own. The plan's JSON: variants
+                                (name, environment), scenarios (name, control_calls of
+                                at_ms, path and body), rounds, vms, deployments, rate,
+                                duration_ms, seed. Exit codes: 0 all well, 1 a contract's
+                                term is broken or an answer is wrong in some trial, 2 wrong
+                                usage, 3 could not run.
+              demo              Serves both deployments in this process on loopback and puts
+                                them under load. Exit codes: 0 all well, 1 a contract's term
+                                is broken or an answer is wrong, 2 wrong usage, 3 could not
+                                run.
+        "#]],
     );
 }
 
@@ -204,6 +212,27 @@
     .assert_eq(&err.replace(&broken, "FILE"));
 }
 
+#[test]
+fn help_of_experiment() {
+    check_help(&["experiment", "--help"], expect![[r#"
+        Usage: oleanderwind-load experiment --plan <plan> --daemon <daemon> --standin <standin> [--report <report>] [--plot <plot>]
+
+        Sets variants of the daemon's environment against each other, in turns, on the same seeds. Each trial starts stand-ins and daemons of its own. The plan's JSON: variants (name, environment), scenarios (name, control_calls of at_ms, path and body), rounds, vms, deployments, rate, duration_ms, seed. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2 wrong usage, 3 could not run.
+
+        Options:
+          --plan            file of the plan in JSON
+          --daemon          path of the program oleanderwindd
+          --standin         path of the program oleanderwind-standin
+          --report          file for every trial's report in JSON
+          --plot            file for a plot of the variants' latency distributions in
+                            SVG
+          --help, help      display usage information
+
+        Examples:
+          oleanderwind-load experiment --plan plan.json --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json
+    "#]]);
+}
+
 #[test]
 fn help_of_demo() {
     check_help(
--- /dev/null
+++ b/crates/load/tests/experiment.rs
@@ -0,0 +1,116 @@
+//! The order of an experiment's trials, its findings, its table and its programs.
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+
+use expect_test::expect;
+use oleanderwind_load::ChildProgram;
+use oleanderwind_load::ClassTally;
+use oleanderwind_load::CustomerReport;
+use oleanderwind_load::ExperimentPlan;
+use oleanderwind_load::ExperimentReport;
+use oleanderwind_load::REPORT_VERSION;
+use oleanderwind_load::RequestSample;
+use oleanderwind_load::RunReport;
+use oleanderwind_load::RunSettings;
+use oleanderwind_load::TrialResult;
+use oleanderwind_load::TrialStep;
+use oleanderwind_load::draw_experiment;
+use oleanderwind_load::render_experiment;
+use oleanderwind_policy::RequestOutcome;
+
+/// Two variants under one scenario, three rounds.
+fn plan() -> ExperimentPlan {
+    serde_json::from_value(serde_json::json!({
+        "variants": [{"name": "base"}, {"name": "keep", "environment": {"OLEANDERWIND_ADDRESS_KEEP_MS": "50"}}],
+        "scenarios": [{"name": "calm"}],
+        "rounds": 3, "vms": 3, "deployments": ["haneul"], "rate": 20.0, "duration_ms": 1000, "seed": 9,
+    }))
+    .unwrap()
+}
+
+#[test]
+fn steps_alternate_and_share_seeds() {
+    let steps = plan().steps();
+    let order: Vec<usize> = steps.iter().map(|step| step.variant).collect();
+    assert_eq!(order, [0, 1, 1, 0, 0, 1]);
+    let seeds: Vec<u64> = steps.iter().map(|step| step.seed).collect();
+    assert_eq!(seeds, [9, 9, 10, 10, 11, 11]);
+    assert_eq!(steps[2], TrialStep { round: 1, scenario: 0, variant: 1, seed: 10 });
+}
+
+#[test]
+fn check_reports_every_finding() {
+    assert!(plan().check().is_ok());
+    let mut broken = plan();
+    broken.variants[1].name = "base".to_string();
+    broken.scenarios.clear();
+    broken.rate = 0.0;
+    expect![[r#"
+        scenarios: is 0 or empty; give at least one
+        rate: is 0; give more than 0
+        variants[1].name: is empty or repeated; give another"#]]
+    .assert_eq(&broken.check().unwrap_err().to_string());
+}
+
+#[test]
+fn render_experiment_medians() {
+    let plan = plan();
+    let trials = plan.steps().into_iter().map(|step| {
+        let mut tally = ClassTally::new("find-bed", None).unwrap();
+        tally.record(&RequestSample {
+            outcome: Some(RequestOutcome::Answered),
+            latency: std::time::Duration::from_millis(10 + step.seed * (1 + step.variant as u64)),
+            coverage: None,
+            is_wrong: false,
+        });
+        let customer = CustomerReport {
+            customer: "haneul".to_string(),
+            classes: vec![tally.report()],
+            extra_load: None,
+            checks: Vec::new(),
+        };
+        TrialResult {
+            round: step.round,
+            variant: plan.variants[step.variant].name.clone(),
+            scenario: "calm".to_string(),
+            report: RunReport {
+                version: REPORT_VERSION,
+                settings: RunSettings::default(),
+                elapsed_ms: 1,
+                overflowed: 0,
+                reconnects: 0,
+                customers: vec![customer],
+                processes: Vec::new(),
+            },
+        }
+    });
+    let trials = trials.collect();
+    let report = ExperimentReport { plan, trials };
+    expect![[r#"
+        scenario         customer/class                     variant                              p99 ms          coverage permille       not in time permille
+        calm             haneul/find-bed                    base                      20.0 (19.0..21.0)                          -             0.0 (0.0..0.0)
+        calm             haneul/find-bed                    keep                      30.0 (28.0..32.0)                          -             0.0 (0.0..0.0)
+    "#]].assert_eq(&render_experiment(&report));
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("experiment.svg");
+    draw_experiment(&report, &path).unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    assert!(text.contains("calm, keep: haneul/find-bed"), "{text}");
+}
+
+#[actix_rt::test]
+async fn child_program_reads_its_addresses() {
+    let shell = Path::new("/bin/sh");
+    let script = |text: &str| ["-c".to_string(), text.to_string()];
+    let environment = [("CALLER".to_string(), "127.0.0.1:5".to_string())];
+    let text = "echo \"{\\\"caller\\\":\\\"$CALLER\\\"}\"; exec sleep 60";
+    let program = ChildProgram::start(shell, &script(text), &environment).await.unwrap();
+    assert_eq!(program.address("caller").unwrap(), "127.0.0.1:5");
+    assert!(program.address("peer").is_err());
+    let entry = format!("/proc/{}", program.pid());
+    assert!(Path::new(&entry).exists());
+    drop(program);
+    assert!(!Path::new(&entry).exists(), "a dropped program is ended");
+    assert!(ChildProgram::start(shell, &script("exit 1"), &[]).await.is_err());
+    assert!(ChildProgram::start(Path::new("/no/such"), &[], &[]).await.is_err());
+}
