fix(load): take the mean of the middle rounds as the median

Cause: with an even number of rounds the table named the greater of the two middle values, so with two rounds the median was always the greatest.

Change: the table takes the mean of the two.

--- a/crates/load/src/experiment/table.rs
+++ b/crates/load/src/experiment/table.rs
@@ -149,8 +149,9 @@
 /// `median (least..greatest)`, or `-` without a value.
 fn render_range(mut values: Vec<f64>) -> String {
     values.sort_by(f64::total_cmp);
-    match (values.first(), values.get(values.len() / 2), values.last()) {
-        (Some(least), Some(median), Some(greatest)) => {
+    match (values.first(), values.last()) {
+        (Some(least), Some(greatest)) => {
+            let median = (values[(values.len() - 1) / 2] + values[values.len() / 2]) / 2.0;
             format!("{median:.1} ({least:.1}..{greatest:.1})")
         }
         _ => "-".to_string(),
--- a/crates/load/tests/command.rs
+++ b/crates/load/tests/command.rs
@@ -214,7 +214,9 @@
 
 #[test]
 fn help_of_experiment() {
-    check_help(&["experiment", "--help"], expect![[r#"
+    check_help(
+        &["experiment", "--help"],
+        expect![[r#"
         Usage: oleanderwind-load experiment --plan <plan> --daemon <daemon> --standin <standin> [--report <report>] [--plot <plot>]
 
         Sets variants of the daemon's environment against each other, in turns, on the same seeds. Each trial starts stand-ins and daemons of its own. The plan's JSON: variants (name, environment), scenarios (name, control_calls of at_ms, path and body), rounds, vms, deployments, rate, duration_ms, seed. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2 wrong usage, 3 could not run.
@@ -230,7 +232,8 @@
 
         Examples:
           oleanderwind-load experiment --plan plan.json --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
