perf(policy): bound the engine's work at the target size

Cause: a VM of the target size sends 190 queries a second to 72 of 9,500 targets. Change: counts of what the engine holds and does, a test that bounds timers and looked-at targets for each sub-query at 9,504 targets, and gungraun benchmarks with hard limits from a stated target of 20,000 instructions for a sub-query (8,000 submit, 8,000 answer, 4,000 timers).

--- /dev/null
+++ b/crates/policy/benches/fanout.rs
@@ -0,0 +1,72 @@
+//! Instructions of the fan-out engine at the target size, with hard limits.
+//!
+//! The stated target is 20,000 instructions for a sub-query over its life: 8,000 to submit it,
+//! 8,000 to take its answer and 4,000 for its timers. Each benchmark runs whole queries of 72.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use gungraun::Callgrind;
+use gungraun::EventKind;
+use gungraun::LibraryBenchmarkConfig;
+use gungraun::library_benchmark;
+use gungraun::library_benchmark_group;
+use gungraun::main;
+
+mod large_fleet;
+
+use large_fleet::LargeFleet;
+use large_fleet::SHARDS;
+
+/// Queries of each benchmark, each to another service.
+const QUERIES: u64 = 50;
+/// Sub-queries of each benchmark.
+const SUB_QUERIES: u64 = QUERIES * SHARDS as u64;
+/// Most instructions to submit one sub-query.
+const SUBMIT_INSTRUCTIONS: u64 = 8_000;
+/// Most instructions to take in one answer.
+const ANSWER_INSTRUCTIONS: u64 = 8_000;
+/// Most instructions for the timers of one sub-query.
+const WAKE_INSTRUCTIONS: u64 = 4_000;
+
+fn submitted_fleet() -> LargeFleet {
+    let mut fleet = LargeFleet::new();
+    fleet.submit(QUERIES);
+    fleet
+}
+
+fn limit(instructions: u64) -> LibraryBenchmarkConfig {
+    let mut callgrind = Callgrind::default();
+    callgrind.hard_limits([(EventKind::Ir, instructions * SUB_QUERIES)]);
+    let mut config = LibraryBenchmarkConfig::default();
+    config.tool(callgrind);
+    config
+}
+
+#[library_benchmark(config = limit(SUBMIT_INSTRUCTIONS))]
+#[bench::target_size(LargeFleet::new())]
+fn submit_queries(mut fleet: LargeFleet) -> LargeFleet {
+    fleet.submit(QUERIES);
+    black_box(fleet)
+}
+
+#[library_benchmark(config = limit(ANSWER_INSTRUCTIONS))]
+#[bench::target_size(submitted_fleet())]
+fn answer_calls(mut fleet: LargeFleet) -> LargeFleet {
+    fleet.answer();
+    black_box(fleet)
+}
+
+#[library_benchmark(config = limit(WAKE_INSTRUCTIONS))]
+#[bench::target_size(submitted_fleet())]
+fn wake_hedges(mut fleet: LargeFleet) -> LargeFleet {
+    fleet.wake(Duration::from_millis(60));
+    black_box(fleet)
+}
+
+library_benchmark_group!(
+    name = fanout_cost,
+    benchmarks = [submit_queries, answer_calls, wake_hedges]
+);
+
+main!(library_benchmark_groups = fanout_cost);
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -190,6 +190,7 @@
         let candidates = replicas
             .filter(move |(replica, _)| skipped & replica_bit(*replica) == 0)
             .map(|(_, target)| *target);
+        self.targets_compared += candidates.clone().count() as u64;
         self.settings.routing.choose(&mut self.targets, candidates, &mut self.generator, now)
     }
 
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -45,6 +45,8 @@
     pub(crate) freed: Vec<TargetIndex>,
     /// The latest time that was told.
     pub(crate) latest: Option<Instant>,
+    pub(crate) timers_set: u64,
+    pub(crate) targets_compared: u64,
     manifests: ManifestCache,
     next_call: u64,
 }
@@ -72,6 +74,8 @@
             timers: BinaryHeap::new(),
             freed: Vec::new(),
             latest: None,
+            timers_set: 0,
+            targets_compared: 0,
             manifests: ManifestCache::default(),
             next_call: 0,
             settings,
@@ -171,6 +175,7 @@
         kind: TimerKind,
     ) {
         let position = u32::try_from(position).unwrap_or(u32::MAX);
+        self.timers_set += 1;
         self.timers.push(Reverse(EngineTimer { at, query, position, step, kind }));
     }
 
--- a/crates/policy/src/fanout/mod.rs
+++ b/crates/policy/src/fanout/mod.rs
@@ -4,6 +4,7 @@
 //! out; the caller carries the actions out and holds the answers' bytes.
 
 mod action;
+mod counts;
 mod dispatch;
 mod engine;
 mod event;
@@ -19,6 +20,7 @@
 mod waiting;
 
 pub use action::FanoutAction;
+pub use counts::EngineCounts;
 pub use engine::FanoutEngine;
 pub use event::FanoutEvent;
 pub use executor::ExecutorOutcome;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub use contract::RawClass;
 pub use contract::RawContract;
 pub use contract::RawPlacement;
+pub use fanout::EngineCounts;
 pub use fanout::ExecutorOutcome;
 pub use fanout::FanoutAction;
 pub use fanout::FanoutEngine;
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -43,6 +43,11 @@
         0..u32::try_from(self.states.len()).unwrap_or(u32::MAX)
     }
 
+    /// Targets that are known, those that left lately included.
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// Grows with every change of the list; an index found earlier may have become another's.
     pub(crate) fn generation(&self) -> u64 {
         self.generation
--- /dev/null
+++ b/crates/policy/tests/fanout_cost.rs
@@ -0,0 +1,35 @@
+//! Work of the fan-out engine at the target size, counted in steps.
+#![allow(dead_code)]
+
+#[path = "../benches/large_fleet/mod.rs"]
+mod large_fleet;
+
+use large_fleet::LargeFleet;
+use large_fleet::SHARDS;
+
+/// Timers that one sub-query may set, its share of the query's own included.
+const TIMERS_PER_SUB_QUERY: u64 = 2;
+/// Targets that one sub-query may look at: two replicas for the call, one for a hedge.
+const TARGETS_PER_SUB_QUERY: u64 = 3;
+
+#[test]
+fn serve_does_a_bounded_count_of_steps_for_each_sub_query() {
+    let mut fleet = LargeFleet::new();
+    let before = fleet.engine.counts();
+    fleet.serve(1_000);
+    let after = fleet.engine.counts();
+    let sub_queries = 1_000 * u64::from(SHARDS);
+    assert_eq!(after.known_targets, 9_504);
+    assert!(after.timers_set - before.timers_set <= sub_queries * TIMERS_PER_SUB_QUERY);
+    let compared = after.targets_compared - before.targets_compared;
+    assert!(compared <= sub_queries * TARGETS_PER_SUB_QUERY);
+}
+
+#[test]
+fn serve_holds_nothing_of_queries_that_ended() {
+    let mut fleet = LargeFleet::new();
+    fleet.serve(500);
+    let counts = fleet.engine.counts();
+    assert_eq!(fleet.finished, 500 + 66 * 3);
+    assert_eq!((counts.running_queries, counts.open_calls, counts.pending_timers), (0, 0, 0));
+}
