test(policy): state how often a silent target may be tried

Seen: over 200 queries in 2 s a silent replica whose calls lose to hedges got 11 calls where 10 are granted; nothing but its smoothed latency keeps calls away.

--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -101,6 +101,17 @@
     assert!(fleet.target("s3r0").received - before > 10, "it is back");
 }
 
+#[test]
+fn backoff_probes_a_silent_target_whose_calls_all_lose_to_hedges() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    fleet.target("s3r0").behaviour = Behaviour::Silent;
+    let before = fleet.target("s3r0").received;
+    fleet.submit_every(1, 200, ms(10));
+    let received = fleet.target("s3r0").received - before;
+    // As for a failing target, and a window of two more that are open when it is found out.
+    assert!(received <= 3 + 5 + 2, "received {received}");
+}
+
 #[test]
 fn backoff_uses_failing_targets_when_no_other_is_left() {
     let mut fleet = warm_fleet(FanoutSettings::default());
