feat(policy): back off from targets whose calls all lose to hedges

Cause: a silent replica was kept away by its smoothed latency only (11 calls where 10 are granted). Change: a call cancelled when it was late by its shard's own latency counts as a failure for the choice of targets; its window stays, since lateness alone is one signal.

--- a/crates/policy/src/fanout/finish.rs
+++ b/crates/policy/src/fanout/finish.rs
@@ -9,6 +9,7 @@
 use crate::QueryId;
 use crate::fanout::query::RunningQuery;
 use crate::fanout::timer::TimerKind;
+use crate::routing::CancelledCall;
 
 /// When to come back after a shard without a live target.
 const RETRY_AFTER_LOST: Duration = Duration::from_secs(1);
@@ -59,7 +60,12 @@
             }
             let state = self.targets.state_mut(open.target);
             state.window.release();
-            state.note_unanswered(elapsed, is_timeout, now);
+            let end = match (is_timeout, elapsed >= estimate.late) {
+                (true, _) => CancelledCall::PastDeadline,
+                (false, true) => CancelledCall::Late,
+                (false, false) => CancelledCall::InTime,
+            };
+            state.note_unanswered(elapsed, end, now);
             actions.push(FanoutAction::Cancel { call, target: state.target.clone() });
             self.freed.push(open.target);
         }
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -22,6 +22,17 @@
 /// Latency taken for a target without samples, in seconds.
 const UNKNOWN_LATENCY: f64 = 0.001;
 
+/// How a call stood when it was cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CancelledCall {
+    /// Not yet late.
+    InTime,
+    /// Late by the shard's own latency.
+    Late,
+    /// Open until its query had to be answered.
+    PastDeadline,
+}
+
 /// One target: what the platform says, what it says itself and what was seen.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -121,13 +132,17 @@
 
     /// Takes in a cancelled call that had run for `elapsed`.
     ///
-    /// Its latency is at least that long; only a deadline that it let pass counts as a failure.
-    pub(crate) fn note_unanswered(&mut self, elapsed: Duration, is_timeout: bool, now: Instant) {
+    /// Its latency is at least that long. Lateness counts as a failure for the choice of targets, so
+    /// that one whose calls all lose to hedges is found out; only a deadline that it let pass
+    /// narrows its window too.
+    pub(crate) fn note_unanswered(&mut self, elapsed: Duration, end: CancelledCall, now: Instant) {
         if elapsed.as_secs_f64() > self.latency.expected(now) {
             self.latency.record(elapsed, now);
         }
-        if is_timeout {
-            self.note_failure(now);
+        match end {
+            CancelledCall::InTime => {}
+            CancelledCall::Late => self.backoff.note_failure(now),
+            CancelledCall::PastDeadline => self.note_failure(now),
         }
     }
 
