fix(policy): end a target's draining by the platform's word and begin it before

Cause: a target that restarted under its id stayed draining for good, and a peer's sign about a target that the platform had not listed yet was lost. Change: a target comes back once the platform has listed it as draining, or not at all, and then as ready; a sign about an unknown target is kept.

--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -14,7 +14,8 @@
 impl FanoutEngine {
     /// Replaces what the platform says of the targets.
     ///
-    /// A target that said it is leaving stays so until the platform has dropped it from the list.
+    /// A target that said it is leaving stays so until the platform has listed it as draining, or
+    /// not at all, and lists it ready again.
     pub fn apply_targets(&mut self, targets: Vec<TargetSpec>, now: Instant) {
         self.latest = Some(now);
         self.targets.apply(&targets, now);
@@ -26,10 +27,9 @@
     /// Notes that a target said, here or to a peer, that it is leaving.
     pub fn mark_draining(&mut self, target: &TargetId, now: Instant) {
         self.latest = Some(now);
-        if let Some(index) = self.targets.find(target) {
-            self.targets.state_mut(index).drain();
-            self.serve_later(index);
-        }
+        let index = self.targets.intern(target);
+        self.targets.state_mut(index).drain();
+        self.serve_later(index);
     }
 
     /// How many calls may be open to a target at once, one a connection.
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -45,7 +45,7 @@
     pub(crate) picks: u64,
     /// When the platform stopped listing it.
     pub(crate) unlisted_at: Option<Instant>,
-    is_listed: bool,
+    listed_phase: Option<TargetPhase>,
     is_draining: bool,
     others_open: u32,
     reported_at: Option<Instant>,
@@ -63,7 +63,7 @@
             backoff: FailureBackoff::default(),
             picks: 0,
             unlisted_at: None,
-            is_listed: false,
+            listed_phase: None,
             is_draining: false,
             others_open: 0,
             reported_at: None,
@@ -73,22 +73,24 @@
 
     /// Takes over what the platform lists.
     pub(crate) fn list(&mut self, spec: &TargetSpec) {
-        if !self.is_listed {
+        if self.listed_phase.is_none() {
             self.window.set_initial(spec.slots);
         }
         self.window.set_shape(spec.slots, spec.connection_limit);
-        // The platform's word may lag behind the target's own: only a target that was gone from
-        // the list comes back from draining.
-        let is_back = !self.is_listed;
+        // The platform's word may lag behind the target's own: a target comes back from draining
+        // only after the platform has listed it as draining, or not at all.
+        let is_back = self.listed_phase == Some(TargetPhase::Draining);
         let is_draining = spec.phase == TargetPhase::Draining;
         self.is_draining = is_draining || (self.is_draining && !is_back);
-        self.is_listed = true;
+        self.listed_phase = Some(spec.phase);
         self.unlisted_at = None;
     }
 
     /// Notes that the platform lists it no more.
     pub(crate) fn unlist(&mut self, now: Instant) {
-        self.is_listed = false;
+        if self.listed_phase.take().is_some() {
+            self.is_draining = false;
+        }
         self.unlisted_at.get_or_insert(now);
     }
 
@@ -104,7 +106,7 @@
 
     /// Whether it may take new calls at all.
     pub(crate) fn is_usable(&self) -> bool {
-        self.is_listed && !self.is_draining && self.window.has_connections()
+        self.listed_phase.is_some() && !self.is_draining && self.window.has_connections()
     }
 
     /// Whether it shed a call lately.
--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -1,6 +1,7 @@
 //! Draining, lying, failing and lost targets, and executors.
 
 use oleanderwind_policy::ExecutorOutcome;
+use oleanderwind_policy::FanoutEngine;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FinishReason;
 use oleanderwind_policy::LoadReport;
@@ -40,6 +41,31 @@
     assert_eq!(fleet.target("s3r0").received, before + 1);
 }
 
+#[test]
+fn drain_ends_when_the_platform_lists_the_target_ready_again() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    let before = fleet.target("s3r0").received;
+    fleet.engine.mark_draining(&"s3r0".into(), fleet.now);
+    for phase in [TargetPhase::Draining, TargetPhase::Ready] {
+        let mut specs = fleet.specs.clone();
+        specs.iter_mut().filter(|spec| &*spec.target == "s3r0").for_each(|spec| spec.phase = phase);
+        fleet.engine.apply_targets(specs, fleet.now);
+    }
+    fleet.submit_every(1, 50, ms(10));
+    assert!(fleet.target("s3r0").received > before);
+}
+
+#[test]
+fn drain_sign_counts_before_the_platform_lists_the_target() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 1, 2);
+    let mut engine = FanoutEngine::new(FanoutSettings::default());
+    engine.mark_draining(&"s0r0".into(), fleet.now);
+    engine.apply_targets(fleet.specs.clone(), fleet.now);
+    fleet.engine = engine;
+    fleet.submit_every(1, 20, ms(20));
+    assert_eq!((fleet.target("s0r0").received, fleet.target("s0r1").received), (0, 20));
+}
+
 #[test]
 fn drain_hands_waiting_calls_to_another_replica() {
     let mut fleet = FakeFleet::new(FanoutSettings::default(), 1, 2);
