docs(policy): show the engine's use in an example

Cause: the engine's interface had no example. Change: one that compiles, a query that ends in the step of its submission.

--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -32,6 +32,42 @@
 const MARGIN_DIVISOR: u32 = 4;
 
 /// Every running query of one VM, with what is known of the targets.
+///
+/// # Examples
+///
+/// A query whose only shard has no live target ends in the step of its submission:
+///
+/// ```
+/// use std::sync::Arc;
+/// use std::time::Duration;
+/// use std::time::Instant;
+///
+/// use oleanderwind_policy::*;
+///
+/// let now = Instant::now();
+/// let mut engine = FanoutEngine::new(FanoutSettings::default());
+/// let shard = ShardEntry { shard: 0, documents: 10, targets: vec!["a".into()] };
+/// let plan = FanoutPlan {
+///     customer: "library".into(),
+///     class: "finder".into(),
+///     manifest: Arc::new(SnapshotManifest {
+///         service: "courses".into(),
+///         provider: "east".into(),
+///         index_version: 1,
+///         shards: vec![shard],
+///     }),
+///     deadline: now + Duration::from_millis(200),
+///     coverage_floor_permille: 900,
+///     preference: AnswerPreference::Coverage,
+///     priority: ClassPriority::Interactive,
+///     extra_load_permille: 100,
+/// };
+/// let mut actions = Vec::new();
+/// engine.submit(1, plan, now, &mut actions);
+/// let [FanoutAction::Finish { result, .. }] = &actions[..] else { panic!("{actions:?}") };
+/// assert_eq!(result.reason, FinishReason::ShardLost);
+/// assert_eq!(result.ran, RunState::No);
+/// ```
 pub struct FanoutEngine {
     pub(crate) settings: FanoutSettings,
     pub(crate) generator: Pcg64Mcg,
