--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -22,6 +22,17 @@
 /// Latency taken for a target without samples, in seconds.
 const UNKNOWN_LATENCY: f64 = 0.001;
 
+/// How a call stood when it was cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CancelledCall {
+    /// Not yet late.
+    InTime,
+    /// Late by the shard's own latency.
+    Late,
+    /// Open until its query had to be answered.
+    PastDeadline,
+}
+
 /// One target: what the platform says, what it says itself and what was seen.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -34,7 +45,7 @@
     pub(crate) picks: u64,
     /// When the platform stopped listing it.
     pub(crate) unlisted_at: Option<Instant>,
-    is_listed: bool,
+    listed_phase: Option<TargetPhase>,
     is_draining: bool,
     others_open: u32,
     reported_at: Option<Instant>,
@@ -52,7 +63,7 @@
             backoff: FailureBackoff::default(),
             picks: 0,
             unlisted_at: None,
-            is_listed: false,
+            listed_phase: None,
             is_draining: false,
             others_open: 0,
             reported_at: None,
@@ -62,22 +73,24 @@
 
     /// Takes over what the platform lists.
     pub(crate) fn list(&mut self, spec: &TargetSpec) {
-        if !self.is_listed {
+        if self.listed_phase.is_none() {
             self.window.set_initial(spec.slots);
         }
         self.window.set_shape(spec.slots, spec.connection_limit);
-        // The platform's word may lag behind the target's own: only a target that was gone from
-        // the list comes back from draining.
-        let is_back = !self.is_listed;
+        // The platform's word may lag behind the target's own: a target comes back from draining
+        // only after the platform has listed it as draining, or not at all.
+        let is_back = self.listed_phase == Some(TargetPhase::Draining);
         let is_draining = spec.phase == TargetPhase::Draining;
         self.is_draining = is_draining || (self.is_draining && !is_back);
-        self.is_listed = true;
+        self.listed_phase = Some(spec.phase);
         self.unlisted_at = None;
     }
 
     /// Notes that the platform lists it no more.
     pub(crate) fn unlist(&mut self, now: Instant) {
-        self.is_listed = false;
+        if self.listed_phase.take().is_some() {
+            self.is_draining = false;
+        }
         self.unlisted_at.get_or_insert(now);
     }
 
@@ -93,7 +106,7 @@
 
     /// Whether it may take new calls at all.
     pub(crate) fn is_usable(&self) -> bool {
-        self.is_listed && !self.is_draining && self.window.has_connections()
+        self.listed_phase.is_some() && !self.is_draining && self.window.has_connections()
     }
 
     /// Whether it shed a call lately.
@@ -121,13 +134,17 @@
 
     /// Takes in a cancelled call that had run for `elapsed`.
     ///
-    /// Its latency is at least that long; only a deadline that it let pass counts as a failure.
-    pub(crate) fn note_unanswered(&mut self, elapsed: Duration, is_timeout: bool, now: Instant) {
+    /// Its latency is at least that long. Lateness counts as a failure for the choice of targets, so
+    /// that one whose calls all lose to hedges is found out; only a deadline that it let pass
+    /// narrows its window too.
+    pub(crate) fn note_unanswered(&mut self, elapsed: Duration, end: CancelledCall, now: Instant) {
         if elapsed.as_secs_f64() > self.latency.expected(now) {
             self.latency.record(elapsed, now);
         }
-        if is_timeout {
-            self.note_failure(now);
+        match end {
+            CancelledCall::InTime => {}
+            CancelledCall::Late => self.backoff.note_failure(now),
+            CancelledCall::PastDeadline => self.note_failure(now),
         }
     }
 
