fix(fanout): wake the engine when targets change, send the call's own deadline

Cause: the engine may set a timer that is due at once when targets change, and its calls carry a deadline less the answer's margin; the driver slept through the first and sent the query's deadline to the searcher. Change: notify after every change of targets; the searcher gets the call's own deadline.

--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -77,7 +77,8 @@
         for action in actions {
             match action {
                 FanoutAction::Send { query, call, target, shard, index_version, deadline } => {
-                    let Some(shard_call) = self.shard_call(query, call, shard, index_version)
+                    let Some(shard_call) =
+                        self.shard_call(query, call, shard, index_version, deadline)
                     else {
                         continue;
                     };
@@ -100,10 +101,11 @@
         call_id: CallId,
         shard: u32,
         index_version: u64,
+        deadline: Instant,
     ) -> Option<ShardCall> {
         let queries = self.queries.borrow();
         let driven = queries.get(&query)?;
-        let remaining = driven.plan.deadline.saturating_duration_since(Instant::now());
+        let remaining = deadline.saturating_duration_since(Instant::now());
         Some(ShardCall {
             call_id,
             customer: driven.plan.customer.clone(),
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -106,11 +106,13 @@
             engine.set_connection_budget(&spec.target, share.working);
         }
         engine.apply_targets(specs, Instant::now());
+        self.timer_changes.notify_one();
     }
 
     /// Notes that a target said, here or to a peer, that it is leaving.
     pub(crate) fn mark_draining(&self, target: &TargetId) {
         self.engine.borrow_mut().mark_draining(target, Instant::now());
+        self.timer_changes.notify_one();
     }
 
     /// Waits for running queries; each ends by its deadline.
