--- /dev/null
+++ b/crates/policy/src/membership/member.rs
@@ -0,0 +1,124 @@
+//! What is known of one VM.
+
+use std::net::SocketAddr;
+
+use crate::FailureDomainId;
+use crate::Revision;
+use crate::VmId;
+
+/// Bytes of a record's tags, lengths and flags in the peer protocol, at most.
+const RECORD_FIXED_BYTES: usize = 17;
+/// Bytes of an address as text, at most (IPv6 with port).
+const ADDRESS_BYTES: usize = 47;
+
+/// What a VM says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum MemberPhase {
+    /// Takes requests.
+    Serving,
+    /// Finishes what runs; callers are no longer sent to it.
+    Leaving,
+    /// Has stopped by its own word.
+    Left,
+}
+
+/// What this VM makes of another, from all sources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum MemberStanding {
+    /// Takes requests.
+    Serving,
+    /// Did not answer probes; counts as serving for everything but address answers and watches.
+    Suspect,
+    /// Finishes what runs.
+    Leaving,
+    /// Stopped by its own word.
+    Left,
+    /// Silent, and the platform has dropped it from its list as well.
+    Gone,
+}
+
+/// One VM's word of itself as it is passed on among peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberRecord {
+    /// The VM.
+    pub vm: VmId,
+    /// Start of its process, in milliseconds since the epoch; 0 for a VM known from the list only.
+    pub incarnation: u64,
+    /// Grows with every change that the VM makes to its record.
+    pub sequence: u64,
+    /// What it says of itself.
+    pub phase: MemberPhase,
+    /// Another VM could not reach it at this incarnation and sequence.
+    pub suspected: bool,
+    /// Where it stands.
+    pub failure_domain: FailureDomainId,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Highest configuration revision that it holds.
+    pub revision: Revision,
+}
+
+impl MemberRecord {
+    /// Whether this record replaces `held`: later process, then later word, then a suspicion.
+    pub fn replaces(&self, held: &MemberRecord) -> bool {
+        self.rank() > held.rank()
+    }
+
+    /// Upper bound of the record's bytes in the peer protocol.
+    pub fn encoded_bound(&self) -> usize {
+        let addresses = address_bound(&self.peer_address) + address_bound(&self.caller_address);
+        let numbers = [self.incarnation, self.sequence, self.revision];
+        let numbers: usize = numbers.into_iter().map(varint_bytes).sum();
+        RECORD_FIXED_BYTES + self.vm.len() + self.failure_domain.len() + addresses + numbers
+    }
+
+    /// Order of records of one VM.
+    fn rank(&self) -> (u64, u64, bool) {
+        (self.incarnation, self.sequence, self.suspected)
+    }
+}
+
+/// Bytes of a number in the peer protocol.
+fn varint_bytes(number: u64) -> usize {
+    let bits = u64::BITS - (number | 1).leading_zeros();
+    bits.div_ceil(7) as usize
+}
+
+/// Upper bound of an address as text, in bytes.
+fn address_bound(address: &SocketAddr) -> usize {
+    if address.is_ipv4() { "255.255.255.255:65535".len() } else { ADDRESS_BYTES }
+}
+
+/// A VM as the platform's list has it; the list lags.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Where it stands.
+    pub failure_domain: FailureDomainId,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// The platform is about to stop it.
+    pub leaving: bool,
+}
+
+impl From<&PlatformVm> for MemberRecord {
+    /// The record that any word of the VM itself replaces.
+    fn from(listed: &PlatformVm) -> MemberRecord {
+        MemberRecord {
+            vm: listed.vm.clone(),
+            incarnation: 0,
+            sequence: 0,
+            phase: MemberPhase::Serving,
+            suspected: false,
+            failure_domain: listed.failure_domain.clone(),
+            peer_address: listed.peer_address,
+            caller_address: listed.caller_address,
+            revision: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/objects/start.rs
@@ -0,0 +1,53 @@
+//! When a new VM may serve.
+
+use std::collections::BTreeMap;
+
+use crate::Revision;
+use crate::VmId;
+
+/// Peers whose word is enough when the platform can't be asked.
+const PEER_PROOFS: usize = 3;
+
+/// Holds a new VM back until its configuration is proven.
+///
+/// Proof is a whole list from the platform, or everything that each of [`PEER_PROOFS`] peers (of
+/// all, when there are fewer) holds. A VM that knows of no peer needs the platform.
+#[derive(Clone, Debug, Default)]
+pub struct StartGate {
+    platform_revision: Option<Revision>,
+    peers: BTreeMap<VmId, Revision>,
+    opened: bool,
+}
+
+impl StartGate {
+    /// The platform's lists came, complete up to `revision`.
+    pub fn platform_listed(&mut self, revision: Revision) {
+        self.platform_revision = Some(revision);
+    }
+
+    /// A peer that serves said up to which revision it holds everything.
+    pub fn peer_heard(&mut self, vm: &VmId, complete_to: Revision) {
+        if !self.opened && complete_to > 0 {
+            self.peers.insert(vm.clone(), complete_to);
+        }
+    }
+
+    /// Whether the VM may serve, holding everything up to `complete_to`; once open it stays so.
+    pub fn is_open(&mut self, complete_to: Revision, known_peers: usize) -> bool {
+        self.opened = self.opened || self.is_proven(complete_to, known_peers);
+        self.opened
+    }
+
+    /// Whether what is held is as new as what the asked ones hold.
+    fn is_proven(&self, complete_to: Revision, known_peers: usize) -> bool {
+        if complete_to == 0 {
+            return false;
+        }
+        if self.platform_revision.is_some_and(|revision| complete_to >= revision) {
+            return true;
+        }
+        let wanted = PEER_PROOFS.min(known_peers).max(1);
+        let newest = self.peers.values().max().copied().unwrap_or(Revision::MAX);
+        self.peers.len() >= wanted && complete_to >= newest
+    }
+}
--- /dev/null
+++ b/crates/policy/src/objects/watch.rs
@@ -0,0 +1,77 @@
+//! Which VMs hold the platform's waiting watches, and when they call again after a failure.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::FailureDomainId;
+use crate::VmId;
+use crate::subset::rendezvous_weight;
+
+/// Watch holders of one failure domain; a second one covers the loss of the first.
+const HOLDERS_PER_DOMAIN: usize = 2;
+/// Name under which VMs are ranked for the watches.
+const WATCH_NAME: &str = "platform-watch";
+/// Bound of the first wait after a failed call.
+const FIRST_BACKOFF: Duration = Duration::from_secs(1);
+/// Bound of every later wait.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(10);
+
+/// The VMs of one failure domain that hold watches, by the view of the VM that asks.
+///
+/// `vms` are the domain's serving VMs. Two views that differ give an extra watch or, until
+/// suspicion has spread, one watch less; the other holder and other domains cover that.
+pub fn watch_holders(domain: &FailureDomainId, vms: &[VmId]) -> Vec<VmId> {
+    let mut ranked: Vec<(u64, &VmId)> =
+        vms.iter().map(|vm| (rendezvous_weight(&[WATCH_NAME, domain], vm), vm)).collect();
+    ranked.sort_unstable_by(|left, right| right.cmp(left));
+    ranked.truncate(HOLDERS_PER_DOMAIN);
+    ranked.into_iter().map(|(_, vm)| vm.clone()).collect()
+}
+
+/// When a watch holder calls the platform again.
+///
+/// The wait is drawn between nothing and a bound that doubles with each failure ("full jitter"),
+/// so that the holders don't return together after an outage.
+#[derive(Clone, Debug)]
+pub struct WatchBackoff {
+    failures: u32,
+    next_call: Instant,
+    generator: Pcg64Mcg,
+}
+
+impl WatchBackoff {
+    /// The first call is due within [`FIRST_BACKOFF`], as many VMs may start together.
+    pub fn new(seed: u64, now: Instant) -> WatchBackoff {
+        let mut backoff =
+            WatchBackoff { failures: 0, next_call: now, generator: Pcg64Mcg::seed_from_u64(seed) };
+        backoff.wait(FIRST_BACKOFF, now);
+        backoff
+    }
+
+    /// When the next call is due.
+    pub fn next_call(&self) -> Instant {
+        self.next_call
+    }
+
+    /// The call was answered, or the watch ran to its planned end: the next one follows at once.
+    pub fn succeeded(&mut self, now: Instant) {
+        self.failures = 0;
+        self.next_call = now;
+    }
+
+    /// The call failed.
+    pub fn failed(&mut self, now: Instant) {
+        let bound = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(10)).min(LONGEST_BACKOFF);
+        self.failures = self.failures.saturating_add(1);
+        self.wait(bound, now);
+    }
+
+    /// Draws the next wait below `bound`.
+    fn wait(&mut self, bound: Duration, now: Instant) {
+        self.next_call = now + bound.mul_f64(self.generator.random());
+    }
+}
--- /dev/null
+++ b/crates/policy/src/subset/mod.rs
@@ -0,0 +1,15 @@
+//! Which VMs hold the connections of a service.
+//!
+//! Rendezvous hashing, after D. Thaler and C. Ravishankar, "Using name-based mappings to increase
+//! hit rates" (IEEE/ACM Transactions on Networking, 1998), spread over the failure domains.
+
+mod address;
+mod budget;
+mod rendezvous;
+
+pub use address::AddressPlan;
+pub use address::address_plan;
+pub use budget::ConnectionBudget;
+pub use rendezvous::SubsetCandidate;
+pub use rendezvous::rendezvous_weight;
+pub use rendezvous::service_holders;
--- /dev/null
+++ b/crates/wire/src/peer/convert.rs
@@ -0,0 +1,171 @@
+//! Between the peer protocol's messages and the decisions' types.
+
+use std::net::SocketAddr;
+
+use oleanderwind_policy as policy;
+use oleanderwind_policy::FindingList;
+use oleanderwind_policy::ObjectKind;
+use oleanderwind_policy::ObjectSummary;
+
+use super::ConfigurationObject;
+use super::ExchangeMessage;
+use super::FetchObjectsReply;
+use super::MemberPhase;
+use super::MemberRecord;
+
+impl From<&policy::MemberRecord> for MemberRecord {
+    fn from(record: &policy::MemberRecord) -> MemberRecord {
+        let phase = match record.phase {
+            policy::MemberPhase::Serving => MemberPhase::Serving,
+            policy::MemberPhase::Leaving => MemberPhase::Leaving,
+            policy::MemberPhase::Left => MemberPhase::Left,
+        };
+        MemberRecord {
+            vm: record.vm.to_string(),
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            phase: phase.into(),
+            failure_domain: record.failure_domain.to_string(),
+            peer_address: record.peer_address.to_string(),
+            caller_address: record.caller_address.to_string(),
+            revision: record.revision,
+            suspected: record.suspected,
+        }
+    }
+}
+
+impl TryFrom<&MemberRecord> for policy::MemberRecord {
+    type Error = FindingList;
+
+    fn try_from(record: &MemberRecord) -> Result<policy::MemberRecord, FindingList> {
+        let mut findings = FindingList::default();
+        let phase = match record.phase() {
+            MemberPhase::Unspecified | MemberPhase::Serving => policy::MemberPhase::Serving,
+            MemberPhase::Leaving => policy::MemberPhase::Leaving,
+            MemberPhase::Left => policy::MemberPhase::Left,
+        };
+        if record.phase() == MemberPhase::Unspecified {
+            findings.add("phase", "is not one that this version knows");
+        }
+        if record.vm.is_empty() {
+            findings.add("vm", "is empty; name the VM");
+        }
+        let peer_address = parse_address("peer_address", &record.peer_address, &mut findings);
+        let caller_address = parse_address("caller_address", &record.caller_address, &mut findings);
+        findings.into_result(policy::MemberRecord {
+            vm: record.vm.as_str().into(),
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            phase,
+            suspected: record.suspected,
+            failure_domain: record.failure_domain.as_str().into(),
+            peer_address,
+            caller_address,
+            revision: record.revision,
+        })
+    }
+}
+
+/// Parses `ip:port`; a broken one adds a finding.
+fn parse_address(place: &str, text: &str, findings: &mut FindingList) -> SocketAddr {
+    text.parse().unwrap_or_else(|_| {
+        findings.add(place, format!("is {text:?}; give ip:port"));
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    })
+}
+
+impl From<&policy::ExchangeMessage> for ExchangeMessage {
+    fn from(message: &policy::ExchangeMessage) -> ExchangeMessage {
+        ExchangeMessage {
+            sender: Some(MemberRecord::from(&message.sender)),
+            members: message.members.iter().map(MemberRecord::from).collect(),
+            drains: Vec::new(),
+            revision: message.summary.highest,
+            complete_revision: message.summary.complete_to,
+            configuration_digest: message.summary.digest,
+        }
+    }
+}
+
+impl TryFrom<&ExchangeMessage> for policy::ExchangeMessage {
+    type Error = FindingList;
+
+    /// Fails when the sender's record is broken; broken records of others are left out.
+    fn try_from(message: &ExchangeMessage) -> Result<policy::ExchangeMessage, FindingList> {
+        let sender = policy::MemberRecord::try_from(&message.sender.clone().unwrap_or_default())?;
+        let records = message.members.iter().map(policy::MemberRecord::try_from);
+        Ok(policy::ExchangeMessage {
+            sender,
+            members: records.filter_map(Result::ok).collect(),
+            summary: ObjectSummary {
+                highest: message.revision,
+                complete_to: message.complete_revision,
+                digest: message.configuration_digest,
+            },
+        })
+    }
+}
+
+impl From<&policy::ConfigurationObject> for ConfigurationObject {
+    fn from(object: &policy::ConfigurationObject) -> ConfigurationObject {
+        ConfigurationObject {
+            kind: object.key.kind.as_str().to_owned(),
+            name: object.key.name.to_string(),
+            revision: object.revision,
+            deleted: object.body.is_none(),
+            body: object.body.as_deref().unwrap_or_default().to_vec(),
+        }
+    }
+}
+
+impl TryFrom<&ConfigurationObject> for policy::ConfigurationObject {
+    type Error = FindingList;
+
+    fn try_from(object: &ConfigurationObject) -> Result<policy::ConfigurationObject, FindingList> {
+        let mut findings = FindingList::default();
+        let known = ObjectKind::ALL.into_iter().find(|kind| kind.as_str() == object.kind);
+        if known.is_none() {
+            findings.add("kind", format!("is {:?}, which this version doesn't know", object.kind));
+        }
+        if object.revision == 0 {
+            findings.add("revision", "is 0; give the store's revision");
+        }
+        let body = (!object.deleted).then(|| object.body.clone().into());
+        findings.into_result(policy::ConfigurationObject {
+            key: policy::ObjectKey {
+                kind: known.unwrap_or(ObjectKind::Contracts),
+                name: object.name.as_str().into(),
+            },
+            revision: object.revision,
+            body,
+        })
+    }
+}
+
+impl From<&policy::ObjectDelta> for FetchObjectsReply {
+    fn from(delta: &policy::ObjectDelta) -> FetchObjectsReply {
+        FetchObjectsReply {
+            objects: delta.objects.iter().map(ConfigurationObject::from).collect(),
+            scanned_revision: delta.scanned_to,
+            complete_revision: delta.complete_to,
+            has_more: delta.has_more,
+            too_old: delta.too_old,
+        }
+    }
+}
+
+impl TryFrom<&FetchObjectsReply> for policy::ObjectDelta {
+    type Error = FindingList;
+
+    /// Fails as a whole when one object is broken, as the page would not be complete without it.
+    fn try_from(reply: &FetchObjectsReply) -> Result<policy::ObjectDelta, FindingList> {
+        let objects = reply.objects.iter().map(policy::ConfigurationObject::try_from);
+        Ok(policy::ObjectDelta {
+            objects: objects.collect::<Result<_, _>>()?,
+            scanned_to: reply.scanned_revision,
+            complete_to: reply.complete_revision,
+            has_more: reply.has_more,
+            too_old: reply.too_old,
+        })
+    }
+}
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -21,16 +21,31 @@
     /// Highest configuration revision in force on that VM.
     #[prost(uint64, tag = "8")]
     pub revision: u64,
+    /// Another VM could not reach it at this incarnation and sequence.
+    #[prost(bool, tag = "9")]
+    pub suspected: bool,
 }
-/// Recent demand of one customer at one VM.
+/// A rate of one customer, wanted or lent.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DemandRecord {
     #[prost(string, tag = "1")]
     pub customer: ::prost::alloc::string::String,
-    /// Requests a second that reached the VM.
+    /// Requests a second.
     #[prost(double, tag = "2")]
     pub requests_per_second: f64,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BorrowRequest {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub wanted: ::prost::alloc::vec::Vec<DemandRecord>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BorrowReply {
+    #[prost(message, repeated, tag = "1")]
+    pub lent: ::prost::alloc::vec::Vec<DemandRecord>,
+}
 /// A target that announced its departure.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DrainRecord {
@@ -39,39 +54,38 @@
     #[prost(uint64, tag = "2")]
     pub sequence: u64,
 }
+/// A heartbeat, and the reply to one.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct ExchangeRequest {
+pub struct ExchangeMessage {
     #[prost(message, optional, tag = "1")]
     pub sender: ::core::option::Option<MemberRecord>,
+    /// Records that may be news to the receiver, bounded in bytes.
     #[prost(message, repeated, tag = "2")]
     pub members: ::prost::alloc::vec::Vec<MemberRecord>,
     #[prost(message, repeated, tag = "3")]
-    pub demand: ::prost::alloc::vec::Vec<DemandRecord>,
-    #[prost(message, repeated, tag = "4")]
     pub drains: ::prost::alloc::vec::Vec<DrainRecord>,
     /// Highest configuration revision that the sender holds.
-    #[prost(uint64, tag = "5")]
+    #[prost(uint64, tag = "4")]
     pub revision: u64,
-    /// Digest over all (name, revision) pairs that the sender holds.
-    #[prost(uint64, tag = "6")]
-    pub configuration_digest: u64,
-}
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct ExchangeReply {
-    #[prost(message, optional, tag = "1")]
-    pub sender: ::core::option::Option<MemberRecord>,
-    #[prost(message, repeated, tag = "2")]
-    pub members: ::prost::alloc::vec::Vec<MemberRecord>,
-    #[prost(message, repeated, tag = "3")]
-    pub demand: ::prost::alloc::vec::Vec<DemandRecord>,
-    #[prost(message, repeated, tag = "4")]
-    pub drains: ::prost::alloc::vec::Vec<DrainRecord>,
+    /// The sender holds every object up to this revision.
     #[prost(uint64, tag = "5")]
-    pub revision: u64,
-    #[prost(uint64, tag = "6")]
+    pub complete_revision: u64,
+    /// Digest over the names and revisions of all objects that exist.
+    #[prost(fixed64, tag = "6")]
     pub configuration_digest: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProbeRequest {
+    /// The VM to try.
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProbeReply {
+    #[prost(bool, tag = "1")]
+    pub answered: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigurationObject {
     #[prost(string, tag = "1")]
     pub kind: ::prost::alloc::string::String,
@@ -93,12 +107,27 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FetchObjectsReply {
-    /// The revision up to which this reply is complete.
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    #[prost(message, repeated, tag = "2")]
+    #[prost(message, repeated, tag = "1")]
     pub objects: ::prost::alloc::vec::Vec<ConfigurationObject>,
+    /// The sender has nothing else between the revision asked for and this one.
+    #[prost(uint64, tag = "2")]
+    pub scanned_revision: u64,
+    /// The sender holds every object up to this revision.
+    #[prost(uint64, tag = "3")]
+    pub complete_revision: u64,
+    #[prost(bool, tag = "4")]
+    pub has_more: bool,
+    /// Deletions since the revision asked for are forgotten: list anew.
+    #[prost(bool, tag = "5")]
+    pub too_old: bool,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PushObjectsRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub objects: ::prost::alloc::vec::Vec<ConfigurationObject>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PushObjectsReply {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ForwardRequest {
     #[prost(string, tag = "1")]
@@ -250,8 +279,11 @@
         /// Heartbeat with piggybacked membership, configuration and demand.
         pub async fn exchange(
             &mut self,
-            request: impl tonic::IntoRequest<super::ExchangeRequest>,
-        ) -> std::result::Result<tonic::Response<super::ExchangeReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::ExchangeMessage>,
+        ) -> std::result::Result<
+            tonic::Response<super::ExchangeMessage>,
+            tonic::Status,
+        > {
             self.inner
                 .ready()
                 .await
@@ -269,7 +301,76 @@
                 .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Exchange"));
             self.inner.unary(req, path, codec).await
         }
-        /// Contract objects at or above the revisions that the asker lacks.
+        /// Tries another VM on the asker's behalf.
+        pub async fn probe(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ProbeRequest>,
+        ) -> std::result::Result<tonic::Response<super::ProbeReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/oleanderwind.peer.v1.Peer/Probe",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Probe"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Lends part of a customer's rate for a few seconds.
+        pub async fn borrow(
+            &mut self,
+            request: impl tonic::IntoRequest<super::BorrowRequest>,
+        ) -> std::result::Result<tonic::Response<super::BorrowReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/oleanderwind.peer.v1.Peer/Borrow",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Borrow"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Passes changed objects on.
+        pub async fn push_objects(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PushObjectsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PushObjectsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/oleanderwind.peer.v1.Peer/PushObjects",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "PushObjects"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Objects that changed after a revision, a bounded page of them.
         pub async fn fetch_objects(
             &mut self,
             request: impl tonic::IntoRequest<super::FetchObjectsRequest>,
@@ -334,9 +435,27 @@
         /// Heartbeat with piggybacked membership, configuration and demand.
         async fn exchange(
             &self,
-            request: tonic::Request<super::ExchangeRequest>,
-        ) -> std::result::Result<tonic::Response<super::ExchangeReply>, tonic::Status>;
-        /// Contract objects at or above the revisions that the asker lacks.
+            request: tonic::Request<super::ExchangeMessage>,
+        ) -> std::result::Result<tonic::Response<super::ExchangeMessage>, tonic::Status>;
+        /// Tries another VM on the asker's behalf.
+        async fn probe(
+            &self,
+            request: tonic::Request<super::ProbeRequest>,
+        ) -> std::result::Result<tonic::Response<super::ProbeReply>, tonic::Status>;
+        /// Lends part of a customer's rate for a few seconds.
+        async fn borrow(
+            &self,
+            request: tonic::Request<super::BorrowRequest>,
+        ) -> std::result::Result<tonic::Response<super::BorrowReply>, tonic::Status>;
+        /// Passes changed objects on.
+        async fn push_objects(
+            &self,
+            request: tonic::Request<super::PushObjectsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PushObjectsReply>,
+            tonic::Status,
+        >;
+        /// Objects that changed after a revision, a bounded page of them.
         async fn fetch_objects(
             &self,
             request: tonic::Request<super::FetchObjectsRequest>,
@@ -430,16 +549,16 @@
                 "/oleanderwind.peer.v1.Peer/Exchange" => {
                     #[allow(non_camel_case_types)]
                     struct ExchangeSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::ExchangeRequest>
+                    impl<T: Peer> tonic::server::UnaryService<super::ExchangeMessage>
                     for ExchangeSvc<T> {
-                        type Response = super::ExchangeReply;
+                        type Response = super::ExchangeMessage;
                         type Future = BoxFuture<
                             tonic::Response<Self::Response>,
                             tonic::Status,
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::ExchangeRequest>,
+                            request: tonic::Request<super::ExchangeMessage>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
@@ -470,6 +589,135 @@
                     };
                     Box::pin(fut)
                 }
+                "/oleanderwind.peer.v1.Peer/Probe" => {
+                    #[allow(non_camel_case_types)]
+                    struct ProbeSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::ProbeRequest>
+                    for ProbeSvc<T> {
+                        type Response = super::ProbeReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ProbeRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::probe(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ProbeSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/oleanderwind.peer.v1.Peer/Borrow" => {
+                    #[allow(non_camel_case_types)]
+                    struct BorrowSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::BorrowRequest>
+                    for BorrowSvc<T> {
+                        type Response = super::BorrowReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::BorrowRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::borrow(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = BorrowSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/oleanderwind.peer.v1.Peer/PushObjects" => {
+                    #[allow(non_camel_case_types)]
+                    struct PushObjectsSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::PushObjectsRequest>
+                    for PushObjectsSvc<T> {
+                        type Response = super::PushObjectsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PushObjectsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::push_objects(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PushObjectsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/oleanderwind.peer.v1.Peer/FetchObjects" => {
                     #[allow(non_camel_case_types)]
                     struct FetchObjectsSvc<T: Peer>(pub Arc<T>);
