--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -143,11 +143,12 @@
         if now < self.next_probe {
             return Vec::new();
         }
-        self.next_probe = now + self.jittered_period();
-        let peers = match self.settings.plan {
-            ProbePlan::FullMesh => self.names(can_answer),
-            ProbePlan::RoundRobin => self.next_in_round().into_iter().collect(),
+        let gap = self.jittered_period();
+        let (gap, peers) = match self.settings.plan {
+            ProbePlan::FullMesh => (gap, self.names(can_answer)),
+            ProbePlan::RoundRobin => (gap / 2, self.next_in_round().into_iter().collect()),
         };
+        self.next_probe = now + gap;
         peers.into_iter().filter_map(|vm| self.exchange(vm, summary)).collect()
     }
 
@@ -158,6 +159,11 @@
         summary: ObjectSummary,
     ) -> ExchangeMessage {
         self.take_in(message);
+        if self.settings.plan == ProbePlan::RoundRobin {
+            // An exchange is worth the same whoever began it: half a gap each keeps their sum
+            // at two a period even for the VM that most others happen to choose.
+            self.next_probe += self.settings.period / 2;
+        }
         self.message(&message.sender.vm, summary)
     }
 
--- a/crates/policy/src/membership/settings.rs
+++ b/crates/policy/src/membership/settings.rs
@@ -17,7 +17,9 @@
 pub struct MembershipSettings {
     /// Which peers get a heartbeat.
     pub plan: ProbePlan,
-    /// Mean time between heartbeats; each gap is drawn within a quarter of it.
+    /// Mean time between a VM's heartbeats; each gap is drawn within a quarter of it.
+    ///
+    /// In the round robin half of the gap is drawn, and each heartbeat received adds the other.
     pub period: Duration,
     /// Peers asked to try a VM that did not answer, before it is suspected.
     pub indirect_probes: usize,
@@ -38,7 +40,7 @@
             plan: ProbePlan::RoundRobin,
             period: Duration::from_secs(1),
             indirect_probes: 2,
-            member_bytes: 280,
+            member_bytes: 180,
             repeat_factor: 3,
             self_doubt_permille: 800,
             seed: 1,
