fix(objects): keep forgotten deletions from coming back, and make records smaller

Change: what is unknown below the complete revision is stale; a VM that can't tell the deletions says so, and the asker turns to others and after three takes a whole listing. The complete revision moves with changes only.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -62,6 +62,7 @@
 pub use objects::ObjectDelta;
 pub use objects::ObjectKey;
 pub use objects::ObjectKind;
+pub use objects::ObjectListing;
 pub use objects::ObjectStore;
 pub use objects::SpreadAction;
 pub use objects::SpreadEngine;
--- a/crates/policy/src/membership/member.rs
+++ b/crates/policy/src/membership/member.rs
@@ -8,8 +8,6 @@
 
 /// Bytes of a record's tags, lengths and flags in the peer protocol, at most.
 const RECORD_FIXED_BYTES: usize = 17;
-/// Bytes of an address as text, at most (IPv6 with port).
-const ADDRESS_BYTES: usize = 47;
 
 /// What a VM says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -68,7 +66,7 @@
 
     /// Upper bound of the record's bytes in the peer protocol.
     pub fn encoded_bound(&self) -> usize {
-        let addresses = address_bound(&self.peer_address) + address_bound(&self.caller_address);
+        let addresses = address_bytes(&self.peer_address) + address_bytes(&self.caller_address);
         let numbers = [self.incarnation, self.sequence, self.revision];
         let numbers: usize = numbers.into_iter().map(varint_bytes).sum();
         RECORD_FIXED_BYTES + self.vm.len() + self.failure_domain.len() + addresses + numbers
@@ -86,9 +84,9 @@
     bits.div_ceil(7) as usize
 }
 
-/// Upper bound of an address as text, in bytes.
-fn address_bound(address: &SocketAddr) -> usize {
-    if address.is_ipv4() { "255.255.255.255:65535".len() } else { ADDRESS_BYTES }
+/// Bytes of an address with its port in the peer protocol.
+fn address_bytes(address: &SocketAddr) -> usize {
+    if address.is_ipv4() { 6 } else { 18 }
 }
 
 /// A VM as the platform's list has it; the list lags.
--- a/crates/policy/src/membership/settings.rs
+++ b/crates/policy/src/membership/settings.rs
@@ -41,7 +41,7 @@
             period: Duration::from_secs(1),
             indirect_probes: 2,
             member_bytes: 180,
-            repeat_factor: 3,
+            repeat_factor: 1,
             self_doubt_permille: 800,
             seed: 1,
         }
--- a/crates/policy/src/objects/mod.rs
+++ b/crates/policy/src/objects/mod.rs
@@ -8,6 +8,7 @@
 
 mod contact;
 mod delta;
+mod listing;
 mod object;
 mod spread;
 mod start;
@@ -17,6 +18,7 @@
 pub use contact::ContactClock;
 pub use contact::ContactState;
 pub use delta::ObjectDelta;
+pub use listing::ObjectListing;
 pub use object::ConfigurationObject;
 pub use object::ObjectKey;
 pub use object::ObjectKind;
--- a/crates/policy/src/objects/spread.rs
+++ b/crates/policy/src/objects/spread.rs
@@ -6,6 +6,7 @@
 use crate::ConfigurationObject;
 use crate::MembershipEngine;
 use crate::ObjectDelta;
+use crate::ObjectListing;
 use crate::ObjectStore;
 use crate::ObjectSummary;
 use crate::Revision;
@@ -15,6 +16,8 @@
 const PUSH_FANOUT: usize = 3;
 /// Bound of one pull's reply, in bytes.
 const PULL_BYTES: usize = 64 * 1_024;
+/// Peers in a row that have forgotten deletions, after which a whole listing is pulled.
+const REFUSAL_LIMIT: u32 = 3;
 /// A pull that got no reply by then is taken for lost.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -34,6 +37,8 @@
         vm: VmId,
         /// Objects changed after this revision are wanted.
         after: Revision,
+        /// A whole listing is wanted, see [`ObjectListing`].
+        whole: bool,
     },
 }
 
@@ -43,6 +48,10 @@
     store: ObjectStore,
     /// When the running pull was sent; one runs at a time.
     pulling_since: Option<Instant>,
+    /// Pages of the whole listing that is being pulled.
+    listing: Option<ObjectListing>,
+    /// Peers in a row that had forgotten deletions.
+    refusals: u32,
 }
 
 impl SpreadEngine {
@@ -51,9 +60,9 @@
         &self.store
     }
 
-    /// Takes the platform's list of every kind in.
-    pub fn apply_list(&mut self, list: &[ConfigurationObject], revision: Revision) {
-        self.store.apply_list(list, revision);
+    /// Takes the platform's lists of every kind in.
+    pub fn apply_listing(&mut self, listing: &ObjectListing) {
+        self.store.apply_listing(listing);
     }
 
     /// Takes changes in, from a watch or from a peer, and passes on what was news.
@@ -79,22 +88,21 @@
     /// Compares a peer's summary with the own one and pulls if something may be missing.
     pub fn heard(&mut self, vm: &VmId, peer: ObjectSummary, now: Instant) -> Option<SpreadAction> {
         let own = self.store.summary();
-        if peer.digest == own.digest {
-            // The same objects exist here, so that what is complete there is complete here.
-            self.store.raise_complete(peer.complete_to);
-            return None;
-        }
+        let may_lack = peer.digest != own.digest && peer.highest >= own.highest;
         let is_pulling = self.pulling_since.is_some_and(|since| now < since + PULL_TIMEOUT);
-        if peer.highest < own.highest || is_pulling {
+        if is_pulling || !(may_lack || peer.complete_to > own.complete_to) {
             return None;
         }
         self.pulling_since = Some(now);
-        Some(SpreadAction::Pull { vm: vm.clone(), after: own.complete_to })
+        let whole = own.complete_to == 0 || self.refusals >= REFUSAL_LIMIT;
+        self.listing = whole.then(ObjectListing::default);
+        let after = if whole { 0 } else { own.complete_to };
+        Some(SpreadAction::Pull { vm: vm.clone(), after, whole })
     }
 
     /// The reply to a peer's pull.
-    pub fn pull_asked(&self, after: Revision) -> ObjectDelta {
-        self.store.delta_after(after, PULL_BYTES)
+    pub fn pull_asked(&self, after: Revision, whole: bool) -> ObjectDelta {
+        self.store.delta_after(after, whole, PULL_BYTES)
     }
 
     /// Takes a page in; asks for the next when there is one.
@@ -105,8 +113,19 @@
         delta: &ObjectDelta,
         now: Instant,
     ) -> Option<SpreadAction> {
-        self.store.apply_delta(after, delta);
+        let whole = self.listing.is_some();
+        match self.listing.as_mut() {
+            Some(listing) => listing.add_page(delta),
+            None => drop(self.store.apply_delta(after, delta)),
+        }
+        self.refusals = if delta.too_old { self.refusals + 1 } else { 0 };
         self.pulling_since = delta.has_more.then_some(now);
-        delta.has_more.then(|| SpreadAction::Pull { vm: vm.clone(), after: delta.scanned_to })
+        if delta.has_more {
+            return Some(SpreadAction::Pull { vm: vm.clone(), after: delta.scanned_to, whole });
+        }
+        if let Some(listing) = self.listing.take() {
+            self.store.apply_listing(&listing);
+        }
+        None
     }
 }
--- a/crates/policy/src/objects/start.rs
+++ b/crates/policy/src/objects/start.rs
@@ -20,9 +20,9 @@
 }
 
 impl StartGate {
-    /// The platform's lists came, complete up to `revision`.
-    pub fn platform_listed(&mut self, revision: Revision) {
-        self.platform_revision = Some(revision);
+    /// The platform's lists were taken in, which made everything up to `complete_to` held.
+    pub fn platform_listed(&mut self, complete_to: Revision) {
+        self.platform_revision = Some(complete_to);
     }
 
     /// A peer that serves said up to which revision it holds everything.
--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -8,6 +8,7 @@
 use crate::ObjectDelta;
 use crate::ObjectKey;
 use crate::ObjectKind;
+use crate::ObjectListing;
 use crate::ObjectSummary;
 use crate::Revision;
 
@@ -20,7 +21,7 @@
     objects: BTreeMap<ObjectKey, ConfigurationObject>,
     order: BTreeSet<(Revision, ObjectKey)>,
     tombstones: BTreeSet<(Revision, ObjectKey)>,
-    /// Deletions up to this revision may be forgotten; never above `complete_to`.
+    /// Deletions up to this revision may not be known; never above `complete_to`.
     forgotten_to: Revision,
     complete_to: Revision,
     highest: Revision,
@@ -50,8 +51,10 @@
     /// Objects changed after `after`, lowest revision first, up to about `max_bytes`.
     ///
     /// At least one object is sent whatever its size, so that a pull always moves on.
-    pub fn delta_after(&self, after: Revision, max_bytes: usize) -> ObjectDelta {
-        let too_old = after > 0 && after < self.forgotten_to;
+    /// Fails as `too_old` for an asker that may hold something whose deletion is forgotten here,
+    /// unless it wants the `whole` and drops what that lacks.
+    pub fn delta_after(&self, after: Revision, whole: bool, max_bytes: usize) -> ObjectDelta {
+        let too_old = !whole && after < self.forgotten_to;
         let mut delta = ObjectDelta { too_old, scanned_to: after, ..ObjectDelta::default() };
         delta.complete_to = self.complete_to;
         if too_old {
@@ -82,14 +85,9 @@
     pub fn apply(&mut self, object: &ConfigurationObject) -> bool {
         match self.objects.get(&object.key) {
             Some(held) if held.revision >= object.revision => return false,
-            Some(held) => {
-                let place = (held.revision, held.key.clone());
-                self.digest ^= held.digest();
-                self.order.remove(&place);
-                self.tombstones.remove(&place);
-            }
-            // It would be held if it still existed: its deletion is forgotten.
-            None if object.revision <= self.forgotten_to => return false,
+            Some(_) => self.remove(&object.key),
+            // It would be held if this were its newest state: it was changed or deleted since.
+            None if object.revision <= self.complete_to => return false,
             None => {}
         }
         let place = (object.revision, object.key.clone());
@@ -118,29 +116,42 @@
         fresh
     }
 
-    /// Takes the platform's whole list of every kind in, complete up to `revision`.
-    ///
-    /// What the list lacks was deleted by then; what changed later stays.
-    pub fn apply_list(&mut self, list: &[ConfigurationObject], revision: Revision) {
-        let listed: BTreeSet<&ObjectKey> = list.iter().map(|object| &object.key).collect();
+    /// Takes a whole listing in: what it lacks was deleted, what changed after it stays.
+    pub fn apply_listing(&mut self, listing: &ObjectListing) {
         let is_lost = |object: &&ConfigurationObject| {
-            object.body.is_some() && object.revision <= revision && !listed.contains(&object.key)
+            object.revision <= listing.complete_to && !listing.objects.contains_key(&object.key)
         };
         let lost: Vec<ObjectKey> =
             self.objects.values().filter(is_lost).map(|object| object.key.clone()).collect();
-        for object in list {
+        for key in lost {
+            self.remove(&key);
+        }
+        for object in listing.objects.values() {
             self.apply(object);
         }
-        for key in lost {
-            self.apply(&ConfigurationObject { key, revision, body: None });
+        // The deletions before the listing are not known here.
+        if listing.complete_to > self.complete_to {
+            self.raise_complete(listing.complete_to);
+            self.forgotten_to = self.complete_to;
         }
-        self.raise_complete(revision);
     }
 
-    /// Notes that everything up to `revision` is held; it never falls.
+    /// Notes that everything up to `revision` is held.
+    ///
+    /// It never falls. It stops at the highest revision held, as there is nothing beyond it: so it
+    /// moves with changes only, not with every write to the platform's store.
     pub fn raise_complete(&mut self, revision: Revision) {
-        self.complete_to = self.complete_to.max(revision);
-        self.highest = self.highest.max(revision);
+        self.complete_to = self.complete_to.max(revision.min(self.highest));
+    }
+
+    /// Removes an object without a trace.
+    fn remove(&mut self, key: &ObjectKey) {
+        if let Some(held) = self.objects.remove(key) {
+            let place = (held.revision, held.key.clone());
+            self.digest ^= held.digest();
+            self.order.remove(&place);
+            self.tombstones.remove(&place);
+        }
     }
 
     /// Drops the oldest deletions past the bound, but none that peers may still have to learn of.
@@ -151,8 +162,7 @@
                 self.tombstones.insert((revision, key));
                 return;
             }
-            self.order.remove(&(revision, key.clone()));
-            self.objects.remove(&key);
+            self.remove(&key);
             self.forgotten_to = self.forgotten_to.max(revision);
         }
     }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -21,6 +21,7 @@
 use oleanderwind_policy::ObjectDelta;
 use oleanderwind_policy::ObjectKey;
 use oleanderwind_policy::ObjectKind;
+use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::ObjectSummary;
 use oleanderwind_policy::PlatformVm;
 use oleanderwind_policy::Revision;
@@ -51,7 +52,7 @@
     Failed { node: usize, peer: usize },
     Indirect { node: usize, peer: usize, answered: bool },
     Push { to: usize, objects: Vec<ConfigurationObject> },
-    Pull { from: usize, to: usize, after: Revision },
+    Pull { from: usize, to: usize, after: Revision, whole: bool },
     Page { from: usize, to: usize, after: Revision, delta: ObjectDelta },
     Watched { node: usize, objects: Vec<ConfigurationObject>, revision: Revision },
 }
@@ -148,7 +149,8 @@
         let mut members = MembershipEngine::new(settings, own, self.now);
         members.apply_list(&self.platform.vms);
         let mut spread = SpreadEngine::default();
-        spread.apply_list(&[object("first", 10, Some("{}"))], 10);
+        let first = [object("first", 10, Some("{}"))];
+        spread.apply_listing(&ObjectListing::from_platform(&first, 10));
         Node {
             members,
             spread,
@@ -287,8 +289,8 @@
                 self.nodes[node].members.indirect_came(&vm, answered);
             }
             Step::Push { to, objects } => self.changed(to, &objects),
-            Step::Pull { from, to, after } => {
-                let delta = self.nodes[to].spread.pull_asked(after);
+            Step::Pull { from, to, after, whole } => {
+                let delta = self.nodes[to].spread.pull_asked(after, whole);
                 self.count(from, to, peer::FetchObjectsReply::from(&delta).encoded_len());
                 let at = self.later();
                 if self.reaches(to, from) {
@@ -421,11 +423,11 @@
                         self.schedule(at, Step::Push { to, objects });
                     }
                 }
-                SpreadAction::Pull { vm, after } => {
+                SpreadAction::Pull { vm, after, whole } => {
                     let to = self.index[&vm];
                     self.count(from, to, 8);
                     if self.reaches(from, to) {
-                        self.schedule(at, Step::Pull { from, to, after });
+                        self.schedule(at, Step::Pull { from, to, after, whole });
                     }
                 }
             }
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -1,5 +1,6 @@
 //! Between the peer protocol's messages and the decisions' types.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use oleanderwind_policy as policy;
@@ -26,8 +27,8 @@
             sequence: record.sequence,
             phase: phase.into(),
             failure_domain: record.failure_domain.to_string(),
-            peer_address: record.peer_address.to_string(),
-            caller_address: record.caller_address.to_string(),
+            peer_address: address_to_bytes(record.peer_address),
+            caller_address: address_to_bytes(record.caller_address),
             revision: record.revision,
             suspected: record.suspected,
         }
@@ -66,10 +67,26 @@
     }
 }
 
-/// Parses `ip:port`; a broken one adds a finding.
-fn parse_address(place: &str, text: &str, findings: &mut FindingList) -> SocketAddr {
-    text.parse().unwrap_or_else(|_| {
-        findings.add(place, format!("is {text:?}; give ip:port"));
+/// An address as 4 or 16 bytes of IP and 2 bytes of port.
+fn address_to_bytes(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
+
+/// Reads an address; a broken one adds a finding.
+fn parse_address(place: &str, bytes: &[u8], findings: &mut FindingList) -> SocketAddr {
+    let parsed = bytes.split_last_chunk::<2>().and_then(|(ip, port)| {
+        let port = u16::from_be_bytes(*port);
+        let v4 = <[u8; 4]>::try_from(ip).map(|ip| SocketAddr::from((ip, port)));
+        let v6 = <[u8; 16]>::try_from(ip).map(|ip| SocketAddr::from((ip, port)));
+        v4.or(v6).ok()
+    });
+    parsed.unwrap_or_else(|| {
+        findings.add(place, format!("has {} bytes; give 6 or 18", bytes.len()));
         SocketAddr::from(([0, 0, 0, 0], 0))
     })
 }
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -14,10 +14,11 @@
     pub phase: i32,
     #[prost(string, tag = "5")]
     pub failure_domain: ::prost::alloc::string::String,
-    #[prost(string, tag = "6")]
-    pub peer_address: ::prost::alloc::string::String,
-    #[prost(string, tag = "7")]
-    pub caller_address: ::prost::alloc::string::String,
+    /// Addresses are 4 or 16 bytes of IP and 2 bytes of port, in network order.
+    #[prost(bytes = "vec", tag = "6")]
+    pub peer_address: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "vec", tag = "7")]
+    pub caller_address: ::prost::alloc::vec::Vec<u8>,
     /// Highest configuration revision in force on that VM.
     #[prost(uint64, tag = "8")]
     pub revision: u64,
@@ -104,6 +105,9 @@
     /// Objects changed after this revision are wanted.
     #[prost(uint64, tag = "1")]
     pub after_revision: u64,
+    /// Forgotten deletions don't matter: the asker drops what the pages lack.
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FetchObjectsReply {
