feat(admission): hold a customer's limit by parts and loans, and prove the connection budget

Cause: a fleet-wide limit must hold with no call per request, and a searcher's connections must not be exceeded while views differ. Property tests over view differences and rolling replacement.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Events and the time go in, actions come out; random numbers come from a seeded generator.
 
+mod admission;
 mod contract;
 mod fanout;
 mod finding;
@@ -13,6 +14,9 @@
 mod snapshot;
 mod subset;
 
+pub use admission::AdmissionAnswer;
+pub use admission::BorrowCall;
+pub use admission::CustomerLimiter;
 pub use contract::AnswerPreference;
 pub use contract::ClassPriority;
 pub use contract::ClassTerms;
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -130,9 +130,7 @@
 
     /// Takes the platform's list in.
     pub fn apply_list(&mut self, list: &[PlatformVm]) {
-        let others: Vec<PlatformVm> =
-            list.iter().filter(|listed| listed.vm != self.own.vm).cloned().collect();
-        self.table.apply_list(&others);
+        self.table.apply_list(list.iter().filter(|listed| listed.vm != self.own.vm));
     }
 }
 
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -44,17 +44,20 @@
     /// Takes the platform's list in.
     ///
     /// A VM that the list lacks stays unless it is suspected or stopped too, as the list lags.
-    pub fn apply_list(&mut self, list: &[PlatformVm]) {
+    pub fn apply_list<'list>(&mut self, list: impl Iterator<Item = &'list PlatformVm>) {
         self.list_seen = true;
         for member in self.members.values_mut() {
             member.listed = false;
         }
         for listed in list {
-            self.apply(&MemberRecord::from(listed));
-            if let Some(member) = self.members.get_mut(&listed.vm) {
-                member.listed = true;
-                member.list_leaving = listed.leaving;
-            }
+            // A VM's own word outranks the list, so that a record held stays.
+            let member = self.members.entry(listed.vm.clone()).or_insert_with(|| Member {
+                record: MemberRecord::from(listed),
+                listed: true,
+                list_leaving: false,
+            });
+            member.listed = true;
+            member.list_leaving = listed.leaving;
         }
         self.members.retain(|_, member| {
             member.listed || !(member.record.phase == MemberPhase::Left || member.record.suspected)
--- a/crates/policy/src/subset/budget.rs
+++ b/crates/policy/src/subset/budget.rs
@@ -4,8 +4,14 @@
 ///
 /// A target accepts `limit` connections. Each holder opens at most `limit / (holders + spare)`,
 /// rounded down, whatever its view is, so that the target sees no more than its limit as long as
-/// no more than `holders + spare` VMs take themselves for holders or have not yet closed:
-/// `spare` is the number of VMs by which all views together may exceed one view's holders.
+/// no more than `holders + spare` VMs take themselves for holders or have not yet closed.
+///
+/// That many hold as long as at most `spare` VMs are in some views and not in others, or are gone
+/// with connections that the target still counts: taking a VM out of a view moves no other VM
+/// down in [`service_holders`](crate::service_holders), so that every VM that takes itself for a
+/// holder is one by the view that lacks all the disputed VMs, or is disputed itself. With `more`
+/// disputed VMs among a service's holders the target sees `(holders + more) * per_vm` connections
+/// at most, and refuses those above its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionBudget {
     /// VMs that hold the service in one view.
--- a/crates/policy/tests/faults.rs
+++ b/crates/policy/tests/faults.rs
@@ -206,6 +206,7 @@
 proptest! {
     #![proptest_config(proptest::prelude::ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
         ..Default::default()
     })]
 
--- /dev/null
+++ b/crates/policy/tests/subset.rs
@@ -0,0 +1,161 @@
+//! Which VMs hold a service, and that targets never see more connections than they accept.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use std::collections::BTreeMap;
+
+use fleet::platform_vm;
+use oleanderwind_policy::ConnectionBudget;
+use oleanderwind_policy::MemberRecord;
+use oleanderwind_policy::MemberStanding;
+use oleanderwind_policy::SubsetCandidate;
+use oleanderwind_policy::address_plan;
+use oleanderwind_policy::service_holders;
+use proptest::prelude::any;
+use proptest::proptest;
+
+fn candidates(numbers: impl Iterator<Item = usize>, domains: usize) -> Vec<SubsetCandidate> {
+    let candidate = |number| {
+        let listed = platform_vm(number, domains);
+        SubsetCandidate { vm: listed.vm, failure_domain: listed.failure_domain }
+    };
+    numbers.map(candidate).collect()
+}
+
+/// Connections that a target sees when each VM goes by its own view.
+fn connections(views: &[(usize, Vec<usize>)], limit: u32, spare: usize, wanted: u32) -> u32 {
+    let mut sum = 0;
+    for (own, view) in views {
+        let budget = ConnectionBudget::new(limit, view.len(), spare, wanted);
+        let holders =
+            service_holders("courses", &candidates(view.iter().copied(), 4), budget.holders);
+        if holders.contains(&platform_vm(*own, 4).vm) {
+            sum += budget.per_vm;
+        }
+    }
+    sum
+}
+
+proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    /// Every VM lacks its own choice of the disputed VMs.
+    #[test]
+    fn connections_stay_within_the_limit_while_views_differ(
+        size in 4..60_usize,
+        disputed in proptest::collection::vec(any::<proptest::sample::Index>(), 0..4),
+        choices in proptest::collection::vec(any::<u8>(), 60),
+        limit in 25..101_u32,
+        wanted in 1..4_u32,
+    ) {
+        let disputed: Vec<usize> = disputed.iter().map(|index| index.index(size)).collect();
+        let lacks = |own: usize, other: usize| {
+            let place = disputed.iter().position(|number| *number == other);
+            own != other && place.is_some_and(|place| choices[own] & 1 << place != 0)
+        };
+        let views: Vec<(usize, Vec<usize>)> = (0..size)
+            .map(|own| (own, (0..size).filter(|other| !lacks(own, *other)).collect()))
+            .collect();
+        assert!(connections(&views, limit, disputed.len(), wanted) <= limit);
+    }
+
+    /// VMs are replaced one after the other; each VM has heard of the latest replacement or not.
+    #[test]
+    fn connections_stay_within_the_limit_during_rolling_replacement(
+        size in 4..40_usize,
+        heard in proptest::collection::vec(any::<bool>(), 40 * 12),
+    ) {
+        for step in 0..12 {
+            let old: Vec<usize> = (step..size + step).collect();
+            let new: Vec<usize> = (step + 1..size + step + 1).collect();
+            // The one that goes still holds its connections, and the new one opens its own.
+            let view = |own: usize| {
+                let knows = heard[step * 40 + own % 40] && own != step || own == size + step;
+                (own, if knows { new.clone() } else { old.clone() })
+            };
+            let views: Vec<_> = (step..size + step + 1).map(view).collect();
+            assert!(connections(&views, 25, 2, 1) <= 25);
+        }
+    }
+}
+
+#[test]
+fn service_holders_are_all_vms_of_a_small_fleet() {
+    for size in [6, 7] {
+        let budget = ConnectionBudget::new(25, size, 2, 1);
+        let holders = service_holders("courses", &candidates(0..size, 3), budget.holders);
+        assert_eq!(holders.len(), size);
+        // Both slots of a searcher can be used by each VM.
+        assert!(budget.per_vm >= 2);
+    }
+}
+
+#[test]
+fn service_holders_spread_over_failure_domains() {
+    let vms = candidates(0..2_200, 16);
+    let domains: BTreeMap<_, _> =
+        vms.iter().map(|candidate| (&candidate.vm, &candidate.failure_domain)).collect();
+    let mut held: BTreeMap<_, usize> = BTreeMap::new();
+    for service in 0..66 {
+        let holders = service_holders(&format!("service-{service}"), &vms, 21);
+        let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+        for vm in holders {
+            *counts.entry(domains[&vm]).or_default() += 1;
+            *held.entry(vm).or_default() += 1;
+        }
+        assert_eq!(counts.len(), 16);
+        assert!(counts.values().all(|count| *count <= 2));
+    }
+    let most = held.values().max().unwrap();
+    println!("66 services, 21 holders each: {} VMs hold some, at most {most}", held.len());
+}
+
+#[test]
+fn connection_budget_carries_the_target_load() {
+    // 420,000 queries a second to 72 of 9,500 searchers each.
+    let calls_a_second = 420_000.0 * 72.0 / 9_500.0;
+    for (limit, replicas) in [(25, 2), (50, 2), (100, 2)] {
+        let budget = ConnectionBudget::new(limit, 2_200, 4, 1);
+        let services = 9_500 / (72 * replicas);
+        let open = f64::from(budget.per_vm) * budget.holders as f64;
+        let busy_ms = open / calls_a_second * 1_000.0;
+        let queries = 420_000.0 / (services * budget.holders) as f64;
+        println!(
+            "limit {limit}: {} holders of {services} services, {calls_a_second:.0} calls/s a \
+             searcher over {open} connections, each call may hold one for {busy_ms:.1} ms; \
+             {queries:.0} queries/s and {:.0} calls/s a holder",
+            budget.holders,
+            queries * 72.0
+        );
+        // A call that takes 2 ms must leave half of the connections idle.
+        assert!(busy_ms >= 4.0);
+    }
+}
+
+#[test]
+fn address_plan_leaves_out_who_leaves_and_prefers_the_idle() {
+    let records: Vec<MemberRecord> =
+        (0..6).map(|number| MemberRecord::from(&platform_vm(number, 3))).collect();
+    let standings = [
+        (MemberStanding::Leaving, 0),
+        (MemberStanding::Suspect, 0),
+        (MemberStanding::Serving, 900),
+        (MemberStanding::Serving, 100),
+        (MemberStanding::Gone, 0),
+        (MemberStanding::Left, 0),
+    ];
+    let holders: Vec<_> = records
+        .iter()
+        .zip(standings)
+        .map(|(record, (standing, load))| (record, standing, load))
+        .collect();
+    let plan = address_plan("caller", &holders);
+    let names: Vec<&str> = plan.vms.iter().map(|vm| &**vm).collect();
+    assert_eq!(names, ["vm-0003", "vm-0002", "vm-0001"]);
+}
