--- a/crates/policy/src/subset/rendezvous.rs
+++ b/crates/policy/src/subset/rendezvous.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::FailureDomainId;
 use crate::VmId;
@@ -18,13 +18,9 @@
 
 /// Weight of a VM for the thing that `parts` name; the highest weights hold it.
 pub fn rendezvous_weight(parts: &[&str], vm: &str) -> u64 {
-    let mut hasher = Xxh3::new();
-    for part in parts.iter().chain([&vm]) {
-        hasher.update(part.as_bytes());
-        // A byte that no name has keeps neighbouring names apart.
-        hasher.update(&[0xff]);
-    }
-    hasher.digest()
+    // Each part's hash seeds the next, which keeps neighbouring names apart.
+    let parts = parts.iter().chain([&vm]);
+    parts.fold(0, |seed, part| xxh3_64_with_seed(part.as_bytes(), seed))
 }
 
 /// The `count` VMs that hold `service`, spread evenly over the failure domains.
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -46,8 +46,8 @@
         let end = self.now + duration;
         while self.now < end {
             self.now += STEP;
-            for number in 0..self.limiters.len() {
-                let expected = demand[number] * STEP.as_secs_f64();
+            for (number, demand) in demand.iter().enumerate() {
+                let expected = demand * STEP.as_secs_f64();
                 let extra = self.generator.random_bool(expected.fract());
                 for _ in 0..expected as u64 + u64::from(extra) {
                     let answer = self.limiters[number].admit(ClassPriority::Interactive, self.now);
--- a/crates/policy/tests/faults.rs
+++ b/crates/policy/tests/faults.rs
@@ -236,8 +236,9 @@
                     pull(&mut stores, from, to, max_bytes);
                 }
                 StoreStep::List { to } => {
-                    let list: Vec<_> = names.iter().filter_map(|name| newest(name)).cloned()
-                        .filter(|write| write.body.is_some()).collect();
+                    let newest = names.iter().filter_map(|name| newest(name));
+                    let live = newest.filter(|write| write.body.is_some());
+                    let list: Vec<_> = live.cloned().collect();
                     stores[to].apply_listing(&ObjectListing::from_platform(&list, last));
                 }
             }
