--- a/crates/policy/src/objects/watch.rs
+++ b/crates/policy/src/objects/watch.rs
@@ -15,6 +15,8 @@
 const HOLDERS_PER_DOMAIN: usize = 2;
 /// Name under which VMs are ranked for the watches.
 const WATCH_NAME: &str = "platform-watch";
+/// Bound of a watch's length.
+const LONGEST_WATCH: Duration = Duration::from_secs(60);
 /// Bound of the first wait after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 /// Bound of every later wait.
@@ -57,6 +59,13 @@
         self.next_call
     }
 
+    /// How long to ask the platform to hold the next watch.
+    ///
+    /// The length is drawn, so that watches that began together don't end together.
+    pub fn watch_length(&mut self) -> Duration {
+        LONGEST_WATCH.mul_f64(self.generator.random_range(0.5..1.0))
+    }
+
     /// The call was answered, or the watch ran to its planned end: the next one follows at once.
     pub fn succeeded(&mut self, now: Instant) {
         self.failures = 0;
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -40,8 +40,6 @@
 pub(crate) const FRAME_BYTES: usize = 128;
 /// A heartbeat without a reply has failed by then.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Planned length of a watch.
-const WATCH_LENGTH: Duration = Duration::from_secs(60);
 /// Gap between two looks of a VM at whether it has become a watch holder.
 const LOOK_GAP: Duration = Duration::from_secs(10);
 
@@ -344,7 +342,7 @@
             return;
         }
         node.backoff.succeeded(now);
-        node.watching_until = Some(now + WATCH_LENGTH);
+        node.watching_until = Some(now + node.backoff.watch_length());
         let after = node.spread.store().summary().complete_to;
         let missed = self.platform.log.iter().filter(|object| object.revision > after);
         let (objects, revision) = (missed.cloned().collect(), self.platform.revision);
