--- a/crates/policy/src/objects/contact.rs
+++ b/crates/policy/src/objects/contact.rs
@@ -23,7 +23,7 @@
 ///
 /// Callers keep an address answer for a while and can't be called back, so that a VM that is cut
 /// off from its peers but not from callers goes on on its last configuration for
-/// [`ISOLATED_AFTER`]. Requests that may not be repeated need the platform anyway and are refused
+/// ten minutes. Requests that may not be repeated need the platform anyway and are refused
 /// from the first moment. Regions that lose each other stay fresh, as their VMs hear each other.
 #[derive(Clone, Copy, Debug)]
 pub struct ContactClock {
--- a/crates/policy/src/objects/start.rs
+++ b/crates/policy/src/objects/start.rs
@@ -10,7 +10,7 @@
 
 /// Holds a new VM back until its configuration is proven.
 ///
-/// Proof is a whole list from the platform, or everything that each of [`PEER_PROOFS`] peers (of
+/// Proof is a whole list from the platform, or everything that each of three peers (of
 /// all, when there are fewer) holds. A VM that knows of no peer needs the platform.
 #[derive(Clone, Debug, Default)]
 pub struct StartGate {
--- a/crates/policy/src/objects/watch.rs
+++ b/crates/policy/src/objects/watch.rs
@@ -46,7 +46,7 @@
 }
 
 impl WatchBackoff {
-    /// The first call is due within [`FIRST_BACKOFF`], as many VMs may start together.
+    /// The first call is due within a second, as many VMs may start together.
     pub fn new(seed: u64, now: Instant) -> WatchBackoff {
         let mut backoff =
             WatchBackoff { failures: 0, next_call: now, generator: Pcg64Mcg::seed_from_u64(seed) };
