--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -24,6 +24,8 @@
 use crate::edge::PlatformEdge;
 use crate::edge::PlatformError;
 use crate::edge::WatchStream;
+use crate::edge::announced_length;
+use crate::edge::is_never_sent;
 use crate::platform::lines::EventLines;
 
 /// Longest time for a call that is not a watch.
@@ -80,11 +82,15 @@
         };
         let mut response = sent.await.map_err(|error| send_error(&error))?;
         let status = response.status();
+        let length = announced_length(&response);
         let body = response
             .body()
             .limit(MAX_BODY_BYTES)
             .await
             .map_err(|error| PlatformError::Uncertain(error.to_string()))?;
+        if length.is_some_and(|length| length != body.len()) {
+            return Err(PlatformError::Uncertain("the reply broke off".to_owned()));
+        }
         match status.is_success() {
             true => Ok(body),
             false => Err(status_error(&method, status, &body)),
@@ -187,9 +193,9 @@
 
 /// A call that never connected had no effect; any other failure may have had one.
 fn send_error(error: &awc::error::SendRequestError) -> PlatformError {
-    match error {
-        awc::error::SendRequestError::Connect(error) => PlatformError::Refused(error.to_string()),
-        _ => PlatformError::Uncertain(error.to_string()),
+    match is_never_sent(error) {
+        true => PlatformError::Refused(error.to_string()),
+        false => PlatformError::Uncertain(error.to_string()),
     }
 }
 
