--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The few commands of each day. `make help` lists them.
 
-.PHONY: help build test lint docs demo format generate
+.PHONY: help build test bench lint docs demo format generate
 
 help: ## Lists the commands.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
@@ -11,6 +11,9 @@
 test: ## Runs every test but those listed in KNOWN-RED.txt, which it prints.
 	./tools/test
 
+bench: ## Counts the instructions of the decisions against their limits.
+	./tools/bench
+
 lint: ## Checks format and lints.
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets -- -D warnings
--- a/crates/policy/benches/control.rs
+++ b/crates/policy/benches/control.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gungraun::Callgrind;
+use gungraun::EventKind;
+use gungraun::LibraryBenchmarkConfig;
 use gungraun::library_benchmark;
 use gungraun::library_benchmark_group;
 use gungraun::main;
@@ -31,11 +34,32 @@
 use oleanderwind_policy::service_holders;
 use oleanderwind_policy::watch_holders;
 
+/// Instructions a second that control may take: 2.2% of a core of a thousand million.
+const CONTROL_INSTRUCTIONS: u64 = 22_000_000;
+/// A quarter of it for exchanges, two a second.
+const EXCHANGE_INSTRUCTIONS: u64 = CONTROL_INSTRUCTIONS / 4 / 2;
+/// A quarter of it for changes, ten a second.
+const CHANGE_INSTRUCTIONS: u64 = CONTROL_INSTRUCTIONS / 4 / 10;
+/// A quarter of it for address answers, fifty a second.
+const ADDRESS_INSTRUCTIONS: u64 = CONTROL_INSTRUCTIONS / 4 / 50;
+/// A quarter of it for holders worked out anew, once a second.
+const HOLDER_INSTRUCTIONS: u64 = CONTROL_INSTRUCTIONS / 4;
+/// Most instructions to admit one request, on the data path.
+const ADMIT_INSTRUCTIONS: u64 = 10_000;
+
 const FLEET: usize = 2_200;
 const DOMAINS: usize = 16;
 const TARGETS: u64 = 9_500;
 const HOLDERS: usize = 21;
 
+fn limit(instructions: u64) -> LibraryBenchmarkConfig {
+    let mut callgrind = Callgrind::default();
+    callgrind.hard_limits([(EventKind::Ir, instructions)]);
+    let mut config = LibraryBenchmarkConfig::default();
+    config.tool(callgrind);
+    config
+}
+
 fn fleet() -> Vec<PlatformVm> {
     let listed = |number: usize| PlatformVm {
         vm: format!("vm-{number:04}").into(),
@@ -70,7 +94,7 @@
     (members, message, now)
 }
 
-#[library_benchmark]
+#[library_benchmark(config = limit(EXCHANGE_INSTRUCTIONS))]
 #[bench::fleet(heartbeat())]
 fn heartbeat_exchange(input: (MembershipEngine, ExchangeMessage, Instant)) -> MembershipEngine {
     let (mut members, message, now) = input;
@@ -93,7 +117,7 @@
     (spread, members, target(77, TARGETS + 1))
 }
 
-#[library_benchmark]
+#[library_benchmark(config = limit(CHANGE_INSTRUCTIONS))]
 #[bench::target(change())]
 fn change_taken_in(
     input: (SpreadEngine, MembershipEngine, ConfigurationObject),
@@ -107,7 +131,7 @@
     fleet().iter().take(HOLDERS).map(|vm| record(vm, 1)).collect()
 }
 
-#[library_benchmark]
+#[library_benchmark(config = limit(ADDRESS_INSTRUCTIONS))]
 #[bench::holders(holders())]
 fn address_answer(records: Vec<MemberRecord>) -> Vec<MemberRecord> {
     let holders: Vec<_> =
@@ -124,7 +148,7 @@
     fleet().into_iter().map(candidate).collect()
 }
 
-#[library_benchmark]
+#[library_benchmark(config = limit(HOLDER_INSTRUCTIONS))]
 #[bench::fleet(candidates())]
 fn service_holders_anew(vms: Vec<SubsetCandidate>) -> Vec<SubsetCandidate> {
     black_box(service_holders("courses", &vms, HOLDERS));
@@ -135,7 +159,7 @@
     fleet().into_iter().step_by(DOMAINS).map(|listed| listed.vm).collect()
 }
 
-#[library_benchmark]
+#[library_benchmark(config = limit(HOLDER_INSTRUCTIONS))]
 #[bench::domain(domain())]
 fn watch_holders_anew(vms: Vec<VmId>) -> Vec<VmId> {
     black_box(watch_holders(&"d00".into(), &vms));
@@ -147,7 +171,7 @@
     (CustomerLimiter::new(100_000.0, HOLDERS, now), now + Duration::from_secs(1))
 }
 
-#[library_benchmark]
+#[library_benchmark(config = limit(ADMIT_INSTRUCTIONS))]
 #[bench::customer(limiter())]
 fn request_admitted(input: (CustomerLimiter, Instant)) -> CustomerLimiter {
     let (mut limiter, now) = input;
