--- a/tests/proofs/support/mod.rs
+++ b/tests/proofs/support/mod.rs
@@ -11,7 +11,6 @@
 pub(crate) use fleet::TestFleet;
 pub(crate) use fleet::vm_settings;
 pub(crate) use process::ProcessFleet;
-pub(crate) use process::VmProcess;
 pub(crate) use workload::PAIRED_SERVICES;
 pub(crate) use workload::SearchFleet;
 
