feat(ledger): tell why a try was answered as it was

Cause: an answer told outcome and `ran` but no reason, so the front could give callers no stable `refusal.reason`. A write with an uncertain end was read back and sent again with no pause, so a platform that answers reads and fails writes would have been called without bound. Change: LedgerAction::Answer carries a LedgerCause (13, each with a stable name). An uncertain write pauses its segment for the commit interval; whether a segment is backing off is now kept apart from that pause, so the pause refuses nobody. FanoutEngine::fresh_call is public, so that executes draw their call ids from the same space as searches.

--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -185,7 +185,7 @@
     }
 
     /// A fresh call id.
-    pub(crate) fn fresh_call(&mut self) -> CallId {
+    pub fn fresh_call(&mut self) -> CallId {
         self.next_call += 1;
         (u64::from(self.settings.call_prefix) << CALL_COUNTER_BITS) | self.next_call
     }
--- a/crates/policy/src/ledger/action.rs
+++ b/crates/policy/src/ledger/action.rs
@@ -8,6 +8,7 @@
 use crate::Revision;
 use crate::RunState;
 
+use super::cause::LedgerCause;
 use super::key::SegmentId;
 use super::request::LedgerRequestId;
 use super::segment::LedgerSegment;
@@ -55,6 +56,8 @@
         outcome: RequestOutcome,
         /// Whether a target ran it, in this try or an earlier one.
         ran: RunState,
+        /// Why.
+        cause: LedgerCause,
         /// The result, when it ran and the result was kept.
         result: Option<String>,
         /// When to come back, if that may help.
--- a/crates/policy/src/ledger/engine.rs
+++ b/crates/policy/src/ledger/engine.rs
@@ -7,11 +7,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::RequestOutcome;
 use crate::Revision;
-use crate::RunState;
 
 use super::action::LedgerAction;
+use super::answer::LedgerVerdict;
+use super::cause::LedgerCause;
 use super::event::ExecuteOutcome;
 use super::event::LedgerEvent;
 use super::key::ClockReading;
@@ -69,6 +69,8 @@
     pub(super) view: Option<SegmentView>,
     pub(super) call: SegmentCall,
     pub(super) requests: BTreeSet<LedgerRequestId>,
+    /// Whether the newest call did not reach the platform.
+    pub(super) is_unreachable: bool,
     /// No call before this.
     pub(super) not_before: Option<Instant>,
 }
@@ -103,6 +105,7 @@
             token: self.fresh_token(),
             phase: RequestPhase::Claiming,
             exposed: None,
+            cause: LedgerCause::DeadlinePassed,
             is_answered: false,
             is_fresh: false,
             segment,
@@ -113,10 +116,12 @@
         if self.refuse_by_age(id, wall, actions) {
             return;
         }
-        if self.requests[&id].is_expired(ClockReading { now, wall })
-            || self.is_backing_off(segment, now)
-        {
-            self.refuse(id, actions);
+        if self.requests[&id].is_expired(ClockReading { now, wall }) {
+            self.refuse(id, LedgerCause::DeadlinePassed, actions);
+            return;
+        }
+        if self.is_backing_off(segment, now) {
+            self.refuse(id, LedgerCause::PlatformUnreachable, actions);
             return;
         }
         self.advance(segment, ClockReading { now, wall }, actions);
@@ -143,8 +148,13 @@
                 self.take_accepted(segment, revision, now);
                 segment
             }
-            LedgerEvent::WriteConflict { segment } | LedgerEvent::WriteUncertain { segment } => {
+            LedgerEvent::WriteConflict { segment } => {
+                self.forget_view(segment);
+                segment
+            }
+            LedgerEvent::WriteUncertain { segment } => {
                 self.forget_view(segment);
+                self.pause(segment, now);
                 segment
             }
             LedgerEvent::WriteRefused { segment } => {
@@ -203,7 +213,7 @@
 
     fn is_backing_off(&self, segment: SegmentId, now: Instant) -> bool {
         self.segments.get(&segment).is_some_and(|work| {
-            work.view.is_none() && work.not_before.is_some_and(|instant| instant > now)
+            work.is_unreachable && work.not_before.is_some_and(|instant| instant > now)
         })
     }
 
@@ -212,12 +222,18 @@
             return;
         };
         match &work.phase {
-            RequestPhase::Claiming if work.exposed.is_none() => self.refuse(id, actions),
+            RequestPhase::Claiming if work.exposed.is_none() => {
+                self.refuse(id, LedgerCause::DeadlinePassed, actions);
+            }
             RequestPhase::Recording(EntryState::NotRun(_)) => {
-                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                let verdict = LedgerVerdict::not_run(work.cause);
+                self.answer(id, verdict, actions);
+            }
+            RequestPhase::Claiming => {
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ClaimUncertain), actions);
             }
-            RequestPhase::Claiming | RequestPhase::Running | RequestPhase::Recording(_) => {
-                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+            RequestPhase::Running | RequestPhase::Recording(_) => {
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ReplyMissing), actions);
             }
         }
     }
@@ -240,14 +256,12 @@
                 let kept = Some(result.clone()).filter(|text| json_bytes(text) <= max_result_bytes);
                 let state = EntryState::Done { provider, result: kept };
                 work.phase = RequestPhase::Recording(state);
-                self.answer(id, RequestOutcome::Answered, RunState::Yes, Some(result), actions);
-            }
-            ExecuteOutcome::RefusedNotRun | ExecuteOutcome::NotSent => {
-                let state = EntryState::NotRun(work.request.attempt);
-                work.phase = RequestPhase::Recording(state);
+                self.answer(id, LedgerVerdict::ran(LedgerCause::Ran, Some(result)), actions);
             }
+            ExecuteOutcome::RefusedNotRun => work.record_not_run(LedgerCause::TargetRefused),
+            ExecuteOutcome::NotSent => work.record_not_run(LedgerCause::NotSent),
             ExecuteOutcome::Uncertain => {
-                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ReplyMissing), actions);
                 self.remove(id);
             }
         }
--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -54,6 +54,7 @@
 
 mod action;
 mod answer;
+mod cause;
 mod engine;
 mod event;
 mod key;
@@ -63,6 +64,7 @@
 mod settle;
 
 pub use action::LedgerAction;
+pub use cause::LedgerCause;
 pub use engine::LedgerEngine;
 pub use event::ExecuteOutcome;
 pub use event::LedgerEvent;
--- a/crates/policy/src/ledger/request.rs
+++ b/crates/policy/src/ledger/request.rs
@@ -6,6 +6,7 @@
 use crate::CustomerId;
 use crate::Revision;
 
+use super::cause::LedgerCause;
 use super::key::ClockReading;
 use super::key::LedgerKey;
 use super::key::SegmentId;
@@ -54,12 +55,20 @@
     pub(crate) phase: RequestPhase,
     /// Base of the newest write that may have carried the claim and is not settled.
     pub(crate) exposed: Option<Revision>,
+    /// Why it did not run, once that is certain.
+    pub(crate) cause: LedgerCause,
     pub(crate) is_answered: bool,
     /// Whether the segment was read after the try came.
     pub(crate) is_fresh: bool,
 }
 
 impl RequestWork {
+    /// It certainly does not run; to be recorded.
+    pub(crate) fn record_not_run(&mut self, cause: LedgerCause) {
+        self.phase = RequestPhase::Recording(EntryState::NotRun(self.request.attempt));
+        self.cause = cause;
+    }
+
     /// Whether a dispatch would come too late.
     pub(crate) fn is_expired(&self, clock: ClockReading) -> bool {
         clock.now >= self.request.deadline || clock.wall >= self.request.wall_deadline
--- a/crates/policy/src/ledger/settle.rs
+++ b/crates/policy/src/ledger/settle.rs
@@ -2,11 +2,11 @@
 
 use std::time::Instant;
 
-use crate::RequestOutcome;
 use crate::Revision;
-use crate::RunState;
 
 use super::action::LedgerAction;
+use super::answer::LedgerVerdict;
+use super::cause::LedgerCause;
 use super::engine::LedgerEngine;
 use super::engine::SegmentCall;
 use super::engine::SegmentView;
@@ -34,6 +34,7 @@
             return;
         };
         work.call = SegmentCall::Idle;
+        work.is_unreachable = false;
         work.view = Some(SegmentView { body, revision });
         for id in &work.requests {
             if let Some(request) = self.requests.get_mut(id) {
@@ -61,6 +62,14 @@
         }
     }
 
+    /// Bounds how often an uncertain write is looked into and sent again.
+    pub(super) fn pause(&mut self, segment: SegmentId, now: Instant) {
+        let interval = self.settings.commit_interval;
+        if let Some(work) = self.segments.get_mut(&segment) {
+            work.not_before = Some(now + interval);
+        }
+    }
+
     /// The write had no effect, so the claims that only it carried are not exposed.
     pub(super) fn take_refused(&mut self, segment: SegmentId) {
         let Some(work) = self.segments.get_mut(&segment) else {
@@ -87,6 +96,7 @@
             return;
         };
         work.call = SegmentCall::Idle;
+        work.is_unreachable = true;
         work.not_before = Some(now + backoff);
         let ids: Vec<LedgerRequestId> = work.requests.iter().copied().collect();
         for id in ids {
@@ -94,7 +104,7 @@
                 request.phase == RequestPhase::Claiming && request.exposed.is_none()
             });
             if is_unwritten {
-                self.refuse(id, actions);
+                self.refuse(id, LedgerCause::PlatformUnreachable, actions);
             }
         }
         if let Some(work) = self.segments.get_mut(&segment) {
@@ -170,7 +180,8 @@
         match &request.phase {
             RequestPhase::Running => {}
             RequestPhase::Recording(EntryState::NotRun(_)) if !is_mine => {
-                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                let verdict = LedgerVerdict::not_run(request.cause);
+                self.answer(id, verdict, actions);
                 self.remove(id);
             }
             RequestPhase::Recording(_) if !is_mine => self.remove(id),
@@ -195,7 +206,7 @@
             return;
         };
         if work.is_answered || work.is_expired(clock) {
-            work.phase = RequestPhase::Recording(EntryState::NotRun(work.request.attempt));
+            work.record_not_run(LedgerCause::DeadlinePassed);
             return;
         }
         work.phase = RequestPhase::Running;
@@ -304,12 +315,13 @@
         match state {
             Some(EntryState::Done { result, .. }) => {
                 let result = result.clone();
-                self.answer(id, RequestOutcome::Answered, RunState::Yes, result, actions);
+                let verdict = LedgerVerdict::ran(LedgerCause::RanBefore, result);
+                self.answer(id, verdict, actions);
                 self.remove(id);
                 return None;
             }
             Some(EntryState::Claimed(_)) if work.is_fresh => {
-                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ClaimHeld), actions);
                 self.remove(id);
                 return None;
             }
@@ -318,7 +330,11 @@
                 if proven.state(&work.entry_name) != state {
                     return None;
                 }
-                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                let cause = match work.is_expired(clock) {
+                    true => LedgerCause::DeadlinePassed,
+                    false => LedgerCause::AttemptClosed,
+                };
+                self.answer(id, LedgerVerdict::not_run(cause), actions);
                 self.remove(id);
                 return None;
             }
@@ -330,8 +346,12 @@
         if self.refuse_by_age(id, clock.wall, actions) {
             return None;
         }
-        if !has_room || self.requests.get(&id)?.is_expired(clock) {
-            self.refuse(id, actions);
+        if self.requests.get(&id)?.is_expired(clock) {
+            self.refuse(id, LedgerCause::DeadlinePassed, actions);
+            return None;
+        }
+        if !has_room {
+            self.refuse(id, LedgerCause::SegmentFull, actions);
             return None;
         }
         Some(EntryState::Claimed(token))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -56,6 +56,7 @@
 pub use ledger::EntryState;
 pub use ledger::ExecuteOutcome;
 pub use ledger::LedgerAction;
+pub use ledger::LedgerCause;
 pub use ledger::LedgerEngine;
 pub use ledger::LedgerEntry;
 pub use ledger::LedgerEvent;
--- a/crates/policy/tests/ledger_sessions.rs
+++ b/crates/policy/tests/ledger_sessions.rs
@@ -30,8 +30,9 @@
             format!("update at {expected} {}", json(body))
         }
         LedgerAction::Dispatch { request, .. } => format!("dispatch try {request}"),
-        LedgerAction::Answer { request, outcome, ran, result, retry_after } => format!(
-            "answer try {request}: {outcome:?}, ran {ran:?}, {result:?}, come back {retry_after:?}"
+        LedgerAction::Answer { request, outcome, ran, cause, result, retry_after } => format!(
+            "answer try {request}: {outcome:?}, ran {ran:?}, {cause:?}, {result:?}, \
+             come back {retry_after:?}"
         ),
     }
 }
@@ -103,7 +104,7 @@
               dispatch try 0
             Serve { vm: 0, index: 0 }
             Deliver { vm: 0, index: 0 }
-              answer try 0: Answered, ran Yes, Some("result of try 0"), come back None
+              answer try 0: Answered, ran Yes, Ran, Some("result of try 0"), come back None
               update at 1 {"e":{"4284d392857018c32e72c97cc5bfa691":{"i":1800000000000,"s":{"d":{"p":"east","r":"result of try 0"}}}}}
         "#]],
     );
@@ -135,7 +136,7 @@
               read
             Serve { vm: 1, index: 0 }
             Deliver { vm: 1, index: 0 }
-              answer try 1: Unknown, ran Unknown, None, come back Some(1s)
+              answer try 1: Unknown, ran Unknown, ClaimHeld, None, come back Some(1s)
         "#]],
     );
 }
@@ -161,9 +162,9 @@
               read
             Serve { vm: 1, index: 0 }
             Deliver { vm: 1, index: 0 }
-              answer try 1: Unknown, ran Unknown, None, come back Some(1s)
+              answer try 1: Unknown, ran Unknown, ClaimHeld, None, come back Some(1s)
             Expire { vm: 0 }
-              answer try 0: Unknown, ran Unknown, None, come back Some(1s)
+              answer try 0: Unknown, ran Unknown, ClaimUncertain, None, come back Some(1s)
             Deliver { vm: 0, index: 0 }
               update at 1 {"e":{"4284d392857018c32e72c97cc5bfa691":{"i":1800000000000,"s":{"n":1}}}}
             Serve { vm: 0, index: 0 }
@@ -175,7 +176,7 @@
               dispatch try 2
             Serve { vm: 0, index: 0 }
             Deliver { vm: 0, index: 0 }
-              answer try 2: Answered, ran Yes, Some("result of try 2"), come back None
+              answer try 2: Answered, ran Yes, Ran, Some("result of try 2"), come back None
               update at 3 {"e":{"4284d392857018c32e72c97cc5bfa691":{"i":1800000000000,"s":{"d":{"p":"east","r":"result of try 2"}}}}}
         "#]],
     );
@@ -202,7 +203,7 @@
               read
             Serve { vm: 1, index: 0 }
             Deliver { vm: 1, index: 0 }
-              answer try 1: Unknown, ran Unknown, None, come back Some(1s)
+              answer try 1: Unknown, ran Unknown, ClaimHeld, None, come back Some(1s)
         "#]],
     );
 }
@@ -217,12 +218,12 @@
         &mut world,
         &retry,
         expect![[r#"
-        Submit { vm: 1 }
-          read
-        Serve { vm: 1, index: 0 }
-        Deliver { vm: 1, index: 0 }
-          answer try 1: Answered, ran Yes, Some("result of try 0"), come back None
-    "#]],
+            Submit { vm: 1 }
+              read
+            Serve { vm: 1, index: 0 }
+            Deliver { vm: 1, index: 0 }
+              answer try 1: Answered, ran Yes, RanBefore, Some("result of try 0"), come back None
+        "#]],
     );
     assert_eq!(world.executed, [0]);
 }
@@ -243,7 +244,7 @@
             Submit { vm: 0 }
             Serve { vm: 0, index: 0 }
             Deliver { vm: 0, index: 0 }
-              answer try 1: NotRun, ran No, None, come back Some(1s)
+              answer try 1: NotRun, ran No, SegmentFull, None, come back Some(1s)
               create {"e":{"4284d392857018c32e72c97cc5bfa691":{"i":1800000000000,"s":{"c":1679551904914287}}}}
         "#]],
     );
@@ -258,7 +259,7 @@
         &[submit(0)],
         expect![[r#"
             Submit { vm: 0 }
-              answer try 0: Unknown, ran Unknown, None, come back None
+              answer try 0: Unknown, ran Unknown, KeyExpired, None, come back None
         "#]],
     );
 }
@@ -271,11 +272,11 @@
         &mut world,
         &[submit(0), submit(0)],
         expect![[r#"
-        Submit { vm: 0 }
-          answer try 0: NotRun, ran No, None, come back Some(1s)
-        Submit { vm: 0 }
-          answer try 1: Unknown, ran Unknown, None, come back Some(1s)
-    "#]],
+            Submit { vm: 0 }
+              answer try 0: NotRun, ran No, KeyInFuture, None, come back Some(1s)
+            Submit { vm: 0 }
+              answer try 1: Unknown, ran Unknown, KeyInFuture, None, come back Some(1s)
+        "#]],
     );
 }
 
@@ -305,7 +306,7 @@
             Deliver { vm: 1, index: 0 }
               dispatch try 1
             Submit { vm: 0 }
-              answer try 2: Unknown, ran Unknown, None, come back None
+              answer try 2: Unknown, ran Unknown, KeyExpired, None, come back None
         "#]],
     );
 }
@@ -318,17 +319,17 @@
         &mut world(&[1, 2]),
         &steps,
         expect![[r#"
-        Submit { vm: 0 }
-          read
-        FailRead { vm: 0, index: 0 }
-        Deliver { vm: 0, index: 0 }
-          answer try 0: NotRun, ran No, None, come back Some(1s)
-        Submit { vm: 1 }
-          read
-        FailRead { vm: 1, index: 0 }
-        Deliver { vm: 1, index: 0 }
-          answer try 1: Unknown, ran Unknown, None, come back Some(1s)
-    "#]],
+            Submit { vm: 0 }
+              read
+            FailRead { vm: 0, index: 0 }
+            Deliver { vm: 0, index: 0 }
+              answer try 0: NotRun, ran No, PlatformUnreachable, None, come back Some(1s)
+            Submit { vm: 1 }
+              read
+            FailRead { vm: 1, index: 0 }
+            Deliver { vm: 1, index: 0 }
+              answer try 1: Unknown, ran Unknown, PlatformUnreachable, None, come back Some(1s)
+        "#]],
     );
 }
 
