fix(http): take a closed connection for a call that may have run

Cause: awc gives Connect(Disconnected) also when the server closes after it has read the request (awc 3.11 h1proto, reading the response head). The lanes, the platform client and the load tool took every Connect error for `nothing was sent`, so a lost reply to an execute would have counted as `not sent`, and a lost reply to a conditional update as certainly refused. PlatformError::Refused also stood for every 4xx. Refused now means no connection or 429; other 4xx are Rejected, and 408 is Uncertain. An execute's deadline is checked on both clocks after the connection has proven live, and its reply is taken for a while after the deadline, so that the record can still learn the result. A call with an Idempotency-Key that isn't its first try is answered `unknown` when its body can't be read: an earlier try may have run.

--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -52,8 +52,10 @@
     NotFound,
     /// The watch's version is too old; list again.
     Expired,
-    /// Refused before any effect, for the text's reason.
+    /// Certainly without effect, as no connection was made or too many calls came.
     Refused(String),
+    /// The platform read the call and found it wrong, for the text's reason.
+    Rejected(String),
     /// It can't be told whether the call took effect.
     Uncertain(String),
 }
@@ -66,6 +68,7 @@
             PlatformError::NotFound => write!(f, "there is no such object"),
             PlatformError::Expired => write!(f, "the version is too old; list again"),
             PlatformError::Refused(reason) => write!(f, "the platform refused: {reason}"),
+            PlatformError::Rejected(reason) => write!(f, "the platform rejected: {reason}"),
             PlatformError::Uncertain(reason) => write!(f, "the effect is uncertain: {reason}"),
         }
     }
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream;
+use oleanderwind_http::is_unsent;
 use oleanderwind_policy::Revision;
 use oleanderwind_wire::API_PREFIX;
 use oleanderwind_wire::ObjectDocument;
@@ -187,9 +188,9 @@
 
 /// A call that never connected had no effect; any other failure may have had one.
 fn send_error(error: &awc::error::SendRequestError) -> PlatformError {
-    match error {
-        awc::error::SendRequestError::Connect(error) => PlatformError::Refused(error.to_string()),
-        _ => PlatformError::Uncertain(error.to_string()),
+    match is_unsent(error) {
+        true => PlatformError::Refused(error.to_string()),
+        false => PlatformError::Uncertain(error.to_string()),
     }
 }
 
@@ -200,8 +201,10 @@
         StatusCode::NOT_FOUND => PlatformError::NotFound,
         StatusCode::GONE => PlatformError::Expired,
         StatusCode::TOO_MANY_REQUESTS => PlatformError::Refused("too many calls".to_owned()),
+        // A proxy that gave up waiting may have passed the call on.
+        StatusCode::REQUEST_TIMEOUT => PlatformError::Uncertain(format!("status {status}")),
         _ if status.is_client_error() => {
-            PlatformError::Refused(String::from_utf8_lossy(body).into_owned())
+            PlatformError::Rejected(String::from_utf8_lossy(body).into_owned())
         }
         _ => PlatformError::Uncertain(format!("status {status}")),
     }
--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -7,6 +7,7 @@
 use awc::Connector;
 use awc::http::StatusCode;
 use bytes::Bytes;
+use oleanderwind_http::is_unsent;
 use serde::Serialize;
 use tokio::time::timeout;
 
@@ -83,8 +84,8 @@
 }
 
 fn lane_error(error: &awc::error::SendRequestError) -> LaneError {
-    match error {
-        awc::error::SendRequestError::Connect(_) => LaneError::NotConnected,
-        _ => LaneError::Broken,
+    match is_unsent(error) {
+        true => LaneError::NotConnected,
+        false => LaneError::Broken,
     }
 }
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -3,10 +3,12 @@
 //! A target's pool holds lanes. A lane is a client limited to one connection, so that the pool
 //! decides what travels on which connection and how many there are.
 
+mod deadline;
 mod lane;
 mod outcome;
 mod pool;
 mod service;
 
+pub(crate) use deadline::ExecuteDeadline;
 pub(crate) use outcome::CallOutcome;
 pub(crate) use service::TargetService;
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -21,6 +21,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::targets::CallOutcome;
+use crate::targets::ExecuteDeadline;
 use crate::targets::lane::LaneError;
 use crate::targets::lane::LaneReply;
 use crate::targets::pool::LaneLoan;
@@ -80,22 +81,26 @@
         &self,
         target: &TargetId,
         call: &ExecuteCall,
-        deadline: Instant,
+        deadline: ExecuteDeadline,
     ) -> CallOutcome<ExecuteAnswer> {
-        let Some(mut loan) = self.borrow(target, deadline).await else {
+        let Some(mut loan) = self.borrow(target, deadline.instant).await else {
             return CallOutcome::NotSent;
         };
-        let patience = PROBE_TIME.min(time_until(deadline));
+        let patience = PROBE_TIME.min(time_until(deadline.instant));
         match loan.lane().get("/v1/health", patience).await {
             Err(LaneError::Silent) => {
                 loan.close_silent();
                 return CallOutcome::NotSent;
             }
             Err(_) => return CallOutcome::NotSent,
-            Ok(_) if Instant::now() >= deadline => return CallOutcome::NotSent,
+            Ok(_) if deadline.has_passed() => {
+                loan.give_back();
+                return CallOutcome::NotSent;
+            }
             Ok(_) => {}
         }
-        let reply = loan.lane().post("/v1/execute", call, time_until(deadline)).await;
+        let patience = time_until(deadline.instant) + deadline.reply_grace;
+        let reply = loan.lane().post("/v1/execute", call, patience).await;
         let is_own = |answer: &ExecuteAnswer| answer.call_id == call.call_id;
         self.settle(loan, reply, call.call_id, is_own)
     }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -30,6 +30,7 @@
 use crate::HttpReply;
 use crate::body::BodyError;
 use crate::body::read_body;
+use crate::is_first_try;
 
 /// How often a connection that is to end looks whether it is idle.
 const IDLE_POLL: Duration = Duration::from_millis(5);
@@ -142,7 +143,7 @@
             };
             handler(call).await
         }
-        Err(error) => unreadable_reply(&error),
+        Err(error) => unreadable_reply(&error, is_first_try(request.headers())),
     };
     let mut response = reply.response;
     if *phase.borrow() >= DrainPhase::Closing {
@@ -151,10 +152,15 @@
     Ok(response)
 }
 
-fn unreadable_reply(error: &BodyError) -> HttpReply {
+fn unreadable_reply(error: &BodyError, is_first_try: bool) -> HttpReply {
+    let (outcome, ran) = match is_first_try {
+        true => ("not_run", "no"),
+        // An earlier try of the key may have run.
+        false => ("unknown", "unknown"),
+    };
     let body = UnreadableCall {
-        outcome: "not_run",
-        ran: "no",
+        outcome,
+        ran,
         refusal: UnreadableRefusal {
             reason: "unreadable",
             findings: [UnreadableFinding { place: "body", problem: error.problem() }],
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,9 +9,15 @@
 mod limits;
 mod listener;
 mod reply;
+mod retry;
+mod sending;
 
 pub use call::HttpCall;
 pub use call::HttpHandler;
 pub use limits::HttpLimits;
 pub use listener::HttpListener;
 pub use reply::HttpReply;
+pub use retry::ATTEMPT_HEADER;
+pub use retry::KEY_HEADER;
+pub use retry::is_first_try;
+pub use sending::is_unsent;
