feat(ledger): serve requests that may not be repeated

Cause: the front had no way to run operations. Change: a service `Ledger` drives the engine: one event for each read, write and dispatch, each sent once; timers by Notify; a token seed from the system's entropy at each start; drain waits until every try is recorded, bounded by the drain's patience. Dispatch takes the provider from the contract in force, a target from the fan-out engine, and never retries; a target that takes no connection is noted as failed, so that the next request goes elsewhere. The front reads Idempotency-Key ({issue ms}-{random}) and Idempotency-Attempt and no longer Idempotency-Key-Issued-At. A refusal before the ledger says `not run` only on a first try, else `unknown`. Metrics: claim and dispatch time, answers by outcome and cause.

--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 use crate::front::FrontService;
 use crate::kernel::Kernel;
 use crate::kernel::Service;
+use crate::ledger::LedgerService;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
 use crate::platform::HttpPlatform;
@@ -54,6 +55,7 @@
         kernel.register(Service::Sync(Rc::new(SyncService::start(&kernel)?)));
         kernel.register(Service::Targets(Rc::new(TargetService::default())));
         kernel.register(Service::Fanout(FanoutService::start(&kernel)?));
+        kernel.register(Service::Ledger(LedgerService::start(&kernel)?));
         let admin = Rc::new(AdminService::start(&kernel).await?);
         kernel.register(Service::Admin(admin.clone()));
         let front = FrontService::start(&kernel).await?;
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -8,11 +8,14 @@
 use std::time::Instant;
 
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ExecutorOutcome;
 use oleanderwind_policy::FanoutEngine;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::FanoutSettings;
+use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::QueryId;
+use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::SearchHit;
@@ -113,6 +116,27 @@
         self.engine.borrow_mut().mark_draining(target, Instant::now());
     }
 
+    /// Chooses a target for a call that may not be repeated and takes room there.
+    pub(crate) fn pick_executor(
+        &self,
+        service: &ServiceId,
+        provider: &ProviderId,
+    ) -> Option<TargetId> {
+        self.engine.borrow_mut().pick_executor(service, provider, Instant::now())
+    }
+
+    /// Gives back the room that [`FanoutService::pick_executor`] took, exactly once.
+    pub(crate) fn release_executor(&self, target: &TargetId, outcome: ExecutorOutcome) {
+        self.engine.borrow_mut().release_executor(target, outcome, Instant::now());
+        // A query may wait for the room.
+        self.timer_changes.notify_one();
+    }
+
+    /// A fresh call id.
+    pub(crate) fn fresh_call(&self) -> CallId {
+        self.engine.borrow_mut().fresh_call()
+    }
+
     /// Waits for running queries; each ends by its deadline.
     pub(crate) async fn drain(&self) {
         while !self.queries.borrow().is_empty() {
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -84,8 +84,14 @@
     request_id: &str,
     kind: RefusalKind,
     findings: FindingList,
+    is_first_try: bool,
 ) -> (StatusCode, CallerAnswer) {
-    let mut answer = empty_answer(request_id, RequestOutcome::NotRun, RunState::No);
+    let (outcome, ran) = match is_first_try {
+        true => (RequestOutcome::NotRun, RunState::No),
+        // An earlier try of the key may have run.
+        false => (RequestOutcome::Unknown, RunState::Unknown),
+    };
+    let mut answer = empty_answer(request_id, outcome, ran);
     answer.refusal = Some(RefusalReport {
         reason: kind.reason().to_owned(),
         findings: findings.into_findings(),
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod answer;
+mod execute;
 mod request;
 mod search;
 mod service;
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -2,14 +2,18 @@
 
 use std::time::Duration;
 
+use oleanderwind_http::ATTEMPT_HEADER;
 use oleanderwind_http::HttpCall;
+use oleanderwind_http::KEY_HEADER;
 use oleanderwind_policy::ClassTerms;
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::FindingList;
+use oleanderwind_policy::LedgerKey;
+use oleanderwind_policy::LedgerKeyError;
 use oleanderwind_policy::OperationKind;
 use serde::Deserialize;
 
-/// Longest idempotency key and request id, in bytes.
+/// Longest request id, in bytes.
 const MAX_ID_BYTES: usize = 128;
 
 /// The body of `POST /v1/customers/{customer}/requests`.
@@ -31,9 +35,9 @@
 /// The key of a request that may not be repeated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RequestKey {
-    pub(crate) key: String,
-    /// Milliseconds since the epoch, by the caller's clock.
-    pub(crate) issued_at_ms: u64,
+    pub(crate) key: LedgerKey,
+    /// Counted by the caller from 1; 0 when it doesn't count.
+    pub(crate) attempt: u32,
 }
 
 /// A checked request.
@@ -100,17 +104,25 @@
 }
 
 fn check_key(call: &HttpCall, findings: &mut FindingList) -> Option<RequestKey> {
-    let key = call.header("idempotency-key").unwrap_or_default();
-    if key.is_empty() || key.len() > MAX_ID_BYTES {
-        findings.add("Idempotency-Key", format!("give 1 to {MAX_ID_BYTES} bytes of text"));
+    let key = LedgerKey::try_from(call.header(KEY_HEADER).unwrap_or_default());
+    if let Err(error) = key {
+        findings.add("Idempotency-Key", key_problem(error));
     }
-    let issued = call.header("idempotency-key-issued-at").unwrap_or_default();
-    match issued.parse() {
-        Ok(issued_at_ms) => Some(RequestKey { key: key.to_owned(), issued_at_ms }),
-        Err(_) => {
-            findings.add("Idempotency-Key-Issued-At", "give milliseconds since the epoch");
-            None
-        }
+    let attempt = match call.headers.contains_key(ATTEMPT_HEADER) {
+        true => call.header(ATTEMPT_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0),
+        false => return key.ok().map(|key| RequestKey { key, attempt: 0 }),
+    };
+    if attempt == 0 {
+        findings.add("Idempotency-Attempt", "count the tries of the key from 1, or leave it out");
+    }
+    key.ok().map(|key| RequestKey { key, attempt })
+}
+
+fn key_problem(error: LedgerKeyError) -> &'static str {
+    match error {
+        LedgerKeyError::Length => "give 1 to 128 bytes",
+        LedgerKeyError::IssueTime => "start with the issue time in milliseconds since 1970 and -",
+        LedgerKeyError::RandomPart => "end with a random part of a-z, A-Z, 0-9, - and _",
     }
 }
 
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -6,11 +6,11 @@
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FinishReason;
-use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::CoverageReport;
 use oleanderwind_wire::RefusalReport;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fanout::FanoutReply;
 use crate::front::answer::empty_answer;
@@ -18,13 +18,7 @@
 use crate::front::answer::set_hits;
 use crate::front::request::CallerRequest;
 use crate::front::service::FrontService;
-
-/// What one search came to.
-pub(crate) struct SearchEnd {
-    pub(crate) answer: CallerAnswer,
-    pub(crate) primary_calls: u32,
-    pub(crate) extra_calls: u32,
-}
+use crate::front::service::RequestEnd;
 
 impl FrontService {
     /// Runs a search; a retired snapshot restarts it whole while there is time.
@@ -33,9 +27,9 @@
         request_id: &str,
         contract: &Rc<CustomerContract>,
         request: &CallerRequest,
-        provider: &ProviderId,
         arrived: Instant,
-    ) -> Option<SearchEnd> {
+    ) -> Option<RequestEnd> {
+        let provider = contract.provider_for(xxh3_64(request_id.as_bytes()))?;
         let deadline = arrived + request.deadline;
         let mut extra_calls = 0;
         loop {
@@ -61,7 +55,7 @@
             let primary_calls = reply.result.calls_sent - reply.result.extra_calls;
             extra_calls += reply.result.extra_calls;
             let answer = search_answer(request_id, &manifest, reply);
-            return Some(SearchEnd { answer, primary_calls, extra_calls });
+            return Some(RequestEnd { answer, primary_calls, extra_calls });
         }
     }
 
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -13,11 +13,10 @@
 use oleanderwind_http::HttpLimits;
 use oleanderwind_http::HttpListener;
 use oleanderwind_http::HttpReply;
+use oleanderwind_http::is_first_try;
 use oleanderwind_policy::FindingList;
-use oleanderwind_policy::OperationKind;
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_wire::CallerAnswer;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
@@ -28,17 +27,33 @@
 use crate::front::request::CallerRequest;
 use crate::front::request::request_id;
 use crate::kernel::Kernel;
+use crate::ledger::LedgerService;
 use crate::metrics::MetricsService;
 use crate::metrics::RequestMeasure;
 use crate::outcomes::FinishedRequest;
 use crate::outcomes::OutcomeService;
 use crate::settings::DaemonSettings;
 
+/// What one request came to.
+pub(crate) struct RequestEnd {
+    pub(crate) answer: CallerAnswer,
+    pub(crate) primary_calls: u32,
+    pub(crate) extra_calls: u32,
+}
+
+impl RequestEnd {
+    /// The end of a request for which no target was called.
+    pub(crate) fn uncalled(answer: CallerAnswer) -> RequestEnd {
+        RequestEnd { answer, primary_calls: 0, extra_calls: 0 }
+    }
+}
+
 /// Serves callers.
 pub(crate) struct FrontService {
     pub(crate) settings: DaemonSettings,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
+    pub(crate) ledger: Rc<LedgerService>,
     metrics: Rc<MetricsService>,
     outcomes: Rc<OutcomeService>,
     listener: OnceCell<HttpListener>,
@@ -56,6 +71,7 @@
         let front = Rc::new(FrontService {
             directory: kernel.directory()?,
             fanout: kernel.fanout()?,
+            ledger: kernel.ledger()?,
             metrics: kernel.metrics()?,
             outcomes: kernel.outcomes()?,
             listener: OnceCell::new(),
@@ -160,16 +176,9 @@
             Err(findings) => return self.refuse(call, RefusalKind::BadRequest, findings),
         };
         let id = self.request_id(call);
-        let hash = match &request.key {
-            Some(key) => xxh3_64(key.key.as_bytes()),
-            None => xxh3_64(id.as_bytes()),
-        };
-        let provider = entry.contract.provider_for(hash).cloned();
-        let end = match (request.terms.operation, provider) {
-            (OperationKind::Search, Some(provider)) => {
-                self.search(&id, &entry.contract, &request, &provider, arrived).await
-            }
-            _ => None,
+        let end = match &request.key {
+            Some(key) => Some(self.execute(&id, &entry.contract, &request, key, arrived).await),
+            None => self.search(&id, &entry.contract, &request, arrived).await,
         };
         let Some(end) = end else {
             return self.refuse(call, RefusalKind::NoSnapshot, FindingList::default());
@@ -226,7 +235,8 @@
         let id = self.request_id(call);
         self.metrics.record_refusal(kind.reason());
         log::info!("request {id} refused: {} {findings}", kind.reason());
-        let (status, answer) = refusal_answer(&id, kind, findings);
+        let is_first_try = is_first_try(&call.headers);
+        let (status, answer) = refusal_answer(&id, kind, findings, is_first_try);
         write_reply(status, &answer)
     }
 
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -10,6 +10,7 @@
 use crate::kernel::KernelError;
 use crate::kernel::Service;
 use crate::kernel::ServiceName;
+use crate::ledger::LedgerService;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
 use crate::platform::PlatformService;
@@ -73,6 +74,7 @@
 typed_lookup!(directory, Directory, DirectoryService);
 typed_lookup!(targets, Targets, TargetService);
 typed_lookup!(fanout, Fanout, FanoutService);
+typed_lookup!(ledger, Ledger, LedgerService);
 
 impl Kernel {
     /// Asks the process to drain, as SIGTERM does.
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -6,6 +6,7 @@
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::front::FrontService;
+use crate::ledger::LedgerService;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
 use crate::platform::PlatformService;
@@ -29,6 +30,8 @@
     Targets,
     /// Running queries.
     Fanout,
+    /// Requests that may not be repeated.
+    Ledger,
     /// Callers' HTTP interface.
     Front,
     /// Operators' HTTP interface.
@@ -52,6 +55,8 @@
     Targets(Rc<TargetService>),
     /// See [`ServiceName::Fanout`].
     Fanout(Rc<FanoutService>),
+    /// See [`ServiceName::Ledger`].
+    Ledger(Rc<LedgerService>),
     /// See [`ServiceName::Front`].
     Front(Rc<FrontService>),
     /// See [`ServiceName::Admin`].
@@ -69,6 +74,7 @@
             Service::Sync(_) => ServiceName::Sync,
             Service::Targets(_) => ServiceName::Targets,
             Service::Fanout(_) => ServiceName::Fanout,
+            Service::Ledger(_) => ServiceName::Ledger,
             Service::Front(_) => ServiceName::Front,
             Service::Admin(_) => ServiceName::Admin,
         }
@@ -85,6 +91,7 @@
             | Service::Sync(_)
             | Service::Targets(_)
             | Service::Fanout(_)
+            | Service::Ledger(_)
             | Service::Admin(_) => {}
         }
     }
@@ -95,6 +102,7 @@
             Service::Front(front) => front.drain().await,
             Service::Admin(admin) => admin.drain().await,
             Service::Fanout(fanout) => fanout.drain().await,
+            Service::Ledger(ledger) => ledger.drain().await,
             Service::Sync(sync) => sync.stop(),
             Service::Metrics(_)
             | Service::Outcomes(_)
--- /dev/null
+++ b/crates/daemon/src/ledger/dispatch.rs
@@ -0,0 +1,108 @@
+//! Sends a claimed request to a target, at most once.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use oleanderwind_policy::ExecuteOutcome;
+use oleanderwind_policy::ExecutorOutcome;
+use oleanderwind_policy::LedgerEvent;
+use oleanderwind_policy::LedgerRequestId;
+use oleanderwind_policy::ProviderId;
+use oleanderwind_wire::ExecuteAnswer;
+use oleanderwind_wire::ExecuteCall;
+
+use crate::ledger::LedgerCall;
+use crate::ledger::LedgerService;
+use crate::targets::CallOutcome;
+use crate::targets::ExecuteDeadline;
+
+/// Time after the deadline in which a reply is still taken, so that repeats learn the result.
+const REPLY_GRACE: Duration = Duration::from_secs(5);
+
+impl LedgerService {
+    /// Notes that a try is handed to a target, and returns what to send.
+    pub(crate) fn start_dispatch(&self, request: LedgerRequestId) -> Option<LedgerCall> {
+        let mut tries = self.tries.borrow_mut();
+        let driven = tries.get_mut(&request)?;
+        driven.is_dispatched = true;
+        self.instruments.record_claim(driven.call.arrived.elapsed());
+        Some(driven.call.clone())
+    }
+
+    /// The provider by the contract that is in force now.
+    fn provider(&self, call: &LedgerCall, provider_hash: u64) -> Option<ProviderId> {
+        let entry = self.directory.contract(&call.customer)?;
+        entry.contract.provider_for(provider_hash).cloned()
+    }
+}
+
+/// Sends one try and feeds the engine what came of it.
+pub(crate) async fn dispatch(
+    ledger: Rc<LedgerService>,
+    request: LedgerRequestId,
+    call: LedgerCall,
+    provider_hash: u64,
+    instant: Instant,
+    wall: SystemTime,
+) {
+    let started = Instant::now();
+    let deadline = ExecuteDeadline { instant, wall, reply_grace: REPLY_GRACE };
+    let outcome = match ledger.provider(&call, provider_hash) {
+        Some(provider) => send_once(&ledger, &call, provider, deadline).await,
+        None => ExecuteOutcome::NotSent,
+    };
+    ledger.instruments.record_dispatch(started.elapsed());
+    ledger.handle(LedgerEvent::ExecuteFinished { request, outcome });
+}
+
+async fn send_once(
+    ledger: &LedgerService,
+    call: &LedgerCall,
+    provider: ProviderId,
+    deadline: ExecuteDeadline,
+) -> ExecuteOutcome {
+    let Some(target) = ledger.fanout.pick_executor(&call.service, &provider) else {
+        return ExecuteOutcome::NotSent;
+    };
+    let remaining = deadline.instant.saturating_duration_since(Instant::now());
+    let message = ExecuteCall {
+        call_id: ledger.fanout.fresh_call(),
+        customer: call.customer.clone(),
+        idempotency_key: call.key.text().to_string(),
+        deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        body: call.text.to_string(),
+    };
+    let sent = Instant::now();
+    let outcome = ledger.targets.execute(&target, &message, deadline).await;
+    let release = executor_outcome(&outcome, sent.elapsed(), deadline);
+    ledger.fanout.release_executor(&target, release);
+    match outcome {
+        CallOutcome::Answered(answer) => ExecuteOutcome::Done { provider, result: answer.result },
+        CallOutcome::Refused(_) => ExecuteOutcome::RefusedNotRun,
+        CallOutcome::NotSent => ExecuteOutcome::NotSent,
+        CallOutcome::Failed => ExecuteOutcome::Uncertain,
+    }
+}
+
+/// What the choice of targets learns from a call.
+fn executor_outcome(
+    outcome: &CallOutcome<ExecuteAnswer>,
+    latency: Duration,
+    deadline: ExecuteDeadline,
+) -> ExecutorOutcome {
+    match outcome {
+        CallOutcome::Answered(answer) => {
+            ExecutorOutcome::Answered { latency, load: answer.load, draining: answer.draining }
+        }
+        CallOutcome::Refused(refusal) => ExecutorOutcome::Refused {
+            cause: refusal.cause,
+            load: refusal.load,
+            draining: refusal.draining,
+        },
+        CallOutcome::NotSent if deadline.has_passed() => ExecutorOutcome::NotSent,
+        // No connection, or none that proved live: the next request should go elsewhere.
+        CallOutcome::NotSent | CallOutcome::Failed => ExecutorOutcome::Failed,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod fanout;
 mod front;
 mod kernel;
+mod ledger;
 mod logging;
 mod metrics;
 mod outcomes;
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -4,3 +4,4 @@
 
 pub(crate) use service::MetricsService;
 pub(crate) use service::RequestMeasure;
+pub(crate) use service::outcome_label;
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -70,10 +70,7 @@
             refusals: meter.u64_counter("oleanderwind_refusals").build(),
             primary_calls: meter.u64_counter("oleanderwind_primary_calls").build(),
             extra_calls: meter.u64_counter("oleanderwind_extra_calls").build(),
-            latency: meter
-                .f64_histogram("oleanderwind_request_latency_ms")
-                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
-                .build(),
+            latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
             coverage: meter
                 .f64_histogram("oleanderwind_request_coverage_permille")
                 .with_boundaries(COVERAGE_BOUNDS_PERMILLE.to_vec())
@@ -88,6 +85,11 @@
         &self.meter
     }
 
+    /// A histogram of times in milliseconds, with the bounds of all latencies.
+    pub(crate) fn latency_histogram(&self, name: &'static str) -> Histogram<f64> {
+        latency_histogram(&self.meter, name)
+    }
+
     /// Adds a finished request.
     pub(crate) fn record(&self, measure: &RequestMeasure<'_>) {
         let customer = KeyValue::new("customer", measure.customer.to_owned());
@@ -121,7 +123,12 @@
     }
 }
 
-fn outcome_label(outcome: RequestOutcome) -> &'static str {
+fn latency_histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter.f64_histogram(name).with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build()
+}
+
+/// The stable name of an outcome.
+pub(crate) fn outcome_label(outcome: RequestOutcome) -> &'static str {
     match outcome {
         RequestOutcome::Answered => "answered",
         RequestOutcome::Partial => "partial",
