feat(load): send ledger keys and count attempts

Cause: the front reads the issue time from the key itself now. Change: the key is {issue ms}-{request id}, attempts count from 1, and Idempotency-Key-Issued-At is gone. A connection closed after the request was read counts as cut and is not sent again (is_unsent). Test: the repeat test checked key == id and the same issue time in both tries. It now checks that each key is a valid ledger key ending in the request's id, that both tries carry the same key (and so the same issue time), and that their attempts are 1 and 2: as strict, plus the attempts.

--- a/crates/load/src/caller/mod.rs
+++ b/crates/load/src/caller/mod.rs
@@ -10,6 +10,9 @@
 use std::time::UNIX_EPOCH;
 
 use awc::error::SendRequestError;
+use oleanderwind_http::ATTEMPT_HEADER;
+use oleanderwind_http::KEY_HEADER;
+use oleanderwind_http::is_unsent;
 use oleanderwind_policy::OperationKind;
 use oleanderwind_wire::AddressAnswer;
 use oleanderwind_wire::CallerAnswer;
@@ -55,7 +58,7 @@
     }
 }
 
-/// One request as the caller sends it; a repeat sends the same again.
+/// One request as the caller sends it; a repeat sends the same with the next attempt number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct CallRequest {
     pub(crate) id: String,
@@ -63,6 +66,16 @@
     pub(crate) operation: OperationKind,
     pub(crate) text: String,
     pub(crate) issued_at: SystemTime,
+    /// Counted from 1.
+    pub(crate) attempt: u32,
+}
+
+impl CallRequest {
+    /// Key of a request that may not be repeated.
+    fn key(&self) -> String {
+        let issued_at = self.issued_at.duration_since(UNIX_EPOCH).unwrap_or_default();
+        format!("{}-{}", issued_at.as_millis(), self.id)
+    }
 }
 
 /// A caller of one customer.
@@ -143,11 +156,9 @@
         let body = match request.operation {
             OperationKind::Search => json!({"class": request.class, "query": request.text}),
             OperationKind::Execute => {
-                let issued_at = request.issued_at.duration_since(UNIX_EPOCH).unwrap_or_default();
-                builder =
-                    builder.insert_header(("Idempotency-Key", request.id.as_str())).insert_header(
-                        ("Idempotency-Key-Issued-At", issued_at.as_millis().to_string()),
-                    );
+                builder = builder
+                    .insert_header((KEY_HEADER, request.key()))
+                    .insert_header((ATTEMPT_HEADER, request.attempt));
                 json!({"class": request.class, "body": request.text})
             }
         };
@@ -166,8 +177,8 @@
 
 /// Tells a connection that was never there from a request that was cut.
 fn classify_error(error: SendRequestError) -> CallFailure {
-    match error {
-        SendRequestError::Connect(cause) => CallFailure::NotConnected(cause.to_string()),
-        other => CallFailure::Cut(other.to_string()),
+    match is_unsent(&error) {
+        true => CallFailure::NotConnected(error.to_string()),
+        false => CallFailure::Cut(error.to_string()),
     }
 }
--- a/crates/load/src/runner/mod.rs
+++ b/crates/load/src/runner/mod.rs
@@ -106,6 +106,7 @@
     }
     let wait_ms = reply.ok().and_then(|reply| reply.answer.retry_after_ms).unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(wait_ms).min(MAX_REPEAT_WAIT)).await;
+    let request = CallRequest { attempt: request.attempt + 1, ..request };
     let sent_at = Instant::now();
     let reply = caller.send(&request).await;
     let sample = take_sample(&request, &reply, sent_at);
@@ -177,6 +178,7 @@
             operation: planned.share.operation,
             text: format!("text {}", planned.query),
             issued_at: SystemTime::now(),
+            attempt: 1,
         }
     }
 
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use oleanderwind_load::ContractMeasure;
@@ -11,6 +12,7 @@
 use oleanderwind_load::RunReport;
 use oleanderwind_load::run_load;
 use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::LedgerKey;
 use oleanderwind_policy::RawContract;
 use support::FakeBehaviour;
 use support::FakeVm;
@@ -84,13 +86,20 @@
     assert!(repeats.sent > 0);
     assert_eq!(repeats.answered, repeats.sent);
     let mut keys: BTreeMap<String, Vec<Option<String>>> = BTreeMap::new();
-    for seen in vm.seen.borrow().iter().filter(|seen| seen.key.is_some()) {
-        assert_eq!(seen.key.as_ref(), Some(&seen.id));
-        keys.entry(seen.id.clone()).or_default().push(seen.issued_at.clone());
+    let mut ids = BTreeSet::new();
+    for seen in vm.seen.borrow().iter() {
+        let Some(key) = &seen.key else { continue };
+        assert_eq!(LedgerKey::try_from(key.as_str()).unwrap().text().as_ref(), key);
+        assert!(key.ends_with(&format!("-{}", seen.id)), "{key} is not the request's own");
+        keys.entry(key.clone()).or_default().push(seen.attempt.clone());
+        ids.insert(seen.id.clone());
     }
-    assert_eq!(keys.len() as u64, repeats.sent);
-    let is_same = |times: &Vec<Option<String>>| times.len() == 2 && times[0] == times[1];
-    assert!(keys.values().all(is_same), "a repeat keeps the key and its issue time");
+    assert_eq!((keys.len() as u64, ids.len() as u64), (repeats.sent, repeats.sent));
+    let counted = [Some("1".to_string()), Some("2".to_string())];
+    assert!(
+        keys.values().all(|attempts| *attempts == counted),
+        "a repeat keeps the key with its issue time and counts the attempt"
+    );
 }
 
 #[actix_rt::test]
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -51,7 +51,7 @@
 pub(crate) struct SeenRequest {
     pub(crate) id: String,
     pub(crate) key: Option<String>,
-    pub(crate) issued_at: Option<String>,
+    pub(crate) attempt: Option<String>,
 }
 
 /// A running fake VM.
@@ -106,9 +106,9 @@
         let id: String = header("X-Request-Id").unwrap();
         let tries = self.seen.borrow().iter().filter(|seen| seen.id == id).count();
         let key = header("Idempotency-Key");
-        let issued_at = header("Idempotency-Key-Issued-At");
+        let attempt = header("Idempotency-Attempt");
         let is_search = key.is_none();
-        self.seen.borrow_mut().push(SeenRequest { id: id.clone(), key, issued_at });
+        self.seen.borrow_mut().push(SeenRequest { id: id.clone(), key, attempt });
         if let FakeBehaviour::Stalled(time) = self.behaviour
             && self.seen.borrow().len() == 1
         {
