--- a/crates/load/src/command/flags.rs
+++ b/crates/load/src/command/flags.rs
@@ -65,7 +65,7 @@
     #[argh(option)]
     pub(crate) contract: Vec<PathBuf>,
 
-    /// ip:port of a VM's admin listener, whose /metrics tell the extra load; may be repeated
+    /// ip:port of a VM whose /metrics tell the extra load; give every VM
     #[argh(option)]
     pub(crate) metrics_address: Vec<String>,
 
@@ -124,10 +124,57 @@
     pub(crate) plot: Option<PathBuf>,
 }
 
+/// Sets variants of the daemon's environment against each other, in turns, on the same seeds.
+///
+/// Each trial starts stand-ins and daemons of its own. The plan's JSON: variants (name,
+/// environment), scenarios (name, control_calls of at_ms, path and body), rounds, vms,
+/// deployments, rate, duration_ms, seed.
+///
+/// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2
+/// wrong usage, 3 could not run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+#[argh(
+    example = "{command_name} --plan plan.json --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json"
+)]
+pub(crate) struct ExperimentFlags {
+    /// file of the plan in JSON
+    #[argh(option)]
+    pub(crate) plan: PathBuf,
+
+    /// path of the program oleanderwindd
+    #[argh(option)]
+    pub(crate) daemon: PathBuf,
+
+    /// path of the program oleanderwind-standin
+    #[argh(option)]
+    pub(crate) standin: PathBuf,
+
+    /// file for every trial's report in JSON
+    #[argh(option)]
+    pub(crate) report: Option<PathBuf>,
+
+    /// file for a plot of the variants' latency distributions in SVG
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
+}
+
 /// Serves both deployments in this process on loopback and puts them under load.
 ///
 /// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong, 2 wrong usage, 3
 /// could not run.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
-pub(crate) struct DemoFlags {}
+pub(crate) struct DemoFlags {
+    /// how long to send requests, in seconds (default 5)
+    #[argh(option, default = "5.0")]
+    pub(crate) seconds: f64,
+
+    /// requests a second for each deployment (default 20)
+    #[argh(option, default = "20.0")]
+    pub(crate) rate: f64,
+
+    /// seed of the load and of the stand-ins (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+}
