fix(http): give an unreadable call's answer the request's id

Cause: the answer to a call whose body can't be read had no request_id, so a caller that reads CallerAnswer could not read it and learned neither outcome nor `ran`. Change: it carries the caller's X-Request-Id, else an empty one. Before: refusal_before_the_ledger_claims_nothing_about_earlier_tries got no readable answer for `unreadable`. After: it passes.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -15,6 +15,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::HeaderMap;
 use actix_rt::net::ActixStream;
 use actix_service::Service;
 use actix_service::ServiceFactory;
@@ -58,6 +59,7 @@
 /// JSON of a call that could not be read.
 #[derive(Serialize)]
 struct UnreadableCall {
+    request_id: String,
     outcome: &'static str,
     ran: &'static str,
     refusal: UnreadableRefusal,
@@ -143,7 +145,7 @@
             };
             handler(call).await
         }
-        Err(error) => unreadable_reply(&error, is_first_try(request.headers())),
+        Err(error) => unreadable_reply(&error, request.headers()),
     };
     let mut response = reply.response;
     if *phase.borrow() >= DrainPhase::Closing {
@@ -152,13 +154,15 @@
     Ok(response)
 }
 
-fn unreadable_reply(error: &BodyError, is_first_try: bool) -> HttpReply {
-    let (outcome, ran) = match is_first_try {
+fn unreadable_reply(error: &BodyError, headers: &HeaderMap) -> HttpReply {
+    let request_id = headers.get("x-request-id").and_then(|id| id.to_str().ok());
+    let (outcome, ran) = match is_first_try(headers) {
         true => ("not_run", "no"),
         // An earlier try of the key may have run.
         false => ("unknown", "unknown"),
     };
     let body = UnreadableCall {
+        request_id: request_id.unwrap_or_default().to_owned(),
         outcome,
         ran,
         refusal: UnreadableRefusal {
