test(ledger): prove at most once under lost replies, kills and freezes

Change: a booking record keeps every answer and checks it against what the targets ran: no key twice, no `not run` whose try or an earlier one ran, no `answered` without a run. Proofs: two VMs at once; lost replies to claim and outcome; platform failing and silent; lost, cut and crossed replies of a target; a customer moved between providers; a caller that goes away; a drain; every LedgerCause by an exhaustive match; refusals before the ledger. Left as measured: a platform that is silent while a segment is cached makes its first try `unknown` (claim_uncertain), as its write was sent.

--- /dev/null
+++ b/tests/proofs/ledger_refusals.rs
@@ -0,0 +1,167 @@
+//! Every reason that an operation is refused for tells the truth.
+
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use oleanderwind_policy::EntryState;
+use oleanderwind_policy::LedgerCause;
+use oleanderwind_policy::LedgerEntry;
+use oleanderwind_policy::LedgerSegment;
+use oleanderwind_policy::LedgerSettings;
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_policy::RunState;
+use oleanderwind_standin::PlatformFault;
+use oleanderwind_standin::ReplyFault;
+use oleanderwind_standin::SearcherFault;
+use oleanderwind_standin::SilenceManner;
+use oleanderwind_standin::StandinSettings;
+use serde_json::json;
+
+use crate::ledger::BookingFleet;
+use crate::support::CLASS;
+use crate::support::CUSTOMER;
+use crate::support::KeyTry;
+
+/// A key's age or lead that no VM accepts, in milliseconds.
+const OUTSIDE_WINDOW_MS: i64 = 3_600_000;
+
+/// Just over the longest body that is read, in bytes.
+const LONG_BODY_BYTES: usize = 64 * 1_024;
+
+/// Fills every segment.
+fn fill_segments(fleet: &BookingFleet) {
+    let settings = LedgerSettings::default();
+    let issued_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let result = Some("x".repeat(settings.max_segment_bytes));
+    let state = EntryState::Done { provider: "alpha".into(), result };
+    let entries = BTreeMap::from([("full".to_owned(), LedgerEntry { issued_ms, state })]);
+    let body = LedgerSegment { entries };
+    for segment in 0..settings.segments {
+        fleet.fleet.standin.put_object("ledger", &format!("segment-{segment:016x}"), &body);
+    }
+}
+
+/// Brings a fresh key to an answer with the cause and returns that try.
+async fn bring_about(fleet: &BookingFleet, cause: LedgerCause) -> KeyTry {
+    let first = fleet.fresh();
+    let vm = fleet.vm(0);
+    match cause {
+        LedgerCause::Ran => {}
+        LedgerCause::RanBefore => {
+            fleet.ask_until_answered(&vm, &first).await;
+            return first.next();
+        }
+        LedgerCause::KeyExpired => return fleet.issued(-OUTSIDE_WINDOW_MS),
+        LedgerCause::KeyInFuture => return fleet.issued(OUTSIDE_WINDOW_MS),
+        LedgerCause::PlatformUnreachable => {
+            fleet.platform(PlatformFault::Outage { manner: SilenceManner::Closed });
+        }
+        LedgerCause::SegmentFull => fill_segments(fleet),
+        LedgerCause::DeadlinePassed => {
+            fleet.platform(PlatformFault::Outage { manner: SilenceManner::Silent });
+            return first.within(100);
+        }
+        LedgerCause::AttemptClosed => {
+            fleet.spoil(SearcherFault::Shed);
+            fleet.ask(&vm, &first).await.unwrap();
+            fleet.spoil(SearcherFault::Clear);
+        }
+        LedgerCause::ClaimHeld => {
+            let reply = ReplyFault::LostByClose;
+            fleet.spoil(SearcherFault::SpoilReplies { reply, count: 1 });
+            fleet.ask(&vm, &first).await.unwrap();
+            return first.next();
+        }
+        LedgerCause::ClaimUncertain => {
+            let manner = SilenceManner::Silent;
+            fleet.platform(PlatformFault::LoseWriteReplies { count: 1, manner });
+            return first.within(200);
+        }
+        LedgerCause::ReplyMissing => {
+            let reply = ReplyFault::LostByClose;
+            fleet.spoil(SearcherFault::SpoilReplies { reply, count: 1 });
+        }
+        LedgerCause::TargetRefused => fleet.spoil(SearcherFault::Shed),
+        LedgerCause::NotSent => fleet.spoil(SearcherFault::Down),
+    }
+    first
+}
+
+/// What a first try is told for the cause.
+fn expected_outcome(cause: LedgerCause) -> RequestOutcome {
+    match cause {
+        LedgerCause::Ran | LedgerCause::RanBefore => RequestOutcome::Answered,
+        LedgerCause::KeyInFuture
+        | LedgerCause::PlatformUnreachable
+        | LedgerCause::SegmentFull
+        | LedgerCause::DeadlinePassed
+        | LedgerCause::AttemptClosed
+        | LedgerCause::TargetRefused
+        | LedgerCause::NotSent => RequestOutcome::NotRun,
+        LedgerCause::KeyExpired
+        | LedgerCause::ClaimHeld
+        | LedgerCause::ClaimUncertain
+        | LedgerCause::ReplyMissing => RequestOutcome::Unknown,
+    }
+}
+
+#[actix_rt::test]
+async fn refusal_of_the_ledger_is_true_for_every_cause() {
+    for cause in LedgerCause::ALL {
+        let fleet = BookingFleet::start(StandinSettings::default()).await;
+        let asked = bring_about(&fleet, cause).await;
+        let verdict = fleet.verdict(0, &asked).await;
+        let reason = match cause {
+            LedgerCause::Ran | LedgerCause::RanBefore => "",
+            cause => cause.as_str(),
+        };
+        assert_eq!(verdict, (expected_outcome(cause), reason.to_owned()));
+        fleet.check_all();
+    }
+}
+
+#[actix_rt::test]
+async fn refusal_of_a_later_try_claims_nothing_about_the_earlier() {
+    for cause in [LedgerCause::PlatformUnreachable, LedgerCause::DeadlinePassed] {
+        let fleet = BookingFleet::start(StandinSettings::default()).await;
+        let reply = ReplyFault::LostByClose;
+        fleet.spoil(SearcherFault::SpoilReplies { reply, count: 1 });
+        let first = fleet.fresh();
+        fleet.ask(&fleet.vm(0), &first).await.unwrap();
+        bring_about(&fleet, cause).await;
+        let verdict = fleet.verdict(1, &first.next().within(100)).await;
+        assert_eq!(verdict, (RequestOutcome::Unknown, cause.as_str().to_owned()));
+        fleet.check_all();
+    }
+}
+
+#[actix_rt::test]
+async fn refusal_before_the_ledger_claims_nothing_about_earlier_tries() {
+    let fleet = BookingFleet::start(StandinSettings::default()).await;
+    let vm = fleet.vm(0);
+    let key = fleet.fresh().key;
+    let body = json!({"class": CLASS, "body": "x"});
+    let long = json!({"class": CLASS, "body": "x".repeat(LONG_BODY_BYTES)});
+    let unknown_class = json!({"class": "none", "body": "x"});
+    let cases = [
+        ("bad_request", CUSTOMER, key.as_str(), &unknown_class),
+        ("bad_request", CUSTOMER, "not-a-key", &body),
+        ("unknown_customer", "nobody", key.as_str(), &body),
+        ("unreadable", CUSTOMER, key.as_str(), &long),
+    ];
+    for (reason, customer, key, body) in cases {
+        for attempt in ["1", "2", "0", "x", ""] {
+            let headers = [("idempotency-key", key), ("idempotency-attempt", attempt)];
+            let post = fleet.fleet.caller.request(&vm, customer, &headers, body).await;
+            let answer = post.unwrap_or_else(|| panic!("{reason} {attempt}: no answer"));
+            let expected = match attempt {
+                "1" => (RequestOutcome::NotRun, RunState::No),
+                _ => (RequestOutcome::Unknown, RunState::Unknown),
+            };
+            assert_eq!(answer.refusal.as_ref().unwrap().reason, reason, "{answer:?}");
+            assert_eq!((answer.outcome, answer.ran), expected, "attempt \"{attempt}\": {answer:?}");
+        }
+    }
+    assert!(fleet.fleet.standin.executions().is_empty());
+}
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -5,6 +5,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod contracts;
+mod ledger;
+mod ledger_processes;
+mod ledger_refusals;
 mod planned_stop;
 mod support;
 mod whole_path;
--- a/tests/proofs/support/caller.rs
+++ b/tests/proofs/support/caller.rs
@@ -78,7 +78,7 @@
         reply.is_ok_and(|reply| reply.status().is_success())
     }
 
-    async fn request(
+    pub(crate) async fn request(
         &self,
         vm: &str,
         customer: &str,
--- a/tests/proofs/support/mod.rs
+++ b/tests/proofs/support/mod.rs
@@ -1,9 +1,16 @@
 //! Fleets for the proofs.
 
+mod bookings;
 mod caller;
 mod fleet;
 mod process;
 
+pub(crate) use bookings::BookingRecord;
+pub(crate) use bookings::CLASS;
+pub(crate) use bookings::CUSTOMER;
+pub(crate) use bookings::KeyTry;
+pub(crate) use bookings::SERVICE;
+pub(crate) use bookings::runs_of;
 pub(crate) use caller::TestCaller;
 pub(crate) use fleet::TestFleet;
 pub(crate) use process::ProcessFleet;
