perf(ledger): wake only what is due

Cause: each wake looked at every open try, and settled every segment with a copy of its body, whether or not anything there was due; next_wake looked at every open try too. Change: deadlines of unanswered tries are kept in order, by the steady and by the wall clock. A wake answers the due ones and takes up their segments and those whose pause is over; the other segments are left alone. The saving was not measured.

--- a/crates/policy/src/ledger/answer.rs
+++ b/crates/policy/src/ledger/answer.rs
@@ -111,6 +111,7 @@
             return;
         }
         work.is_answered = true;
+        self.deadlines.remove(&work.request);
         actions.push(LedgerAction::Answer {
             request: id,
             outcome: verdict.outcome,
@@ -125,6 +126,7 @@
         let Some(work) = self.requests.remove(&id) else {
             return;
         };
+        self.deadlines.remove(&work.request);
         if let Some(segment) = self.segments.get_mut(&work.segment) {
             segment.requests.remove(&id);
         }
--- a/crates/policy/src/ledger/engine.rs
+++ b/crates/policy/src/ledger/engine.rs
@@ -12,6 +12,7 @@
 use super::action::LedgerAction;
 use super::answer::LedgerVerdict;
 use super::cause::LedgerCause;
+use super::deadlines::DeadlineBook;
 use super::event::ExecuteOutcome;
 use super::event::LedgerEvent;
 use super::key::ClockReading;
@@ -36,6 +37,8 @@
     pub(super) settings: LedgerSettings,
     pub(super) segments: BTreeMap<SegmentId, SegmentWork>,
     pub(super) requests: BTreeMap<LedgerRequestId, RequestWork>,
+    /// Of every try that is not answered.
+    pub(super) deadlines: DeadlineBook,
     next_token: u64,
 }
 
@@ -82,6 +85,7 @@
             settings,
             segments: BTreeMap::new(),
             requests: BTreeMap::new(),
+            deadlines: DeadlineBook::default(),
             next_token: 0,
         }
     }
@@ -111,6 +115,7 @@
             segment,
             request,
         };
+        self.deadlines.insert(&work.request);
         self.requests.insert(id, work);
         self.segments.entry(segment).or_default().requests.insert(id);
         if self.refuse_by_age(id, wall, actions) {
@@ -175,29 +180,28 @@
 
     /// Answers what is due and takes up what has waited.
     pub fn wake(&mut self, now: Instant, wall: SystemTime, actions: &mut Vec<LedgerAction>) {
+        let clock = ClockReading { now, wall };
         let is_due =
-            |work: &RequestWork| !work.is_answered && work.is_expired(ClockReading { now, wall });
-        let due: Vec<LedgerRequestId> =
-            self.requests.iter().filter(|(_, work)| is_due(work)).map(|(id, _)| *id).collect();
-        for id in due {
+            |work: &SegmentWork| work.not_before.is_some_and(|instant| instant <= clock.now);
+        let waited = self.segments.iter().filter(|(_, work)| is_due(work)).map(|(id, _)| *id);
+        let mut segments: BTreeSet<SegmentId> = waited.collect();
+        for id in self.deadlines.due(clock) {
+            segments.extend(self.requests.get(&id).map(|work| work.segment));
             self.answer_late(id, actions);
         }
-        let segments: Vec<SegmentId> = self.segments.keys().copied().collect();
         for segment in segments {
-            self.advance(segment, ClockReading { now, wall }, actions);
+            self.advance(segment, clock, actions);
         }
     }
 
     /// When [`LedgerEngine::wake`] is due next.
     pub fn next_wake(&self) -> Option<Instant> {
-        let open = self.requests.values().filter(|work| !work.is_answered);
-        let deadlines = open.map(|work| work.request.deadline);
         let waits = self
             .segments
             .values()
             .filter(|work| work.call == SegmentCall::Idle && !work.requests.is_empty())
             .filter_map(|work| work.not_before);
-        deadlines.chain(waits).min()
+        self.deadlines.first().into_iter().chain(waits).min()
     }
 
     /// How many tries are not yet answered and recorded; a VM that stops waits for 0.
--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -55,6 +55,8 @@
 mod action;
 mod answer;
 mod cause;
+mod deadlines;
+mod ends;
 mod engine;
 mod event;
 mod key;
--- a/crates/policy/tests/ledger_world/mod.rs
+++ b/crates/policy/tests/ledger_world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses a part.
 
+mod step;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,94 +20,16 @@
 use oleanderwind_policy::LedgerSettings;
 use oleanderwind_policy::RequestOutcome;
 
+pub(crate) use step::Flaw;
+pub(crate) use step::Message;
+pub(crate) use step::Step;
+pub(crate) use step::Try;
+
 /// Wall time at the start, in milliseconds since 1970.
 pub(crate) const START_MS: u64 = 1_800_000_000_000;
 /// Time that a try has.
 pub(crate) const PATIENCE: Duration = Duration::from_millis(100);
 
-/// A fault built into the fakes, for the search to find.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Flaw {
-    None,
-    /// The store ignores the expected revision.
-    FenceOff,
-    /// The driver takes a lost reply for a success.
-    GuessAccepted,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Try {
-    pub(crate) key: String,
-    pub(crate) attempt: u32,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Message {
-    Read { segment: u64 },
-    Write { segment: u64, expected: u64, body: LedgerSegment },
-    Execute { request: u64, deadline: Instant },
-    Reply(LedgerEvent),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Step {
-    Submit {
-        vm: usize,
-    },
-    /// Serves a read, write or execution; the reply waits.
-    Serve {
-        vm: usize,
-        index: usize,
-    },
-    Deliver {
-        vm: usize,
-        index: usize,
-    },
-    FailRead {
-        vm: usize,
-        index: usize,
-    },
-    /// Takes effect; the reply is lost.
-    LoseReply {
-        vm: usize,
-        index: usize,
-    },
-    /// Has no effect; nobody knows.
-    LoseCall {
-        vm: usize,
-        index: usize,
-    },
-    /// May take effect later; nobody knows.
-    DelayCall {
-        vm: usize,
-        index: usize,
-    },
-    RefuseCall {
-        vm: usize,
-        index: usize,
-    },
-    NotSent {
-        vm: usize,
-        index: usize,
-    },
-    /// The VM's clocks pass every deadline.
-    Expire {
-        vm: usize,
-    },
-    Tick {
-        vm: usize,
-    },
-    Crash {
-        vm: usize,
-    },
-    LateWrite {
-        index: usize,
-    },
-    LateExecute {
-        index: usize,
-    },
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct VmWorld {
     pub(crate) engine: LedgerEngine,
