--- a/crates/wire/src/caller/mod.rs
+++ b/crates/wire/src/caller/mod.rs
@@ -1,4 +1,15 @@
 //! The callers' HTTP interface: answers, refusals and address answers.
+//!
+//! A request of a class that may not be repeated carries two headers:
+//!
+//! | header | value |
+//! |---|---|
+//! | `Idempotency-Key` | `{issue time in ms since 1970}-{random part of a-z, A-Z, 0-9, - and _}` |
+//! | `Idempotency-Attempt` | number of the try of the key, from 1 and never used twice |
+//!
+//! A caller that leaves the attempt out is told `unknown` where a first try would be told
+//! `not_run`. For a key, `refusal.reason` is one of `LedgerCause`'s names, `result_not_kept` for
+//! a result too long to keep, or a reason of any refused request, for example `bad_request`.
 
 use oleanderwind_policy::CustomerId;
 use oleanderwind_policy::Finding;
