--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -7,11 +7,11 @@
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FinishReason;
-use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::CoverageReport;
 use oleanderwind_wire::RefusalReport;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fanout::FanoutReply;
 use crate::front::answer::empty_answer;
@@ -19,19 +19,13 @@
 use crate::front::answer::set_hits;
 use crate::front::request::CallerRequest;
 use crate::front::service::FrontService;
+use crate::front::service::RequestEnd;
 
 /// Longest wait for word of the snapshot that follows a retired one.
 const NEWER_SNAPSHOT_TIME: Duration = Duration::from_millis(20);
 /// Pause between two looks for it.
 const NEWER_SNAPSHOT_POLL: Duration = Duration::from_millis(2);
 
-/// What one search came to.
-pub(crate) struct SearchEnd {
-    pub(crate) answer: CallerAnswer,
-    pub(crate) primary_calls: u32,
-    pub(crate) extra_calls: u32,
-}
-
 impl FrontService {
     /// Runs a search; a retired snapshot restarts it whole while there is time.
     pub(crate) async fn search(
@@ -39,9 +33,9 @@
         request_id: &str,
         contract: &Rc<CustomerContract>,
         request: &CallerRequest,
-        provider: &ProviderId,
         arrived: Instant,
-    ) -> Option<SearchEnd> {
+    ) -> Option<RequestEnd> {
+        let provider = contract.provider_for(xxh3_64(request_id.as_bytes()))?;
         let deadline = arrived + request.deadline;
         let mut extra_calls = 0;
         loop {
@@ -66,7 +60,7 @@
             let primary_calls = reply.result.calls_sent - reply.result.extra_calls;
             extra_calls += reply.result.extra_calls;
             let answer = search_answer(request_id, &manifest, reply);
-            return Some(SearchEnd { answer, primary_calls, extra_calls });
+            return Some(RequestEnd { answer, primary_calls, extra_calls });
         }
     }
 
--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use oleanderwind_http::is_unsent;
 use serde::Serialize;
 
 use crate::edge::announced_length;
-use crate::edge::is_never_sent;
 
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -82,7 +82,7 @@
 }
 
 fn lane_error(error: &awc::error::SendRequestError) -> LaneError {
-    match is_never_sent(error) {
+    match is_unsent(error) {
         true => LaneError::NotConnected,
         false => LaneError::Broken,
     }
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -23,6 +23,7 @@
 use tokio::time::timeout;
 
 use crate::targets::CallOutcome;
+use crate::targets::ExecuteDeadline;
 use crate::targets::lane::LaneError;
 use crate::targets::lane::LaneExchange;
 use crate::targets::lane::LaneReply;
@@ -90,19 +91,23 @@
         &self,
         target: &TargetId,
         call: &ExecuteCall,
-        deadline: Instant,
+        deadline: ExecuteDeadline,
     ) -> CallOutcome<ExecuteAnswer> {
-        let Some(loan) = self.borrow(target, deadline).await else {
+        let Some(loan) = self.borrow(target, deadline.instant).await else {
             return CallOutcome::NotSent;
         };
-        let patience = PROBE_TIME.min(time_until(deadline));
+        let patience = PROBE_TIME.min(time_until(deadline.instant));
         let probe = loan.lane().get("/v1/health");
-        let loan = match self.finish(loan, probe, patience).await {
-            Some((loan, Ok(_))) if Instant::now() < deadline => loan,
-            _ => return CallOutcome::NotSent,
+        let Some((loan, Ok(_))) = self.finish(loan, probe, patience).await else {
+            return CallOutcome::NotSent;
         };
+        if deadline.has_passed() {
+            loan.give_back();
+            return CallOutcome::NotSent;
+        }
+        let patience = time_until(deadline.instant) + deadline.reply_grace;
         let exchange = loan.lane().post("/v1/execute", call);
-        let Some((loan, reply)) = self.finish(loan, exchange, time_until(deadline)).await else {
+        let Some((loan, reply)) = self.finish(loan, exchange, patience).await else {
             return CallOutcome::Failed;
         };
         let is_own = |answer: &ExecuteAnswer| answer.call_id == call.call_id;
