feat(load): named scenarios with phases, recovery and stated targets

Cause: the experiment tool needed a plan file for every fault, measured a trial as one piece and said nothing about the time until recovery. VMs are listed in the platform; a scenario can replace one every few seconds by SIGTERM and a fresh process. A deployment can have its own rate and a contract its own limit. The older checks and exit codes are unchanged.

--- a/crates/load/src/arrival/mod.rs
+++ b/crates/load/src/arrival/mod.rs
@@ -1,5 +1,6 @@
 //! Poisson arrivals, the same for the same seed.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use oleanderwind_policy::OperationKind;
@@ -16,10 +17,12 @@
 /// What shapes the arrivals.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ArrivalSettings {
-    /// Deployments under load, each with the same rate.
+    /// Deployments under load.
     pub deployments: Vec<DeploymentName>,
-    /// Requests a second for each deployment.
+    /// Requests a second for each deployment without a factor.
     pub rate: f64,
+    /// Multiples of the rate.
+    pub rate_factors: BTreeMap<DeploymentName, f64>,
     /// Arrivals end at this time after the start.
     pub duration: Duration,
     /// Arrivals end after this many.
@@ -63,9 +66,35 @@
         ArrivalPlan { settings, generator, at: Duration::ZERO, number: 0 }
     }
 
+    /// Sum of every deployment's factor.
+    fn factor_sum(&self) -> f64 {
+        self.settings.deployments.iter().map(|name| self.factor(*name)).sum()
+    }
+
+    /// A deployment's multiple of the rate.
+    fn factor(&self, deployment: DeploymentName) -> f64 {
+        self.settings.rate_factors.get(&deployment).copied().unwrap_or(1.0)
+    }
+
+    /// Draws the next request's deployment by the rates.
+    fn draw_deployment(&mut self) -> DeploymentName {
+        let deployments = &self.settings.deployments;
+        if self.settings.rate_factors.is_empty() {
+            return deployments[self.generator.random_range(0..deployments.len())];
+        }
+        let mut point = self.generator.random::<f64>() * self.factor_sum();
+        for deployment in deployments {
+            point -= self.factor(*deployment);
+            if point < 0.0 {
+                return *deployment;
+            }
+        }
+        deployments[0]
+    }
+
     /// Draws the time to the next arrival from an exponential distribution.
     fn draw_gap(&mut self) -> Duration {
-        let total_rate = self.settings.rate * self.settings.deployments.len() as f64;
+        let total_rate = self.settings.rate * self.factor_sum();
         let uniform: f64 = self.generator.random();
         Duration::try_from_secs_f64(-(1.0 - uniform).ln() / total_rate).unwrap_or(Duration::MAX)
     }
@@ -83,8 +112,7 @@
         if self.at >= self.settings.duration {
             return None;
         }
-        let index = self.generator.random_range(0..self.settings.deployments.len());
-        let deployment = self.settings.deployments[index];
+        let deployment = self.draw_deployment();
         let share = deployment.class_at(self.generator.random_range(0..100));
         let query = self.generator.random_range(0..QUERY_COUNT);
         let chosen = self.generator.random_range(0..1_000) < self.settings.repeat_permille;
--- a/crates/load/src/command/experiment.rs
+++ b/crates/load/src/command/experiment.rs
@@ -2,19 +2,27 @@
 
 use std::fs;
 use std::io::Write;
+use std::path::Path;
 
 use eyre::Context;
 use oleanderwind_policy::FindingList;
 
+use crate::DeploymentName;
 use crate::ExperimentPlan;
 use crate::ProgramPaths;
+use crate::ScenarioName;
+use crate::builtin_variant;
 use crate::command::ExitStatus;
 use crate::command::exit_status::CommandFailure;
 use crate::command::flags::ExperimentFlags;
+use crate::command::run::check_amounts;
 use crate::command::run::judge_report;
+use crate::demo::standin_contracts;
 use crate::draw_experiment;
 use crate::render_experiment;
+use crate::render_targets;
 use crate::run_experiment;
+use crate::variant_names;
 
 /// Reads the plan, runs its trials and prints their table.
 pub(crate) fn run(
@@ -33,23 +41,81 @@
         draw_experiment(&report, path)?;
     }
     write!(out, "{}", render_experiment(&report))?;
+    write!(out, "{}", render_targets(&report, &standin_contracts()?))?;
     let is_broken =
         report.trials.iter().any(|trial| judge_report(&trial.report) != ExitStatus::Success);
     Ok(if is_broken { ExitStatus::BoundBroken } else { ExitStatus::Success })
 }
 
-/// Reads and checks the plan.
+/// The plan that the flags name, checked.
 fn read_plan(flags: &ExperimentFlags) -> Result<ExperimentPlan, FindingList> {
-    let mut findings = FindingList::default();
-    let place = flags.plan.display().to_string();
-    let plan = fs::read(&flags.plan).map_err(|error| error.to_string()).and_then(|text| {
+    let plan = match (&flags.plan, flags.scenario.is_empty()) {
+        (Some(path), true) => read_plan_file(path)?,
+        (None, false) => named_plan(flags)?,
+        _ => {
+            let mut findings = FindingList::default();
+            findings
+                .add("--scenario", format!("give --plan, or one of all, {}", ScenarioName::list()));
+            return Err(findings);
+        }
+    };
+    plan.check().map(|()| plan)
+}
+
+/// Reads a plan.
+fn read_plan_file(path: &Path) -> Result<ExperimentPlan, FindingList> {
+    let plan = fs::read(path).map_err(|error| error.to_string()).and_then(|text| {
         serde_json::from_slice::<ExperimentPlan>(&text).map_err(|error| error.to_string())
     });
-    match plan {
-        Ok(plan) => plan.check().map(|()| plan),
-        Err(problem) => {
-            findings.add(place, problem);
-            Err(findings)
+    plan.map_err(|problem| {
+        let mut findings = FindingList::default();
+        findings.add(path.display().to_string(), problem);
+        findings
+    })
+}
+
+/// The plan of the named scenarios and variants.
+fn named_plan(flags: &ExperimentFlags) -> Result<ExperimentPlan, FindingList> {
+    let mut findings = check_amounts(flags.rate, flags.seconds);
+    let duration_ms = (flags.seconds * 1_000.0) as u64;
+    let deployments = match flags.deployment.is_empty() {
+        true => vec![DeploymentName::Tsagaan, DeploymentName::Haneul],
+        false => flags.deployment.clone(),
+    };
+    let mut names = Vec::new();
+    for text in &flags.scenario {
+        match ScenarioName::parse(text) {
+            Some(name) => names.push(name),
+            None if text == "all" => names.extend(ScenarioName::ALL),
+            None => findings.add(
+                "--scenario",
+                format!("`{text}` is not known; give all, {}", ScenarioName::list()),
+            ),
+        }
+    }
+    let mut variants = Vec::new();
+    let defaults = ["default".to_string()];
+    let texts = if flags.variant.is_empty() { &defaults[..] } else { &flags.variant };
+    for text in texts {
+        match builtin_variant(text) {
+            Some(variant) => variants.push(variant),
+            None => findings.add(
+                "--variant",
+                format!("`{text}` is not known; give one of {}", variant_names()),
+            ),
         }
     }
+    let scenarios =
+        names.into_iter().map(|name| name.scenario(&deployments, flags.rate, duration_ms));
+    let scenarios = scenarios.collect();
+    findings.into_result(ExperimentPlan {
+        variants,
+        scenarios,
+        rounds: flags.rounds,
+        vms: flags.vms,
+        deployments,
+        rate: flags.rate,
+        duration_ms,
+        seed: flags.seed,
+    })
 }
--- a/crates/load/src/command/flags.rs
+++ b/crates/load/src/command/flags.rs
@@ -126,21 +126,59 @@
 
 /// Sets variants of the daemon's environment against each other, in turns, on the same seeds.
 ///
-/// Each trial starts stand-ins and daemons of its own. The plan's JSON: variants (name,
-/// environment), scenarios (name, control_calls of at_ms, path and body), rounds, vms,
-/// deployments, rate, duration_ms, seed.
+/// Each trial starts stand-ins and daemons of its own. Give --plan or at least one --scenario. The
+/// plan's JSON: variants (name, environment), scenarios (name, control_calls of at_ms, path and
+/// body, fault of from_ms and to_ms, replace_vm_every_ms, rate_factors, contract_rates), rounds,
+/// vms, deployments, rate, duration_ms, seed.
+///
+/// Scenarios: normal-day, slow-searcher, domain-down, cold-start, shedding, false-load,
+/// over-limit, slow-period, platform-away, repartition, vm-replacement, silent-connections.
+///
+/// Variants: default, hedge-none, hedge-20ms, hedge-q990, least-outstanding, round-robin.
 ///
 /// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2
 /// wrong usage, 3 could not run.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "experiment")]
 #[argh(
-    example = "{command_name} --plan plan.json --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json"
+    example = "{command_name} --scenario domain-down --variant default --variant hedge-none --rounds 3 --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json"
 )]
 pub(crate) struct ExperimentFlags {
     /// file of the plan in JSON
     #[argh(option)]
-    pub(crate) plan: PathBuf,
+    pub(crate) plan: Option<PathBuf>,
+
+    /// scenario known by name, or all; may be repeated
+    #[argh(option)]
+    pub(crate) scenario: Vec<String>,
+
+    /// variant known by name; may be repeated (default: default)
+    #[argh(option)]
+    pub(crate) variant: Vec<String>,
+
+    /// deployment to put under load: tsagaan or haneul; may be repeated (default: both)
+    #[argh(option)]
+    pub(crate) deployment: Vec<DeploymentName>,
+
+    /// requests a second for each deployment (default 50)
+    #[argh(option, default = "50.0")]
+    pub(crate) rate: f64,
+
+    /// length of each trial, in seconds (default 16)
+    #[argh(option, default = "16.0")]
+    pub(crate) seconds: f64,
+
+    /// how often each pair of variant and scenario runs (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) rounds: usize,
+
+    /// VMs of each trial (default 7)
+    #[argh(option, default = "7")]
+    pub(crate) vms: usize,
+
+    /// seed of the first round (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
 
     /// path of the program oleanderwindd
     #[argh(option)]
--- a/crates/load/src/command/run.rs
+++ b/crates/load/src/command/run.rs
@@ -149,6 +149,7 @@
         progress_ms: flags.progress_ms,
         metrics_addresses: flags.metrics_address.clone(),
         pids: flags.pid.clone(),
+        ..RunSettings::default()
     }
 }
 
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -1,19 +1,28 @@
 //! Experiments: named variants of the daemon's environment under the same load, in turns.
 
+mod builtin;
+mod fleet;
 mod plan;
 mod program;
+mod scenario;
 mod table;
 mod trial;
+mod verdict;
 
-pub use plan::ControlCall;
+pub use builtin::ScenarioName;
+pub use builtin::builtin_variant;
+pub use builtin::variant_names;
 pub use plan::ExperimentPlan;
-pub use plan::ExperimentScenario;
 pub use plan::ExperimentVariant;
 pub use plan::TrialStep;
 pub use program::ChildProgram;
+pub use scenario::ControlCall;
+pub use scenario::ExperimentScenario;
+pub use scenario::FaultSpan;
 pub use table::ExperimentReport;
 pub use table::TrialResult;
 pub(crate) use table::class_groups;
 pub use table::render_experiment;
 pub use trial::ProgramPaths;
 pub use trial::run_experiment;
+pub use verdict::render_targets;
--- a/crates/load/src/experiment/plan.rs
+++ b/crates/load/src/experiment/plan.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::DeploymentName;
+use crate::experiment::ExperimentScenario;
 
 /// Most trials of one experiment.
 const MAX_TRIALS: usize = 1_000;
@@ -44,29 +45,6 @@
     pub environment: BTreeMap<String, String>,
 }
 
-/// One scenario.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct ExperimentScenario {
-    /// Name in the table.
-    pub name: String,
-    /// Calls to the stand-ins' control port, in the order of their times.
-    #[serde(default)]
-    pub control_calls: Vec<ControlCall>,
-}
-
-/// One call to the stand-ins' control port.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct ControlCall {
-    /// Time after the first intended send, in milliseconds.
-    pub at_ms: u64,
-    /// Path, for example `/control/faults`.
-    pub path: String,
-    /// The order in JSON.
-    pub body: serde_json::Value,
-}
-
 /// One trial: a variant meets a scenario.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TrialStep {
@@ -143,6 +121,7 @@
             if scenario.control_calls.iter().any(|call| !call.path.starts_with("/control/")) {
                 findings.add(place, "has a path that does not start with /control/");
             }
+            scenario.check(index, self.duration_ms, &mut findings);
         }
         findings.into_result(())
     }
--- a/crates/load/src/experiment/program.rs
+++ b/crates/load/src/experiment/program.rs
@@ -14,6 +14,8 @@
 
 /// Longest time from a program's start to its line of addresses.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at a program that is stopping.
+const STOP_POLL: Duration = Duration::from_millis(10);
 
 /// A running program that printed one JSON line of addresses; killed when dropped.
 #[derive(Debug)]
@@ -61,6 +63,26 @@
         self.child.id()
     }
 
+    /// Asks the program to stop and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be signalled or does not end within `timeout`.
+    pub async fn stop(&mut self, timeout: Duration) -> eyre::Result<()> {
+        let pid = self.pid().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status()?;
+        eyre::ensure!(status.success(), "process {pid} can't be signalled");
+        let ended = async {
+            while self.child.try_wait()?.is_none() {
+                tokio::time::sleep(STOP_POLL).await;
+            }
+            Ok(())
+        };
+        tokio::time::timeout(timeout, ended)
+            .await
+            .wrap_err_with(|| format!("process {pid} did not end in time"))?
+    }
+
     /// An address of the printed line.
     ///
     /// # Errors
--- a/crates/load/src/experiment/trial.rs
+++ b/crates/load/src/experiment/trial.rs
@@ -9,13 +9,14 @@
 use crate::RunReport;
 use crate::RunSettings;
 use crate::demo::standin_contracts;
-use crate::demo::wait_until_ready;
 use crate::experiment::ChildProgram;
 use crate::experiment::ControlCall;
 use crate::experiment::ExperimentPlan;
 use crate::experiment::ExperimentReport;
 use crate::experiment::TrialResult;
 use crate::experiment::TrialStep;
+use crate::experiment::fleet::VmFleet;
+use crate::experiment::fleet::limit_customer;
 use crate::run_load;
 
 /// Where the programs are.
@@ -66,66 +67,51 @@
     }
     let standin = ChildProgram::start(&paths.standin, &args, &[]).await?;
     let platform = standin.address("platform")?;
-    let mut daemons = Vec::new();
-    for index in 1..=plan.vms {
-        daemons.push(start_daemon(plan, paths, step, index, &platform).await?);
+    let scenario = &plan.scenarios[step.scenario];
+    for (deployment, rate) in &scenario.contract_rates {
+        limit_customer(&platform, deployment.customer(), *rate).await?;
     }
-    let mut addresses = Vec::new();
-    for daemon in &daemons {
-        let address = daemon.address("caller")?;
-        wait_until_ready(&address).await?;
-        addresses.push(address);
-    }
-    let pids = daemons.iter().map(ChildProgram::pid).collect();
-    let settings = trial_settings(plan, step, addresses, pids);
-    let contracts = standin_contracts()?;
-    let calls = &plan.scenarios[step.scenario].control_calls;
-    let control = send_control_calls(standin.address("control")?, calls);
-    let (report, control) = futures_util::join!(run_load(&settings, &contracts), control);
-    control?;
-    report
-}
-
-/// Starts one VM with the variant's environment.
-async fn start_daemon(
-    plan: &ExperimentPlan,
-    paths: &ProgramPaths,
-    step: &TrialStep,
-    index: usize,
-    platform: &str,
-) -> eyre::Result<ChildProgram> {
-    let (vm, domain) = (format!("vm-{index}"), format!("fd-{index}"));
-    let flags = [
-        ("--vm", vm.as_str()),
-        ("--failure-domain", domain.as_str()),
-        ("--platform", platform),
-        ("--caller-listen", "127.0.0.1:0"),
-        ("--admin-listen", "127.0.0.1:0"),
-        ("--peer-listen", "127.0.0.1:0"),
-    ];
-    let args: Vec<String> =
-        flags.iter().flat_map(|(flag, value)| [flag.to_string(), value.to_string()]).collect();
     let environment = &plan.variants[step.variant].environment;
-    let environment: Vec<(String, String)> =
-        environment.iter().map(|(variable, value)| (variable.clone(), value.clone())).collect();
-    ChildProgram::start(&paths.daemon, &args, &environment).await
+    let mut fleet = VmFleet::new(paths.daemon.clone(), environment, platform);
+    fleet.start(plan.vms).await?;
+    let settings = trial_settings(plan, step, &fleet);
+    let contracts = standin_contracts()?;
+    let control = send_control_calls(standin.address("control")?, &scenario.control_calls);
+    let load = async { futures_util::join!(run_load(&settings, &contracts), control) };
+    let Some(period_ms) = scenario.replace_vm_every_ms else {
+        let (report, control) = load.await;
+        control?;
+        return report;
+    };
+    let replacement = fleet.replace_forever(Duration::from_millis(period_ms));
+    tokio::select! {
+        (report, control) = load => {
+            control?;
+            report
+        }
+        failure = replacement => {
+            failure?;
+            Err(eyre!("the replacement of VMs ended before the load"))
+        }
+    }
 }
 
 /// Settings of a trial's load.
-fn trial_settings(
-    plan: &ExperimentPlan,
-    step: &TrialStep,
-    addresses: Vec<String>,
-    pids: Vec<u32>,
-) -> RunSettings {
+///
+/// Counters and processes of VMs that are replaced can't be followed, so they are not measured then.
+fn trial_settings(plan: &ExperimentPlan, step: &TrialStep, fleet: &VmFleet) -> RunSettings {
+    let scenario = &plan.scenarios[step.scenario];
+    let is_steady = scenario.replace_vm_every_ms.is_none();
     RunSettings {
         deployments: plan.deployments.clone(),
-        seed_addresses: addresses.clone(),
+        seed_addresses: fleet.callers(),
         rate: plan.rate,
+        rate_factors: scenario.rate_factors.clone(),
         duration_ms: plan.duration_ms,
+        phase_ends_ms: scenario.phase_ends(),
         seed: step.seed,
-        metrics_addresses: addresses,
-        pids,
+        metrics_addresses: if is_steady { fleet.callers() } else { Vec::new() },
+        pids: if is_steady { fleet.pids() } else { Vec::new() },
         ..RunSettings::default()
     }
 }
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -46,10 +46,25 @@
     pub classes: Vec<ClassReport>,
     /// Load on targets, when a VM's metrics tell it.
     pub extra_load: Option<ExtraLoad>,
+    /// Measurements of each class by phase; empty without phases.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub phases: Vec<Vec<ClassReport>>,
+    /// Searches of each second of intended send times.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seconds: Vec<SecondReport>,
     /// How each term of the contract held; empty without a contract.
     pub checks: Vec<ContractCheck>,
 }
 
+/// Searches whose intended send times lie in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct SecondReport {
+    /// Searches sent.
+    pub sent: u64,
+    /// Searches answered right, by the deadline and at or above the floor.
+    pub held: u64,
+}
+
 /// What was measured for one class.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct ClassReport {
@@ -61,6 +76,9 @@
     pub repeats: OutcomeCounts,
     /// Latency from the intended send time, of every whole or partial answer.
     pub latency: LatencySummary,
+    /// Latency of the replies without an answer.
+    #[serde(default)]
+    pub given_up: LatencySummary,
     /// Points of the latency distribution.
     pub percentiles: Vec<PercentilePoint>,
     /// Coverage, when the class searches.
--- a/crates/load/src/runner/mod.rs
+++ b/crates/load/src/runner/mod.rs
@@ -102,7 +102,7 @@
     let caller = context.caller(&planned);
     let reply = caller.send(&request).await;
     let sample = take_sample(&request, &reply, context.start + planned.at);
-    context.tallies.borrow_mut().tally(&planned).record(&sample);
+    context.tallies.borrow_mut().record(&planned, &sample);
     if !planned.repeats || sample.is_answered() {
         return;
     }
@@ -111,7 +111,7 @@
     let sent_at = Instant::now();
     let reply = caller.send(&request).await;
     let sample = take_sample(&request, &reply, sent_at);
-    context.tallies.borrow_mut().tally(&planned).record_repeat(&sample);
+    context.tallies.borrow_mut().record_repeat(&planned, &sample);
 }
 
 /// Checks a reply; the latency counts from `intended`.
@@ -160,7 +160,7 @@
             id: format!("{:x}-{:x}", started_at.as_nanos(), std::process::id()),
             start: Instant::now(),
             callers: settings.deployments.iter().map(make_callers).collect(),
-            tallies: RefCell::new(RunTallies::new(&settings.deployments, contracts)?),
+            tallies: RefCell::new(RunTallies::new(settings, contracts)?),
             permits: Semaphore::new(settings.concurrency),
             overflowed: Cell::new(0),
         })
--- a/crates/load/src/runner/settings.rs
+++ b/crates/load/src/runner/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a run.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -18,8 +19,14 @@
     pub seed_addresses: Vec<String>,
     /// Requests a second for each deployment.
     pub rate: f64,
+    /// Multiples of the rate, for deployments whose rate differs.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub rate_factors: BTreeMap<DeploymentName, f64>,
     /// Arrivals end after this time, in milliseconds.
     pub duration_ms: u64,
+    /// Ends of the phases that are measured apart, but of the last, in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub phase_ends_ms: Vec<u64>,
     /// Arrivals end after this many requests.
     pub count: u64,
     /// Seed of arrivals, classes and texts.
@@ -46,7 +53,9 @@
             deployments: Vec::new(),
             seed_addresses: Vec::new(),
             rate: 50.0,
+            rate_factors: BTreeMap::new(),
             duration_ms: 10_000,
+            phase_ends_ms: Vec::new(),
             count: 1_000_000,
             seed: 1,
             repeat_permille: 500,
@@ -66,6 +75,7 @@
         ArrivalSettings {
             deployments: self.deployments.clone(),
             rate: self.rate,
+            rate_factors: self.rate_factors.clone(),
             duration: Duration::from_millis(self.duration_ms),
             count: self.count,
             seed: self.seed,
--- a/crates/load/src/runner/tallies.rs
+++ b/crates/load/src/runner/tallies.rs
@@ -1,9 +1,12 @@
 //! The tallies of every customer and class of a run.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::OperationKind;
 
+use crate::ClassReport;
 use crate::ClassTally;
 use crate::ContractCheck;
 use crate::CustomerReport;
@@ -11,20 +14,29 @@
 use crate::LoadCounters;
 use crate::OutcomeCounts;
 use crate::PlannedRequest;
+use crate::RequestSample;
+use crate::RunSettings;
+use crate::SecondReport;
 
 /// Tallies by deployment and class.
+type TallyMap = BTreeMap<(DeploymentName, &'static str), ClassTally>;
+
+/// Tallies of a whole run, of its phases and of its seconds.
 pub(crate) struct RunTallies {
-    tallies: BTreeMap<(DeploymentName, &'static str), ClassTally>,
+    tallies: TallyMap,
+    phase_ends: Vec<Duration>,
+    phases: Vec<TallyMap>,
+    seconds: BTreeMap<DeploymentName, Vec<SecondReport>>,
 }
 
 impl RunTallies {
     /// Empty tallies with the terms of the customers' contracts.
     pub(crate) fn new(
-        deployments: &[DeploymentName],
+        settings: &RunSettings,
         contracts: &[CustomerContract],
     ) -> Result<RunTallies, hdrhistogram::CreationError> {
         let mut tallies = BTreeMap::new();
-        for deployment in deployments {
+        for deployment in &settings.deployments {
             let contract = find_contract(contracts, deployment.customer());
             for share in deployment.classes() {
                 let terms = contract.and_then(|contract| contract.classes.get(share.class));
@@ -32,14 +44,39 @@
                 tallies.insert((*deployment, share.class), tally);
             }
         }
-        Ok(RunTallies { tallies })
+        let ends = &settings.phase_ends_ms;
+        let phases = if ends.is_empty() { 0 } else { ends.len() + 1 };
+        Ok(RunTallies {
+            phases: vec![tallies.clone(); phases],
+            tallies,
+            phase_ends: ends.iter().map(|end| Duration::from_millis(*end)).collect(),
+            seconds: BTreeMap::new(),
+        })
+    }
+
+    /// Counts the first try of a request.
+    pub(crate) fn record(&mut self, planned: &PlannedRequest, sample: &RequestSample) {
+        let tally = tally_of(&mut self.tallies, planned);
+        tally.record(sample);
+        let is_held = tally.holds(sample);
+        let phase = self.phase_ends.iter().filter(|end| planned.at >= **end).count();
+        if let Some(tallies) = self.phases.get_mut(phase) {
+            tally_of(tallies, planned).record(sample);
+        }
+        if planned.share.operation == OperationKind::Search {
+            let seconds = self.seconds.entry(planned.deployment).or_default();
+            let second = usize::try_from(planned.at.as_secs()).unwrap_or(usize::MAX);
+            if seconds.len() <= second {
+                seconds.resize(second + 1, SecondReport::default());
+            }
+            seconds[second].sent += 1;
+            seconds[second].held += u64::from(is_held);
+        }
     }
 
-    /// The tally that a request counts in.
-    pub(crate) fn tally(&mut self, planned: &PlannedRequest) -> &mut ClassTally {
-        self.tallies
-            .get_mut(&(planned.deployment, planned.share.class))
-            .expect("every class of every planned deployment has a tally")
+    /// Counts the caller's repeat of a request.
+    pub(crate) fn record_repeat(&mut self, planned: &PlannedRequest, sample: &RequestSample) {
+        tally_of(&mut self.tallies, planned).record_repeat(sample);
     }
 
     /// Sums over all classes.
@@ -65,6 +102,8 @@
                 customer: customer.to_string(),
                 classes: Vec::new(),
                 extra_load: after.since(before, customer),
+                phases: self.phase_reports(*deployment),
+                seconds: self.seconds.get(deployment).cloned().unwrap_or_default(),
                 checks: Vec::new(),
             });
             report.classes.push(tally.report());
@@ -76,6 +115,22 @@
         }
         reports.into_values().collect()
     }
+
+    /// The reports of a deployment's classes in each phase.
+    fn phase_reports(&self, deployment: DeploymentName) -> Vec<Vec<ClassReport>> {
+        let report = |tallies: &TallyMap| {
+            let tallies = tallies.iter().filter(|((name, _), _)| *name == deployment);
+            tallies.map(|(_, tally)| tally.report()).collect()
+        };
+        self.phases.iter().map(report).collect()
+    }
+}
+
+/// The tally that a request counts in.
+fn tally_of<'a>(tallies: &'a mut TallyMap, planned: &PlannedRequest) -> &'a mut ClassTally {
+    tallies
+        .get_mut(&(planned.deployment, planned.share.class))
+        .expect("every class of every planned deployment has a tally")
 }
 
 /// The contract of a customer.
--- a/crates/load/src/tally/mod.rs
+++ b/crates/load/src/tally/mod.rs
@@ -50,6 +50,7 @@
     counts: OutcomeCounts,
     repeats: OutcomeCounts,
     latencies: Histogram<u64>,
+    given_up: Histogram<u64>,
     coverage_count: u64,
     coverage_sum: f64,
     coverage_min: f64,
@@ -73,6 +74,7 @@
             counts: OutcomeCounts::default(),
             repeats: OutcomeCounts::default(),
             latencies: Histogram::new_with_max(MAX_LATENCY_US, LATENCY_DIGITS)?,
+            given_up: Histogram::new_with_max(MAX_LATENCY_US, LATENCY_DIGITS)?,
             coverage_count: 0,
             coverage_sum: 0.0,
             coverage_min: 1_000.0,
@@ -83,9 +85,11 @@
     /// Counts the first try of a request.
     pub fn record(&mut self, sample: &RequestSample) {
         count_sample(&mut self.counts, sample, self.deadline);
+        let micros = u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX);
         if sample.is_answered() {
-            let micros = u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX);
             self.latencies.saturating_record(micros);
+        } else if sample.outcome.is_some() {
+            self.given_up.saturating_record(micros);
         }
         if let Some(report) = &sample.coverage
             && sample.is_answered()
@@ -99,6 +103,16 @@
         count_sample(&mut self.repeats, sample, None);
     }
 
+    /// Whether a request was answered right, by the deadline and at or above the floor.
+    pub fn holds(&self, sample: &RequestSample) -> bool {
+        let is_late = self.deadline.is_some_and(|deadline| sample.latency > deadline);
+        let is_below_floor = sample
+            .coverage
+            .as_ref()
+            .is_some_and(|report| coverage_permille(report) < f64::from(self.floor_permille));
+        sample.is_answered() && !is_late && !is_below_floor && !sample.is_wrong
+    }
+
     /// Requests sent and wrong answers so far.
     pub(crate) fn counts(&self) -> &OutcomeCounts {
         &self.counts
@@ -110,7 +124,8 @@
             class: self.class.clone(),
             counts: self.counts,
             repeats: self.repeats,
-            latency: self.latency_summary(),
+            latency: summarize(&self.latencies),
+            given_up: summarize(&self.given_up),
             percentiles: self.percentile_points(),
             coverage: self.coverage_summary(),
         }
@@ -118,26 +133,13 @@
 
     /// Adds one coverage.
     fn record_coverage(&mut self, report: &CoverageReport) {
-        let covered = report.documents_covered as f64;
-        let permille = covered * 1_000.0 / report.documents_total.max(1) as f64;
+        let permille = coverage_permille(report);
         self.coverage_count += 1;
         self.coverage_sum += permille;
         self.coverage_min = self.coverage_min.min(permille);
         self.below_floor += u64::from(permille < f64::from(self.floor_permille));
     }
 
-    /// The usual quantiles.
-    fn latency_summary(&self) -> LatencySummary {
-        LatencySummary {
-            count: self.latencies.len(),
-            p50_us: self.latencies.value_at_quantile(0.5),
-            p90_us: self.latencies.value_at_quantile(0.9),
-            p99_us: self.latencies.value_at_quantile(0.99),
-            p999_us: self.latencies.value_at_quantile(0.999),
-            max_us: self.latencies.max(),
-        }
-    }
-
     /// The distribution at fixed percentiles; empty without a reply.
     fn percentile_points(&self) -> Vec<PercentilePoint> {
         if self.latencies.is_empty() {
@@ -162,6 +164,23 @@
     }
 }
 
+/// The usual quantiles.
+fn summarize(latencies: &Histogram<u64>) -> LatencySummary {
+    LatencySummary {
+        count: latencies.len(),
+        p50_us: latencies.value_at_quantile(0.5),
+        p90_us: latencies.value_at_quantile(0.9),
+        p99_us: latencies.value_at_quantile(0.99),
+        p999_us: latencies.value_at_quantile(0.999),
+        max_us: latencies.max(),
+    }
+}
+
+/// Documents covered, in thousandths.
+fn coverage_permille(report: &CoverageReport) -> f64 {
+    report.documents_covered as f64 * 1_000.0 / report.documents_total.max(1) as f64
+}
+
 /// Adds one sample to `counts`.
 fn count_sample(counts: &mut OutcomeCounts, sample: &RequestSample, deadline: Option<Duration>) {
     counts.sent += 1;
--- a/crates/load/tests/arrival.rs
+++ b/crates/load/tests/arrival.rs
@@ -1,6 +1,7 @@
 //! Arrivals are fixed by their seed and follow the rate and the mix.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use oleanderwind_load::ArrivalPlan;
@@ -14,6 +15,7 @@
     ArrivalSettings {
         deployments: vec![DeploymentName::Tsagaan, DeploymentName::Haneul],
         rate: 100.0,
+        rate_factors: BTreeMap::new(),
         duration: Duration::from_secs(100),
         count: 1_000_000,
         seed,
@@ -64,3 +66,16 @@
     let plan = ArrivalPlan::new(ArrivalSettings { count: 17, ..settings(3) });
     assert_eq!(plan.count(), 17);
 }
+
+#[test]
+fn plan_follows_rate_factors() {
+    let mut settings = settings(5);
+    settings.rate_factors = BTreeMap::from([(DeploymentName::Haneul, 10.0)]);
+    let haneul = ArrivalPlan::new(settings.clone())
+        .filter(|request| request.deployment == DeploymentName::Haneul)
+        .count();
+    let all = ArrivalPlan::new(settings).count();
+    // 100 s at 1000 and 100 a second; five standard deviations of a Poisson count.
+    assert!(haneul.abs_diff(100_000) < 1_600, "{haneul}");
+    assert!((all - haneul).abs_diff(10_000) < 500, "{all}");
+}
--- a/crates/load/tests/command.rs
+++ b/crates/load/tests/command.rs
@@ -52,12 +52,19 @@
                                 a bound is broken, 2 wrong usage, 3 could not run.
               experiment        Sets variants of the daemon's environment against each
                                 other, in turns, on the same seeds. Each trial starts
-                                stand-ins and daemons of its own. The plan's JSON: variants
-                                (name, environment), scenarios (name, control_calls of
-                                at_ms, path and body), rounds, vms, deployments, rate,
-                                duration_ms, seed. Exit codes: 0 all well, 1 a contract's
-                                term is broken or an answer is wrong in some trial, 2 wrong
-                                usage, 3 could not run.
+                                stand-ins and daemons of its own. Give --plan or at least
+                                one --scenario. The plan's JSON: variants (name,
+                                environment), scenarios (name, control_calls of at_ms, path
+                                and body, fault of from_ms and to_ms, replace_vm_every_ms,
+                                rate_factors, contract_rates), rounds, vms, deployments,
+                                rate, duration_ms, seed. Scenarios: normal-day,
+                                slow-searcher, domain-down, cold-start, shedding,
+                                false-load, over-limit, slow-period, platform-away,
+                                repartition, vm-replacement, silent-connections. Variants:
+                                default, hedge-none, hedge-20ms, hedge-q990,
+                                least-outstanding, round-robin. Exit codes: 0 all well, 1 a
+                                contract's term is broken or an answer is wrong in some
+                                trial, 2 wrong usage, 3 could not run.
               demo              Serves both deployments in this process on loopback and puts
                                 them under load. Exit codes: 0 all well, 1 a contract's term
                                 is broken or an answer is wrong, 2 wrong usage, 3 could not
@@ -217,22 +224,31 @@
     check_help(
         &["experiment", "--help"],
         expect![[r#"
-        Usage: oleanderwind-load experiment --plan <plan> --daemon <daemon> --standin <standin> [--report <report>] [--plot <plot>]
+            Usage: oleanderwind-load experiment [--plan <plan>] [--scenario <scenario...>] [--variant <variant...>] [--deployment <deployment...>] [--rate <rate>] [--seconds <seconds>] [--rounds <rounds>] [--vms <vms>] [--seed <seed>] --daemon <daemon> --standin <standin> [--report <report>] [--plot <plot>]
 
-        Sets variants of the daemon's environment against each other, in turns, on the same seeds. Each trial starts stand-ins and daemons of its own. The plan's JSON: variants (name, environment), scenarios (name, control_calls of at_ms, path and body), rounds, vms, deployments, rate, duration_ms, seed. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2 wrong usage, 3 could not run.
+            Sets variants of the daemon's environment against each other, in turns, on the same seeds. Each trial starts stand-ins and daemons of its own. Give --plan or at least one --scenario. The plan's JSON: variants (name, environment), scenarios (name, control_calls of at_ms, path and body, fault of from_ms and to_ms, replace_vm_every_ms, rate_factors, contract_rates), rounds, vms, deployments, rate, duration_ms, seed. Scenarios: normal-day, slow-searcher, domain-down, cold-start, shedding, false-load, over-limit, slow-period, platform-away, repartition, vm-replacement, silent-connections. Variants: default, hedge-none, hedge-20ms, hedge-q990, least-outstanding, round-robin. Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2 wrong usage, 3 could not run.
 
-        Options:
-          --plan            file of the plan in JSON
-          --daemon          path of the program oleanderwindd
-          --standin         path of the program oleanderwind-standin
-          --report          file for every trial's report in JSON
-          --plot            file for a plot of the variants' latency distributions in
-                            SVG
-          --help, help      display usage information
+            Options:
+              --plan            file of the plan in JSON
+              --scenario        scenario known by name, or all; may be repeated
+              --variant         variant known by name; may be repeated (default: default)
+              --deployment      deployment to put under load: tsagaan or haneul; may be
+                                repeated (default: both)
+              --rate            requests a second for each deployment (default 50)
+              --seconds         length of each trial, in seconds (default 16)
+              --rounds          how often each pair of variant and scenario runs (default 1)
+              --vms             VMs of each trial (default 7)
+              --seed            seed of the first round (default 1)
+              --daemon          path of the program oleanderwindd
+              --standin         path of the program oleanderwind-standin
+              --report          file for every trial's report in JSON
+              --plot            file for a plot of the variants' latency distributions in
+                                SVG
+              --help, help      display usage information
 
-        Examples:
-          oleanderwind-load experiment --plan plan.json --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json
-    "#]],
+            Examples:
+              oleanderwind-load experiment --scenario domain-down --variant default --variant hedge-none --rounds 3 --daemon target/release/oleanderwindd --standin target/release/oleanderwind-standin --report trials.json
+        "#]],
     );
 }
 
--- a/crates/load/tests/experiment.rs
+++ b/crates/load/tests/experiment.rs
@@ -7,16 +7,24 @@
 use oleanderwind_load::ChildProgram;
 use oleanderwind_load::ClassTally;
 use oleanderwind_load::CustomerReport;
+use oleanderwind_load::DeploymentName;
 use oleanderwind_load::ExperimentPlan;
 use oleanderwind_load::ExperimentReport;
 use oleanderwind_load::REPORT_VERSION;
 use oleanderwind_load::RequestSample;
 use oleanderwind_load::RunReport;
 use oleanderwind_load::RunSettings;
+use oleanderwind_load::ScenarioName;
+use oleanderwind_load::SecondReport;
 use oleanderwind_load::TrialResult;
 use oleanderwind_load::TrialStep;
+use oleanderwind_load::builtin_variant;
 use oleanderwind_load::draw_experiment;
 use oleanderwind_load::render_experiment;
+use oleanderwind_load::render_targets;
+use oleanderwind_load::variant_names;
+use oleanderwind_policy::CustomerContract;
+use oleanderwind_policy::RawContract;
 use oleanderwind_policy::RequestOutcome;
 
 /// Two variants under one scenario, three rounds.
@@ -29,6 +37,29 @@
     .unwrap()
 }
 
+/// The result of a trial with one customer.
+fn trial_result(
+    plan: &ExperimentPlan,
+    step: &TrialStep,
+    scenario: &str,
+    customer: CustomerReport,
+) -> TrialResult {
+    TrialResult {
+        round: step.round,
+        variant: plan.variants[step.variant].name.clone(),
+        scenario: scenario.to_string(),
+        report: RunReport {
+            version: REPORT_VERSION,
+            settings: RunSettings::default(),
+            elapsed_ms: 1,
+            overflowed: 0,
+            reconnects: 0,
+            customers: vec![customer],
+            processes: Vec::new(),
+        },
+    }
+}
+
 #[test]
 fn steps_alternate_and_share_seeds() {
     let steps = plan().steps();
@@ -68,22 +99,11 @@
             customer: "haneul".to_string(),
             classes: vec![tally.report()],
             extra_load: None,
+            phases: Vec::new(),
+            seconds: Vec::new(),
             checks: Vec::new(),
         };
-        TrialResult {
-            round: step.round,
-            variant: plan.variants[step.variant].name.clone(),
-            scenario: "calm".to_string(),
-            report: RunReport {
-                version: REPORT_VERSION,
-                settings: RunSettings::default(),
-                elapsed_ms: 1,
-                overflowed: 0,
-                reconnects: 0,
-                customers: vec![customer],
-                processes: Vec::new(),
-            },
-        }
+        trial_result(&plan, &step, "calm", customer)
     });
     let trials = trials.collect();
     let report = ExperimentReport { plan, trials };
@@ -114,3 +134,98 @@
     assert!(ChildProgram::start(shell, &script("exit 1"), &[]).await.is_err());
     assert!(ChildProgram::start(Path::new("/no/such"), &[], &[]).await.is_err());
 }
+
+#[test]
+fn builtin_scenarios_make_checked_plans() {
+    let both = [DeploymentName::Tsagaan, DeploymentName::Haneul];
+    for name in ScenarioName::ALL {
+        assert_eq!(ScenarioName::parse(name.as_str()), Some(name));
+        let mut plan = plan();
+        plan.duration_ms = 8_000;
+        plan.scenarios = vec![name.scenario(&both, plan.rate, plan.duration_ms)];
+        assert!(plan.check().is_ok(), "{name:?}: {:?}", plan.check());
+        for call in &plan.scenarios[0].control_calls {
+            match call.path.as_str() {
+                "/control/faults" => {
+                    serde_json::from_value::<oleanderwind_standin::FaultOrder>(call.body.clone())
+                        .unwrap();
+                }
+                "/control/platform" => {
+                    serde_json::from_value::<oleanderwind_standin::PlatformFault>(
+                        call.body.clone(),
+                    )
+                    .unwrap();
+                }
+                "/control/snapshots" => {
+                    serde_json::from_value::<oleanderwind_standin::SnapshotOrder>(
+                        call.body.clone(),
+                    )
+                    .unwrap();
+                }
+                other => panic!("{other}"),
+            }
+        }
+    }
+    assert_eq!(ScenarioName::parse("no-such"), None);
+    for name in variant_names().split(", ") {
+        assert_eq!(builtin_variant(name).unwrap().name, name);
+    }
+}
+
+#[test]
+fn render_targets_marks_what_is_broken() {
+    let raw: RawContract = serde_json::from_value(serde_json::json!({
+        "customer": "haneul", "preference": "latency",
+        "requests_per_second": 50, "extra_load_permille": 100,
+        "placement": [{"provider": "east", "share_permille": 1000}],
+        "classes": {"find-bed": {"service": "beds", "operation": "search", "deadline_ms": 15,
+                                 "coverage_floor_permille": 900}}
+    }))
+    .unwrap();
+    let contract = CustomerContract::try_from(&raw).unwrap();
+    let terms = contract.classes.get("find-bed");
+    let mut plan = plan();
+    plan.rounds = 1;
+    plan.scenarios =
+        vec![ScenarioName::SlowPeriod.scenario(&[DeploymentName::Haneul], 20.0, 8_000)];
+    let trials = plan.steps().into_iter().map(|step| {
+        let mut tally = ClassTally::new("find-bed", terms).unwrap();
+        tally.record(&RequestSample {
+            outcome: Some(RequestOutcome::Answered),
+            latency: std::time::Duration::from_millis(10 + 10 * step.variant as u64),
+            coverage: None,
+            is_wrong: false,
+        });
+        // The fault lasts from 2000 to 5000 ms.
+        let bad = SecondReport { sent: 10, held: 9 };
+        let good = SecondReport { sent: 10, held: 10 };
+        let mut seconds = vec![good, good, bad, bad, bad, bad, bad, good];
+        seconds[5 + step.variant] = good;
+        let customer = CustomerReport {
+            customer: "haneul".to_string(),
+            classes: vec![tally.report()],
+            extra_load: Some(oleanderwind_load::ExtraLoad {
+                primary_calls: 100,
+                extra_calls: 10 + step.variant as u64,
+            }),
+            phases: vec![Vec::new(), vec![tally.report()], Vec::new()],
+            seconds,
+            checks: Vec::new(),
+        };
+        trial_result(&plan, &step, "slow-period", customer)
+    });
+    let trials = trials.collect();
+    let report = ExperimentReport { plan: plan.clone(), trials };
+    expect![[r#"
+        slow-period, base, haneul, 1 rounds
+          find-bed          whole  p99 10.0 of 15 ms              cover -                        p50  10.0 unanswered    0.0 late    0 given up <=    0.0 ms  holds
+          find-bed          during p99 10.0 of 15 ms              cover -                        p50  10.0 unanswered    0.0 late    0 given up <=    0.0 ms  holds
+          extra load 100.0 of 100 permille  holds
+          first second after the fault in which 99 in 100 searches hold begins after: 0 ms
+        slow-period, keep, haneul, 1 rounds
+          find-bed          whole  p99 20.0 of 15 ms              cover -                        p50  20.0 unanswered 1000.0 late    1 given up <=    0.0 ms  BROKEN [Tail, Late, Answered]
+          find-bed          during p99 20.0 of 15 ms              cover -                        p50  20.0 unanswered 1000.0 late    1 given up <=    0.0 ms  BROKEN [Tail, Late, Answered]
+          extra load 110.0 of 100 permille  BROKEN
+          first second after the fault in which 99 in 100 searches hold begins after: 1000 ms
+    "#]].assert_eq(&render_targets(&report, &[contract]));
+}
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -65,6 +65,8 @@
             customer: "haneul".to_string(),
             classes: vec![search.report(), booking.report()],
             extra_load: Some(ExtraLoad { primary_calls: 2_000, extra_calls: 20 * step_ms }),
+            phases: Vec::new(),
+            seconds: Vec::new(),
             checks: vec![ContractCheck {
                 class: Some("find-bed".to_string()),
                 measure: ContractMeasure::TailMs,
@@ -142,6 +144,14 @@
                     "p999_us": 100031,
                     "max_us": 100031
                   },
+                  "given_up": {
+                    "count": 0,
+                    "p50_us": 0,
+                    "p90_us": 0,
+                    "p99_us": 0,
+                    "p999_us": 0,
+                    "max_us": 0
+                  },
                   "percentiles": [
                     {
                       "percentile": 0.0,
@@ -235,6 +245,14 @@
                     "p999_us": 100031,
                     "max_us": 100031
                   },
+                  "given_up": {
+                    "count": 0,
+                    "p50_us": 0,
+                    "p90_us": 0,
+                    "p99_us": 0,
+                    "p999_us": 0,
+                    "max_us": 0
+                  },
                   "percentiles": [
                     {
                       "percentile": 0.0,
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -228,5 +228,6 @@
         progress_ms: 60_000,
         metrics_addresses: Vec::new(),
         pids: Vec::new(),
+        ..RunSettings::default()
     }
 }
