--- /dev/null
+++ b/crates/policy/src/objects/store.rs
@@ -0,0 +1,169 @@
+//! All configuration objects of a VM.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use crate::ConfigurationObject;
+use crate::ObjectDelta;
+use crate::ObjectKey;
+use crate::ObjectKind;
+use crate::ObjectListing;
+use crate::ObjectSummary;
+use crate::Revision;
+
+/// Deletions that are remembered.
+const TOMBSTONE_LIMIT: usize = 10_000;
+
+/// Objects by name, with the revision up to which they are all there.
+#[derive(Clone, Debug, Default)]
+pub struct ObjectStore {
+    objects: BTreeMap<ObjectKey, ConfigurationObject>,
+    order: BTreeSet<(Revision, ObjectKey)>,
+    tombstones: BTreeSet<(Revision, ObjectKey)>,
+    /// Deletions up to this revision may not be known; never above `complete_to`.
+    forgotten_to: Revision,
+    complete_to: Revision,
+    highest: Revision,
+    digest: u64,
+}
+
+/// Reading.
+impl ObjectStore {
+    /// The object, unless it is deleted or unknown.
+    pub fn get(&self, key: &ObjectKey) -> Option<&ConfigurationObject> {
+        self.objects.get(key).filter(|object| object.body.is_some())
+    }
+
+    /// Objects of a kind that exist, by name.
+    pub fn iter_kind(&self, kind: ObjectKind) -> impl Iterator<Item = &ConfigurationObject> {
+        let start = ObjectKey { kind, name: "".into() };
+        let rest = self.objects.range(start..).map(|(_, object)| object);
+        rest.take_while(move |object| object.key.kind == kind)
+            .filter(|object| object.body.is_some())
+    }
+
+    /// What heartbeats tell of the store.
+    pub fn summary(&self) -> ObjectSummary {
+        ObjectSummary { highest: self.highest, complete_to: self.complete_to, digest: self.digest }
+    }
+
+    /// Objects changed after `after`, lowest revision first, up to about `max_bytes`.
+    ///
+    /// At least one object is sent whatever its size, so that a pull always moves on.
+    /// Fails as `too_old` for an asker that may hold something whose deletion is forgotten here,
+    /// unless it wants the `whole` and drops what that lacks.
+    pub fn delta_after(&self, after: Revision, whole: bool, max_bytes: usize) -> ObjectDelta {
+        let too_old = !whole && after < self.forgotten_to;
+        let mut delta = ObjectDelta { too_old, scanned_to: after, ..ObjectDelta::default() };
+        delta.complete_to = self.complete_to;
+        if too_old {
+            return delta;
+        }
+        let mut bytes = 0;
+        let first =
+            (after.saturating_add(1), ObjectKey { kind: ObjectKind::Contracts, name: "".into() });
+        for (revision, key) in self.order.range((Bound::Included(first), Bound::Unbounded)) {
+            let Some(object) = self.objects.get(key) else { continue };
+            bytes += object.encoded_bound();
+            // One revision is never split between pages, as the next page starts after it.
+            if bytes > max_bytes && !delta.objects.is_empty() && *revision > delta.scanned_to {
+                delta.has_more = true;
+                return delta;
+            }
+            delta.scanned_to = *revision;
+            delta.objects.push(object.clone());
+        }
+        delta.scanned_to = delta.scanned_to.max(self.complete_to);
+        delta
+    }
+}
+
+/// Writing.
+impl ObjectStore {
+    /// Takes an object in if it is newer than what is held; says whether it was.
+    pub fn apply(&mut self, object: &ConfigurationObject) -> bool {
+        match self.objects.get(&object.key) {
+            Some(held) if held.revision >= object.revision => return false,
+            Some(_) => self.remove(&object.key),
+            // It would be held if this were its newest state: it was changed or deleted since.
+            None if object.revision <= self.complete_to => return false,
+            None => {}
+        }
+        let place = (object.revision, object.key.clone());
+        self.digest ^= object.digest();
+        self.highest = self.highest.max(object.revision);
+        if object.body.is_none() {
+            self.tombstones.insert(place.clone());
+        }
+        self.order.insert(place);
+        self.objects.insert(object.key.clone(), object.clone());
+        self.forget_tombstones();
+        true
+    }
+
+    /// Takes a page in that was asked for with `after`; gives back what was new.
+    pub fn apply_delta(
+        &mut self,
+        after: Revision,
+        delta: &ObjectDelta,
+    ) -> Vec<ConfigurationObject> {
+        let fresh: Vec<ConfigurationObject> =
+            delta.objects.iter().filter(|object| self.apply(object)).cloned().collect();
+        if after <= self.complete_to && !delta.too_old {
+            self.raise_complete(delta.scanned_to.min(delta.complete_to));
+        }
+        fresh
+    }
+
+    /// Takes a whole listing in: what it lacks was deleted, what changed after it stays.
+    pub fn apply_listing(&mut self, listing: &ObjectListing) {
+        let is_lost = |object: &&ConfigurationObject| {
+            object.revision <= listing.complete_to && !listing.objects.contains_key(&object.key)
+        };
+        let lost: Vec<ObjectKey> =
+            self.objects.values().filter(is_lost).map(|object| object.key.clone()).collect();
+        for key in lost {
+            self.remove(&key);
+        }
+        for object in listing.objects.values() {
+            self.apply(object);
+        }
+        // The deletions before the listing are not known here.
+        if listing.complete_to > self.complete_to {
+            self.raise_complete(listing.complete_to);
+            self.forgotten_to = self.complete_to;
+        }
+    }
+
+    /// Notes that everything up to `revision` is held.
+    ///
+    /// It never falls. It stops at the highest revision held, as there is nothing beyond it: so it
+    /// moves with changes only, not with every write to the platform's store.
+    pub fn raise_complete(&mut self, revision: Revision) {
+        self.complete_to = self.complete_to.max(revision.min(self.highest));
+    }
+
+    /// Removes an object without a trace.
+    fn remove(&mut self, key: &ObjectKey) {
+        if let Some(held) = self.objects.remove(key) {
+            let place = (held.revision, held.key.clone());
+            self.digest ^= held.digest();
+            self.order.remove(&place);
+            self.tombstones.remove(&place);
+        }
+    }
+
+    /// Drops the oldest deletions past the bound, but none that peers may still have to learn of.
+    fn forget_tombstones(&mut self) {
+        while self.tombstones.len() > TOMBSTONE_LIMIT {
+            let Some((revision, key)) = self.tombstones.pop_first() else { return };
+            if revision > self.complete_to {
+                self.tombstones.insert((revision, key));
+                return;
+            }
+            self.remove(&key);
+            self.forgotten_to = self.forgotten_to.max(revision);
+        }
+    }
+}
