fix(daemon): begin each address answer with another VM

Cause: a VM answered /v1/addresses with the VMs in the order of their names, and callers connect to the first one, so once the VM list had arrived all callers used vm-1 of seven. Change: each answer begins one place further; the VM's seed says where it begins. Callers' own keys can't be used, as callers may share an address.

--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -43,6 +43,8 @@
     outcomes: Rc<OutcomeService>,
     listener: OnceCell<HttpListener>,
     next_request: Cell<u64>,
+    /// Which of the VMs' addresses begins the next address answer.
+    pub(crate) next_turn: Cell<u64>,
 }
 
 impl FrontService {
@@ -60,6 +62,7 @@
             outcomes: kernel.outcomes()?,
             listener: OnceCell::new(),
             next_request: Cell::new(settings.seed),
+            next_turn: Cell::new(settings.seed),
             settings,
         });
         let handler = {
--- a/tests/proofs/whole_path.rs
+++ b/tests/proofs/whole_path.rs
@@ -1,11 +1,15 @@
 //! A request served end to end.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_policy::RunState;
 use oleanderwind_standin::StandinSettings;
 
 use crate::support::ProcessFleet;
 use crate::support::TestFleet;
+use crate::support::wait_for;
 
 #[actix_rt::test]
 async fn search_covers_the_whole_snapshot() {
@@ -39,3 +43,18 @@
     assert_eq!(answer.refusal.unwrap().findings[0].place, "Idempotency-Key");
     assert!(fleet.standin.executions().is_empty());
 }
+
+#[actix_rt::test]
+async fn addresses_begin_with_each_vm_in_turn() {
+    let settings = StandinSettings { vm_list_lag: Duration::ZERO, ..StandinSettings::default() };
+    let fleet = TestFleet::start(settings, 3).await;
+    let seed = fleet.caller_address(0);
+    let ask = async || fleet.caller.addresses(&seed, "tsagaan-ordon").await.unwrap().addresses;
+    wait_for("every VM is listed", async || ask().await.len() == 3).await;
+    let mut begins: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..12 {
+        *begins.entry(ask().await[0].clone()).or_default() += 1;
+    }
+    let counts: Vec<usize> = begins.into_values().collect();
+    assert_eq!(counts, [4, 4, 4], "callers connect to the first address");
+}
