--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -98,13 +98,14 @@
         };
         let patience = PROBE_TIME.min(time_until(deadline.instant));
         let probe = loan.lane().get("/v1/health");
-        let Some((loan, Ok(_))) = self.finish(loan, probe, patience).await else {
-            return CallOutcome::NotSent;
+        let loan = match self.finish(loan, probe, patience).await {
+            Some((loan, Ok(_))) if deadline.has_passed() => {
+                loan.give_back();
+                return CallOutcome::NotSent;
+            }
+            Some((loan, Ok(_))) => loan,
+            _ => return CallOutcome::NotSent,
         };
-        if deadline.has_passed() {
-            loan.give_back();
-            return CallOutcome::NotSent;
-        }
         let patience = time_until(deadline.instant) + deadline.reply_grace;
         let exchange = loan.lane().post("/v1/execute", call);
         let Some((loan, reply)) = self.finish(loan, exchange, patience).await else {
