--- a/tests/proofs/bad_input.rs
+++ b/tests/proofs/bad_input.rs
@@ -197,7 +197,6 @@
     }
 }
 
-#[expect(clippy::await_holding_lock, reason = "one fleet at a time")]
 #[actix_rt::test]
 async fn platform_answers_that_are_garbage_leave_the_vm_alive_and_unready() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
