fix(standin): a searcher that is down keeps its port

Cause: another fleet on the machine could take the port of a searcher that was down. In one of five runs of the search proofs, beside a run of the whole workspace, bringing searchers up again failed with 'address in use', and search_tells_coverage_to_the_document got an answer that no set of shard answers gives; the second may have the same cause, which was not proved. Change: the port stays bound, without listening, until the searcher is up again. After: four runs at once of the two tests passed; the five runs were not repeated.

--- a/crates/standin/src/net/listener.rs
+++ b/crates/standin/src/net/listener.rs
@@ -128,11 +128,17 @@
     }
 }
 
-/// Binds a loopback port, 0 for any.
-pub(crate) fn bind(port: u16) -> io::Result<(TcpListener, SocketAddr)> {
+/// Keeps a loopback port from others without listening on it.
+pub(crate) fn reserve(port: u16) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))?;
+    Ok(socket)
+}
+
+/// Binds a loopback port, 0 for any.
+pub(crate) fn bind(port: u16) -> io::Result<(TcpListener, SocketAddr)> {
+    let socket = reserve(port)?;
     let listener = socket.listen(BACKLOG)?;
     let address = listener.local_addr()?;
     Ok((listener, address))
--- a/crates/standin/src/net/mod.rs
+++ b/crates/standin/src/net/mod.rs
@@ -14,4 +14,5 @@
 pub(crate) use listener::ConnectionGate;
 pub(crate) use listener::EndpointListener;
 pub(crate) use listener::bind;
+pub(crate) use listener::reserve;
 pub(crate) use listener::serve;
--- a/crates/standin/src/searcher/node.rs
+++ b/crates/standin/src/searcher/node.rs
@@ -14,6 +14,7 @@
 use oleanderwind_policy::TargetPhase;
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::CancelCall;
+use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 
@@ -58,6 +59,8 @@
     pub(crate) counter: RefCell<CallCounter>,
     pub(crate) gate: Rc<ConnectionGate>,
     pub(crate) listener: RefCell<Option<EndpointListener>>,
+    /// Keeps the port while the searcher is down.
+    pub(crate) reserved: RefCell<Option<TcpSocket>>,
     pub(crate) slots: Semaphore,
     pub(crate) queued: Cell<u32>,
     pub(crate) queue_bound: u32,
@@ -90,6 +93,7 @@
             holding: RefCell::default(),
             counter: RefCell::default(),
             listener: RefCell::default(),
+            reserved: RefCell::default(),
             queued: Cell::new(0),
             queue_bound: settings.queue_bound,
             open_calls: OpenCalls::default(),
--- a/crates/standin/src/server/state.rs
+++ b/crates/standin/src/server/state.rs
@@ -18,6 +18,7 @@
 
 use crate::documents::shard_documents;
 use crate::net::bind;
+use crate::net::reserve;
 use crate::net::serve;
 use crate::platform::PlatformNode;
 use crate::searcher::CallReport;
@@ -30,6 +31,9 @@
 use crate::server::ServedEndpoint;
 use crate::server::SnapshotOrder;
 
+/// Pause between two tries to keep a port.
+const RESERVE_PAUSE: Duration = Duration::from_millis(1);
+
 /// Present snapshot of a service at a provider.
 #[derive(Clone, Copy, Debug)]
 struct SnapshotState {
@@ -178,6 +182,7 @@
             SearcherFault::Down => {
                 node.listener.borrow_mut().take();
                 node.gate.close();
+                actix_rt::spawn(reserve_port(Rc::clone(node)));
             }
             SearcherFault::Up => listen(node)?,
             _ => {}
@@ -210,11 +215,23 @@
     if node.listener.borrow().is_some() {
         return Ok(());
     }
+    node.reserved.borrow_mut().take();
     let (socket, _) = bind(node.address().port())?;
     serve_searcher(node, socket);
     Ok(())
 }
 
+/// Keeps the port of a searcher that is down, as soon as its listener has closed.
+async fn reserve_port(node: Rc<SearcherNode>) {
+    while node.listener.borrow().is_none() {
+        if let Ok(socket) = reserve(node.address().port()) {
+            node.reserved.borrow_mut().replace(socket);
+            return;
+        }
+        actix_rt::time::sleep(RESERVE_PAUSE).await;
+    }
+}
+
 /// Serves a searcher on a bound port.
 pub(crate) fn serve_searcher(node: &Rc<SearcherNode>, socket: TcpListener) {
     let endpoint = ServedEndpoint::Searcher(Rc::clone(node));
