feat(peers): membership, configuration and departures among the VMs

Cause: every VM listed and watched the platform itself, and none knew that another was leaving. Change: a peers service over tonic drives membership, spread and departures; only watch holders watch the platform; the directory is fed from the object store; requests are served once the start gate opens; address answers come from membership; a stop waits for its notice to spread; targets' departures are told to peers at once.

--- a/crates/daemon/src/admin/edit.rs
+++ b/crates/daemon/src/admin/edit.rs
@@ -1,5 +1,8 @@
 //! Putting contracts in force by conditional update.
 
+use std::rc::Rc;
+
+use oleanderwind_policy as policy;
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::FieldDifference;
 use oleanderwind_policy::FindingList;
@@ -18,9 +21,9 @@
 use crate::admin::history::write_history;
 use crate::admin::reply::invalid_report;
 use crate::admin::reply::plain_report;
-use crate::directory::DirectoryService;
 use crate::edge::ObjectKind;
 use crate::edge::PlatformError;
+use crate::peers::PeerService;
 use crate::platform::PlatformService;
 
 /// Reads that may settle an uncertain write.
@@ -58,7 +61,7 @@
 /// One edit under way.
 pub(crate) struct ContractEditor<'a> {
     pub(crate) platform: &'a PlatformService,
-    pub(crate) directory: &'a DirectoryService,
+    pub(crate) peers: &'a Rc<PeerService>,
     pub(crate) customer: &'a str,
     pub(crate) token: String,
 }
@@ -142,7 +145,7 @@
     }
 
     fn accepted(&self, object: &ObjectDocument) -> EditReport {
-        self.directory.apply(ObjectKind::Contracts, object);
+        self.peers.object_accepted(policy::ObjectKind::Contracts, object);
         log::info!("contract {} accepted at revision {}", self.customer, object.revision());
         let mut report =
             plain_report(EditVerdict::Accepted, "it is in force everywhere in seconds");
--- a/crates/daemon/src/admin/history.rs
+++ b/crates/daemon/src/admin/history.rs
@@ -1,13 +1,12 @@
 //! The history of a contract, kept in its own object.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use oleanderwind_policy::FieldDifference;
 use oleanderwind_wire::HistoryEntry;
 use oleanderwind_wire::ObjectDocument;
 use oleanderwind_wire::ObjectMetadata;
 
+use crate::time::epoch_milliseconds;
+
 /// Annotation that holds the history as JSON.
 const HISTORY_ANNOTATION: &str = "oleanderwind/history";
 /// Edits that the history keeps.
@@ -23,6 +22,11 @@
         .unwrap_or_default()
 }
 
+/// When an object was last edited, in milliseconds since the epoch.
+pub(crate) fn last_edit_ms(object: &ObjectDocument) -> Option<u64> {
+    read_history(object).first().map(|entry| entry.at_ms)
+}
+
 /// Writes `history` with a new entry in front into the metadata.
 pub(crate) fn write_history(
     metadata: &mut ObjectMetadata,
@@ -41,10 +45,9 @@
     operator: &str,
     differences: Vec<FieldDifference>,
 ) -> HistoryEntry {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     HistoryEntry {
         token: token.to_owned(),
-        at_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+        at_ms: epoch_milliseconds(),
         operator: operator.to_owned(),
         differences,
     }
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -6,4 +6,5 @@
 mod reply;
 mod service;
 
+pub(crate) use history::last_edit_ms;
 pub(crate) use service::AdminService;
--- a/crates/daemon/src/admin/service.rs
+++ b/crates/daemon/src/admin/service.rs
@@ -33,6 +33,7 @@
 use crate::edge::PlatformError;
 use crate::kernel::Kernel;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::platform::PlatformService;
 
 /// How long a drain waits for operators' open calls.
@@ -47,6 +48,7 @@
 struct AdminState {
     kernel: Rc<Kernel>,
     directory: Rc<DirectoryService>,
+    peers: Rc<PeerService>,
     platform: Rc<PlatformService>,
     outcomes: Rc<OutcomeService>,
     edits: Cell<u64>,
@@ -62,6 +64,7 @@
         let state = Rc::new(AdminState {
             kernel: kernel.clone(),
             directory: kernel.directory()?,
+            peers: kernel.peers()?,
             platform: kernel.platform()?,
             outcomes: kernel.outcomes()?,
             edits: Cell::new(0),
@@ -89,6 +92,7 @@
     }
     match (&call.method, call.segments().as_slice()) {
         (&Method::GET, ["v1", "status"]) => HttpReply::json(StatusCode::OK, &state.status()),
+        (&Method::GET, ["v1", "fleet"]) => HttpReply::json(StatusCode::OK, &state.peers.fleet()),
         (&Method::GET, ["v1", "contracts"]) => state.list_contracts(),
         (&Method::GET, ["v1", "contracts", customer]) => state.get_contract(customer).await,
         (&Method::GET, ["v1", "contracts", customer, "history"]) => state.history(customer).await,
@@ -142,12 +146,8 @@
             Err(error) => return report_reply(&invalid_report(body_finding(&error))),
         };
         let token = self.fresh_token();
-        let editor = ContractEditor {
-            platform: &self.platform,
-            directory: &self.directory,
-            customer,
-            token,
-        };
+        let editor =
+            ContractEditor { platform: &self.platform, peers: &self.peers, customer, token };
         report_reply(&editor.apply(&edit).await)
     }
 
@@ -173,8 +173,9 @@
         VmStatus {
             vm: settings.vm.to_string(),
             failure_domain: settings.failure_domain.to_string(),
-            is_ready: self.directory.is_ready(),
+            is_ready: self.peers.can_serve(),
             is_leaving: self.directory.is_leaving(),
+            contact: self.peers.contact_text().to_owned(),
             revision: self.directory.revision(),
             contracts: self.directory.contracts().len(),
             targets: self.directory.targets().len(),
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 use crate::kernel::Service;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::platform::HttpPlatform;
 use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
@@ -51,6 +52,8 @@
         let platform = PlatformService::new(Box::new(HttpPlatform::new(settings.platform)));
         kernel.register(Service::Platform(Rc::new(platform)));
         kernel.register(Service::Directory(Rc::new(DirectoryService::new())));
+        let peers = PeerService::start(&kernel).await?;
+        kernel.register(Service::Peers(peers.clone()));
         kernel.register(Service::Sync(Rc::new(SyncService::start(&kernel)?)));
         kernel.register(Service::Targets(Rc::new(TargetService::default())));
         kernel.register(Service::Fanout(FanoutService::start(&kernel)?));
@@ -58,11 +61,12 @@
         kernel.register(Service::Admin(admin.clone()));
         let front = FrontService::start(&kernel).await?;
         kernel.register(Service::Front(front.clone()));
+        peers.open(front.address());
         let addresses = DaemonAddresses {
             vm: settings.vm.to_string(),
             caller: front.address(),
             admin: admin.address(),
-            peer: settings.peer_listen,
+            peer: peers.address(),
         };
         Ok(Daemon { kernel, addresses })
     }
@@ -82,8 +86,9 @@
         let settings = self.kernel.settings();
         log::info!("drain starts");
         self.kernel.announce_leaving();
-        // Callers may use an address answer for as long as they keep it.
-        tokio::time::sleep(settings.address_keep).await;
+        // Until every VM knows, callers still get this VM's address; they use it as long as they
+        // keep their answer.
+        tokio::time::sleep(settings.leave_notice + settings.address_keep).await;
         self.kernel.drain().await;
         log::info!("drain ends");
     }
--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -4,23 +4,25 @@
 use std::cell::RefCell;
 use std::sync::Arc;
 
+use oleanderwind_policy as policy;
+use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_policy::TargetSpec;
-use oleanderwind_wire::ObjectDocument;
 use tokio::sync::watch;
 
 use crate::directory::state::ContractEntry;
 use crate::directory::state::DirectoryState;
 use crate::directory::state::SnapshotKey;
 use crate::edge::ObjectKind;
+use crate::edge::edge_kind;
 
 /// Configuration in force; objects only ever get newer.
 pub(crate) struct DirectoryService {
     state: RefCell<DirectoryState>,
-    complete_kinds: RefCell<Vec<ObjectKind>>,
+    is_configured: Cell<bool>,
     is_leaving: Cell<bool>,
     target_changes: watch::Sender<u64>,
 }
@@ -30,30 +32,45 @@
     pub(crate) fn new() -> DirectoryService {
         DirectoryService {
             state: RefCell::new(DirectoryState::default()),
-            complete_kinds: RefCell::new(Vec::new()),
+            is_configured: Cell::new(false),
             is_leaving: Cell::new(false),
             target_changes: watch::Sender::new(0),
         }
     }
 
-    /// Takes in an object; an older one than that in force changes nothing.
-    pub(crate) fn apply(&self, kind: ObjectKind, object: &ObjectDocument) {
-        let is_news = self.state.borrow_mut().apply(kind, object);
+    /// Takes an object in, or out once it is deleted, unless a newer state of it is in force.
+    ///
+    /// Says whether it was news.
+    pub(crate) fn take(&self, object: &ConfigurationObject) -> bool {
+        let kind = edge_kind(object.key.kind);
+        let is_news = match &object.body {
+            Some(body) => match serde_json::from_slice(body) {
+                Ok(document) => self.state.borrow_mut().apply(kind, &document),
+                Err(error) => {
+                    log::error!("object {} can't be read: {error}", object.key.name);
+                    false
+                }
+            },
+            None => self.state.borrow_mut().remove(kind, &object.key.name, object.revision),
+        };
         self.note_change(kind, is_news);
+        is_news
     }
 
-    /// Takes out an object; an older removal than the object in force changes nothing.
-    pub(crate) fn remove(&self, kind: ObjectKind, object: &ObjectDocument) {
-        let is_news = self.state.borrow_mut().remove(kind, object);
-        self.note_change(kind, is_news);
+    /// Puts exactly these objects of a kind in force.
+    pub(crate) fn replace_kind(&self, kind: policy::ObjectKind, objects: &[&ConfigurationObject]) {
+        let names = objects.iter().map(|object| &*object.key.name).collect();
+        let kind = edge_kind(kind);
+        let has_lost = self.state.borrow_mut().retain(kind, &names);
+        self.note_change(kind, has_lost);
+        for object in objects {
+            self.take(object);
+        }
     }
 
-    /// Notes that every object of a kind has been taken in once.
-    pub(crate) fn mark_complete(&self, kind: ObjectKind) {
-        let mut kinds = self.complete_kinds.borrow_mut();
-        if !kinds.contains(&kind) {
-            kinds.push(kind);
-        }
+    /// Notes that what is in force is proven to be whole.
+    pub(crate) fn mark_configured(&self) {
+        self.is_configured.set(true);
     }
 
     fn note_change(&self, kind: ObjectKind, is_news: bool) {
@@ -65,12 +82,9 @@
 
 /// What is in force.
 impl DirectoryService {
-    /// Whether requests may be served: contracts, snapshots and targets have been taken in.
-    pub(crate) fn is_ready(&self) -> bool {
-        let kinds = self.complete_kinds.borrow();
-        [ObjectKind::Contracts, ObjectKind::Snapshots, ObjectKind::Targets]
-            .iter()
-            .all(|kind| kinds.contains(kind))
+    /// Whether what is in force is proven to be whole, so that requests may be served.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.is_configured.get()
     }
 
     /// A customer's contract.
@@ -103,13 +117,6 @@
         self.state.borrow().highest
     }
 
-    /// Callers' addresses of the VMs that the platform lists as live.
-    pub(crate) fn vm_addresses(&self) -> Vec<String> {
-        let state = self.state.borrow();
-        let live = state.vms.values().filter(|spec| spec["phase"] == "live");
-        live.filter_map(|spec| spec["caller_address"].as_str().map(str::to_owned)).collect()
-    }
-
     /// Counts changes of targets.
     pub(crate) fn target_changes(&self) -> watch::Receiver<u64> {
         self.target_changes.subscribe()
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -33,6 +34,13 @@
     pub(crate) provider: ProviderId,
 }
 
+impl SnapshotKey {
+    /// Name of the snapshot's object.
+    fn object_name(&self) -> String {
+        format!("{}.{}", self.service, self.provider)
+    }
+}
+
 /// Everything in force.
 #[derive(Default)]
 pub(crate) struct DirectoryState {
@@ -40,34 +48,30 @@
     pub(crate) contracts: BTreeMap<CustomerId, ContractEntry>,
     pub(crate) snapshots: HashMap<SnapshotKey, Arc<SnapshotManifest>>,
     pub(crate) targets: BTreeMap<TargetId, TargetSpec>,
-    pub(crate) vms: BTreeMap<String, serde_json::Value>,
     pub(crate) highest: Revision,
 }
 
 impl DirectoryState {
     /// Takes in an object unless a newer one is in force; says whether it is news.
     pub(crate) fn apply(&mut self, kind: ObjectKind, object: &ObjectDocument) -> bool {
-        if !self.is_newer(kind, object) {
+        if !self.is_newer(kind, &object.metadata.name, object.revision()) {
             return false;
         }
         match kind {
             ObjectKind::Contracts => self.apply_contract(object),
             ObjectKind::Snapshots => self.apply_snapshot(object),
             ObjectKind::Targets => self.apply_target(object),
-            ObjectKind::Vms => {
-                self.vms.insert(object.metadata.name.clone(), object.spec.clone());
-            }
-            ObjectKind::Ledger => {}
+            // Membership keeps the VMs, the ledger its segments.
+            ObjectKind::Vms | ObjectKind::Ledger => {}
         }
         true
     }
 
     /// Takes out an object unless a newer one is in force.
-    pub(crate) fn remove(&mut self, kind: ObjectKind, object: &ObjectDocument) -> bool {
-        if !self.is_newer(kind, object) {
+    pub(crate) fn remove(&mut self, kind: ObjectKind, name: &str, revision: Revision) -> bool {
+        if !self.is_newer(kind, name, revision) {
             return false;
         }
-        let name = object.metadata.name.as_str();
         match kind {
             ObjectKind::Contracts => {
                 self.contracts.remove(name);
@@ -75,20 +79,39 @@
             ObjectKind::Targets => {
                 self.targets.remove(name);
             }
-            ObjectKind::Vms => {
-                self.vms.remove(name);
-            }
             ObjectKind::Snapshots => {
-                self.snapshots.retain(|key, _| format!("{}.{}", key.service, key.provider) != name);
+                self.snapshots.retain(|key, _| key.object_name() != name);
             }
-            ObjectKind::Ledger => {}
+            ObjectKind::Vms | ObjectKind::Ledger => {}
         }
         true
     }
 
-    fn is_newer(&mut self, kind: ObjectKind, object: &ObjectDocument) -> bool {
-        let revision = object.revision();
-        let known = self.revisions.entry((kind, object.metadata.name.clone())).or_default();
+    /// Takes out every object of a kind that `names` lacks; says whether there was one.
+    pub(crate) fn retain(&mut self, kind: ObjectKind, names: &HashSet<&str>) -> bool {
+        let before = self.count(kind);
+        match kind {
+            ObjectKind::Contracts => self.contracts.retain(|name, _| names.contains(&**name)),
+            ObjectKind::Targets => self.targets.retain(|name, _| names.contains(&**name)),
+            ObjectKind::Snapshots => {
+                self.snapshots.retain(|key, _| names.contains(key.object_name().as_str()));
+            }
+            ObjectKind::Vms | ObjectKind::Ledger => {}
+        }
+        self.count(kind) != before
+    }
+
+    fn count(&self, kind: ObjectKind) -> usize {
+        match kind {
+            ObjectKind::Contracts => self.contracts.len(),
+            ObjectKind::Targets => self.targets.len(),
+            ObjectKind::Snapshots => self.snapshots.len(),
+            ObjectKind::Vms | ObjectKind::Ledger => 0,
+        }
+    }
+
+    fn is_newer(&mut self, kind: ObjectKind, name: &str, revision: Revision) -> bool {
+        let known = self.revisions.entry((kind, name.to_owned())).or_default();
         if revision <= *known {
             return false;
         }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) use platform::PlatformEdge;
 pub(crate) use platform::PlatformError;
 pub(crate) use platform::WatchStream;
+pub(crate) use platform::edge_kind;
 pub(crate) use send::announced_length;
 pub(crate) use send::is_never_sent;
--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
+use oleanderwind_policy as policy;
 use oleanderwind_policy::Revision;
 use oleanderwind_wire::ObjectDocument;
 use oleanderwind_wire::ObjectList;
@@ -25,10 +26,6 @@
 }
 
 impl ObjectKind {
-    /// Kinds that every VM keeps up to date.
-    pub(crate) const CONFIGURATION: [ObjectKind; 4] =
-        [ObjectKind::Contracts, ObjectKind::Snapshots, ObjectKind::Targets, ObjectKind::Vms];
-
     /// The kind's plural name in paths.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -41,6 +38,16 @@
     }
 }
 
+/// The platform's kind of a configuration object.
+pub(crate) fn edge_kind(kind: policy::ObjectKind) -> ObjectKind {
+    match kind {
+        policy::ObjectKind::Contracts => ObjectKind::Contracts,
+        policy::ObjectKind::Snapshots => ObjectKind::Snapshots,
+        policy::ObjectKind::Targets => ObjectKind::Targets,
+        policy::ObjectKind::Vms => ObjectKind::Vms,
+    }
+}
+
 /// Why a call to the platform has no result.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum PlatformError {
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -10,6 +10,7 @@
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::QueryId;
+use oleanderwind_policy::RefusalCause;
 use oleanderwind_policy::TargetId;
 use oleanderwind_wire::ShardAnswer;
 use oleanderwind_wire::ShardCall;
@@ -138,6 +139,9 @@
     deadline: Instant,
 ) {
     let outcome = fanout.targets.search(&target, &call, deadline).await;
+    if is_draining(&outcome) {
+        fanout.peers.target_draining(&target);
+    }
     let event = match outcome {
         CallOutcome::Answered(answer) => take_answer(&fanout, answer),
         CallOutcome::Refused(refusal) => FanoutEvent::Refused {
@@ -151,6 +155,17 @@
     fanout.handle(event);
 }
 
+/// Whether a target said with its reply that it is leaving.
+fn is_draining(outcome: &CallOutcome<ShardAnswer>) -> bool {
+    match outcome {
+        CallOutcome::Answered(answer) => answer.draining,
+        CallOutcome::Refused(refusal) => {
+            refusal.draining || refusal.cause == RefusalCause::Draining
+        }
+        CallOutcome::NotSent | CallOutcome::Failed => false,
+    }
+}
+
 /// Keeps an answer's hits until the engine decides on them.
 fn take_answer(fanout: &FanoutService, answer: ShardAnswer) -> FanoutEvent {
     let event = FanoutEvent::Answered {
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -24,6 +24,7 @@
 use crate::fanout::driver::run_timers;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
+use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
 use crate::targets::TargetService;
 
@@ -54,6 +55,7 @@
     pub(crate) queries: RefCell<HashMap<QueryId, DrivenQuery>>,
     pub(crate) answers: RefCell<HashMap<CallId, Vec<SearchHit>>>,
     pub(crate) targets: Rc<TargetService>,
+    pub(crate) peers: Rc<PeerService>,
     pub(crate) timer_changes: Notify,
     next_query: Cell<QueryId>,
 }
@@ -67,10 +69,12 @@
             queries: RefCell::new(HashMap::new()),
             answers: RefCell::new(HashMap::new()),
             targets: kernel.targets()?,
+            peers: kernel.peers()?,
             timer_changes: Notify::new(),
             next_query: Cell::new(1),
         });
         actix_rt::spawn(follow_targets(fanout.clone(), directory));
+        actix_rt::spawn(follow_departures(fanout.clone()));
         actix_rt::spawn(run_timers(fanout.clone()));
         Ok(fanout)
     }
@@ -151,6 +155,14 @@
     engine
 }
 
+/// Tells the engine of the departures that peers heard of.
+async fn follow_departures(fanout: Rc<FanoutService>) {
+    let Some(mut news) = fanout.peers.take_drain_news() else { return };
+    while let Some(target) = news.recv().await {
+        fanout.mark_draining(&target);
+    }
+}
+
 /// Tells the engine and the pools of every change of targets.
 async fn follow_targets(fanout: Rc<FanoutService>, directory: Rc<DirectoryService>) {
     let mut changes = directory.target_changes();
--- a/crates/daemon/src/front/addresses.rs
+++ b/crates/daemon/src/front/addresses.rs
@@ -7,15 +7,11 @@
 use crate::front::service::FrontService;
 
 impl FrontService {
-    /// The answer to `GET /v1/addresses?customer=`.
-    pub(crate) fn addresses(&self, customer: CustomerId) -> AddressAnswer {
-        let own = self.address().to_string();
-        let mut addresses = self.directory.vm_addresses();
-        if self.directory.is_leaving() {
-            addresses.retain(|address| *address != own);
-        }
+    /// The answer to `GET /v1/addresses?customer=`; `caller` spreads callers over VMs.
+    pub(crate) fn addresses(&self, customer: CustomerId, caller: &str) -> AddressAnswer {
+        let mut addresses = self.peers.addresses(caller);
         if addresses.is_empty() {
-            addresses.push(own);
+            addresses.push(self.address().to_string());
         }
         AddressAnswer { customer, addresses, keep_ms: milliseconds(self.settings.address_keep) }
     }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -32,6 +32,7 @@
 use crate::metrics::RequestMeasure;
 use crate::outcomes::FinishedRequest;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
 
 /// Serves callers.
@@ -39,6 +40,7 @@
     pub(crate) settings: DaemonSettings,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
+    pub(crate) peers: Rc<PeerService>,
     metrics: Rc<MetricsService>,
     outcomes: Rc<OutcomeService>,
     listener: OnceCell<HttpListener>,
@@ -56,6 +58,7 @@
         let front = Rc::new(FrontService {
             directory: kernel.directory()?,
             fanout: kernel.fanout()?,
+            peers: kernel.peers()?,
             metrics: kernel.metrics()?,
             outcomes: kernel.outcomes()?,
             listener: OnceCell::new(),
@@ -121,11 +124,11 @@
             findings.add("customer", "is missing; give ?customer=");
             return self.refuse(call, RefusalKind::BadRequest, findings);
         }
-        HttpReply::json(StatusCode::OK, &self.addresses(customer.into()))
+        HttpReply::json(StatusCode::OK, &self.addresses(customer.into(), &self.request_id(call)))
     }
 
     fn serve_readiness(&self) -> HttpReply {
-        match (self.directory.is_ready(), self.directory.is_leaving()) {
+        match (self.peers.can_serve(), self.directory.is_leaving()) {
             (true, false) => HttpReply::text(StatusCode::OK, "ready\n"),
             (false, _) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n"),
             (true, true) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
@@ -147,7 +150,7 @@
 impl FrontService {
     async fn serve_request(&self, call: &HttpCall, customer: &str) -> HttpReply {
         let arrived = Instant::now();
-        if !self.directory.is_ready() {
+        if !self.peers.can_serve() {
             return self.refuse(call, RefusalKind::NotReady, FindingList::default());
         }
         let Some(entry) = self.directory.contract(customer) else {
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -12,6 +12,7 @@
 use crate::kernel::ServiceName;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
 use crate::targets::TargetService;
@@ -70,6 +71,7 @@
 typed_lookup!(metrics, Metrics, MetricsService);
 typed_lookup!(outcomes, Outcomes, OutcomeService);
 typed_lookup!(platform, Platform, PlatformService);
+typed_lookup!(peers, Peers, PeerService);
 typed_lookup!(directory, Directory, DirectoryService);
 typed_lookup!(targets, Targets, TargetService);
 typed_lookup!(fanout, Fanout, FanoutService);
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -8,6 +8,7 @@
 use crate::front::FrontService;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::platform::PlatformService;
 use crate::sync::SyncService;
 use crate::targets::TargetService;
@@ -23,7 +24,9 @@
     Platform,
     /// Configuration in force.
     Directory,
-    /// Keeps the directory up to date.
+    /// Calls between the VMs.
+    Peers,
+    /// Hears configuration from the platform.
     Sync,
     /// Connections to targets.
     Targets,
@@ -46,6 +49,8 @@
     Platform(Rc<PlatformService>),
     /// See [`ServiceName::Directory`].
     Directory(Rc<DirectoryService>),
+    /// See [`ServiceName::Peers`].
+    Peers(Rc<PeerService>),
     /// See [`ServiceName::Sync`].
     Sync(Rc<SyncService>),
     /// See [`ServiceName::Targets`].
@@ -66,6 +71,7 @@
             Service::Outcomes(_) => ServiceName::Outcomes,
             Service::Platform(_) => ServiceName::Platform,
             Service::Directory(_) => ServiceName::Directory,
+            Service::Peers(_) => ServiceName::Peers,
             Service::Sync(_) => ServiceName::Sync,
             Service::Targets(_) => ServiceName::Targets,
             Service::Fanout(_) => ServiceName::Fanout,
@@ -79,6 +85,7 @@
         match self {
             Service::Directory(directory) => directory.announce_leaving(),
             Service::Front(front) => front.announce_leaving(),
+            Service::Peers(peers) => peers.announce_leaving(),
             Service::Metrics(_)
             | Service::Outcomes(_)
             | Service::Platform(_)
@@ -96,6 +103,7 @@
             Service::Admin(admin) => admin.drain().await,
             Service::Fanout(fanout) => fanout.drain().await,
             Service::Sync(sync) => sync.stop(),
+            Service::Peers(peers) => peers.drain().await,
             Service::Metrics(_)
             | Service::Outcomes(_)
             | Service::Platform(_)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,10 +16,12 @@
 mod logging;
 mod metrics;
 mod outcomes;
+mod peers;
 mod platform;
 mod settings;
 mod sync;
 mod targets;
+mod time;
 
 pub use daemon::Daemon;
 pub use daemon::DaemonAddresses;
--- /dev/null
+++ b/crates/daemon/src/peers/view.rs
@@ -0,0 +1,143 @@
+//! The fleet as this VM sees it.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use oleanderwind_policy::ContactState;
+use oleanderwind_policy::MemberPhase;
+use oleanderwind_policy::MemberRecord;
+use oleanderwind_policy::MemberStanding;
+use oleanderwind_policy::VmId;
+use oleanderwind_policy::address_plan;
+use oleanderwind_policy::watch_holders;
+use oleanderwind_wire::FleetMember;
+use tokio::sync::watch;
+
+use crate::peers::measures::contact_label;
+use crate::peers::measures::standing_label;
+use crate::peers::service::PeerService;
+
+/// For other services.
+impl PeerService {
+    /// Callers' addresses for one caller, best first.
+    ///
+    /// A VM that may have missed a change leaves itself out.
+    pub(crate) fn addresses(&self, caller: &str) -> Vec<String> {
+        let state = self.state.borrow();
+        let own = state.membership.own();
+        let is_fresh = state.contact.state(Instant::now()) == ContactState::Fresh;
+        let own_standing = match own.phase {
+            MemberPhase::Serving if is_fresh => MemberStanding::Serving,
+            MemberPhase::Serving | MemberPhase::Leaving | MemberPhase::Left => {
+                MemberStanding::Leaving
+            }
+        };
+        let table = state.membership.table();
+        let mut holders: Vec<(&MemberRecord, MemberStanding, u32)> =
+            table.iter().map(|(record, standing)| (record, standing, 0)).collect();
+        holders.push((own, own_standing, 0));
+        let plan = address_plan(caller, &holders);
+        let address = |vm: &VmId| {
+            let record = if *vm == own.vm { Some(own) } else { table.record(vm) };
+            record.map(|record| record.caller_address.to_string())
+        };
+        plan.vms.iter().filter_map(address).collect()
+    }
+
+    /// Every VM with its standing, this one first.
+    pub(crate) fn fleet(&self) -> Vec<FleetMember> {
+        let state = self.state.borrow();
+        let revision = state.spread.store().summary().highest;
+        let member = |record: &MemberRecord, phase: &str, held: u64| FleetMember {
+            vm: record.vm.to_string(),
+            failure_domain: record.failure_domain.to_string(),
+            phase: phase.to_owned(),
+            revision: held,
+            is_lagging: held < revision,
+        };
+        let own = state.membership.own();
+        let own_phase = match own.phase {
+            MemberPhase::Serving => "serving",
+            MemberPhase::Leaving => "leaving",
+            MemberPhase::Left => "left",
+        };
+        let others = state.membership.table().iter();
+        let others = others
+            .map(|(record, standing)| member(record, standing_label(standing), record.revision));
+        std::iter::once(member(own, own_phase, revision)).chain(others).collect()
+    }
+
+    /// How far the configuration can be trusted to be the newest.
+    pub(crate) fn contact(&self) -> ContactState {
+        self.state.borrow().contact.state(Instant::now())
+    }
+
+    /// Whether requests may be served.
+    pub(crate) fn can_serve(&self) -> bool {
+        self.directory.is_configured() && self.contact() != ContactState::Isolated
+    }
+
+    /// The same as its stable name.
+    pub(crate) fn contact_text(&self) -> &'static str {
+        contact_label(self.contact())
+    }
+
+    /// VMs that may hold connections to targets, this one included.
+    pub(crate) fn fleet_size(&self) -> watch::Receiver<usize> {
+        self.fleet_size.subscribe()
+    }
+
+    /// Whether this VM should hold the platform's watches.
+    ///
+    /// One that hears nobody calls the platform whatever its view says.
+    pub(crate) fn is_watch_holder(&self) -> bool {
+        if self.contact() != ContactState::Fresh {
+            return true;
+        }
+        let domain = &self.settings.failure_domain;
+        let mut vms = vec![self.settings.vm.clone()];
+        let state = self.state.borrow();
+        let serving = state.membership.table().iter().filter(|(record, standing)| {
+            *standing == MemberStanding::Serving && record.failure_domain == *domain
+        });
+        vms.extend(serving.map(|(record, _)| record.vm.clone()));
+        watch_holders(domain, &vms).contains(&self.settings.vm)
+    }
+}
+
+/// For the other parts of this service.
+impl PeerService {
+    /// Where a peer listens.
+    pub(crate) fn peer_address(&self, vm: &str) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        state.membership.table().record(vm).map(|record| record.peer_address)
+    }
+
+    /// Other VMs that serve.
+    pub(crate) fn serving_peers(&self) -> usize {
+        let state = self.state.borrow();
+        let standings = state.membership.table().iter();
+        standings.filter(|(_, standing)| *standing == MemberStanding::Serving).count()
+    }
+
+    /// VMs that may hold connections, this one included: all that may not have closed yet.
+    pub(crate) fn count_holders(&self) -> usize {
+        let may_hold = |standing: MemberStanding| match standing {
+            MemberStanding::Serving | MemberStanding::Suspect | MemberStanding::Leaving => true,
+            MemberStanding::Left | MemberStanding::Gone => false,
+        };
+        let state = self.state.borrow();
+        let holding = state.membership.table().iter().filter(|(_, held)| may_hold(*held));
+        holding.count() + 1
+    }
+
+    /// Brings the gauges up to date.
+    pub(crate) fn measure(&self) {
+        let contact = self.contact();
+        let state = self.state.borrow();
+        let standings: Vec<MemberStanding> =
+            state.membership.table().iter().map(|(_, standing)| standing).collect();
+        let revision = state.spread.store().summary().highest;
+        self.measures.note_fleet(revision, contact, &standings);
+    }
+}
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream;
+use oleanderwind_policy as policy;
 use oleanderwind_policy::Revision;
 use oleanderwind_wire::API_PREFIX;
 use oleanderwind_wire::ObjectDocument;
@@ -52,7 +53,7 @@
         HttpPlatform {
             base: format!("http://{address}{API_PREFIX}"),
             calls: client(CALL_CONNECTIONS),
-            watches: client(ObjectKind::CONFIGURATION.len() * 2),
+            watches: client(policy::ObjectKind::ALL.len() * 2),
         }
     }
 
@@ -176,7 +177,11 @@
         }
         match timeout(WATCH_SILENCE, state.response.next()).await {
             Ok(Some(Ok(chunk))) => state.ready.extend(state.lines.push(&chunk)),
-            Ok(Some(Err(_)) | None) | Err(_) => return None,
+            Ok(None) => return None,
+            Ok(Some(Err(_))) | Err(_) => {
+                let broken = PlatformError::Uncertain("the watch broke off".to_owned());
+                return Some((Err(broken), state));
+            }
         }
     }
 }
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -40,6 +40,10 @@
     pub operator_token: Option<String>,
     /// How long callers keep an address answer.
     pub address_keep: Duration,
+    /// How long word of a departure takes to reach every VM.
+    pub leave_notice: Duration,
+    /// Peers to ask at the start; the platform's list names the others.
+    pub seed_peers: Vec<SocketAddr>,
     /// How long a graceful shutdown waits for open requests.
     pub drain_patience: Duration,
     /// When a second call is sent.
@@ -83,6 +87,8 @@
             ),
             operator_token: raw.operator_token.clone().filter(|token| !token.is_empty()),
             address_keep: time(&raw.address_keep_ms, "--address-keep-ms", 2_000, &mut findings),
+            leave_notice: time(&raw.leave_notice_ms, "--leave-notice-ms", 10_000, &mut findings),
+            seed_peers: addresses(&raw.seed_peers, "--seed-peers", &mut findings),
             drain_patience: time(
                 &raw.drain_patience_ms,
                 "--drain-patience-ms",
@@ -112,6 +118,9 @@
         writeln!(f, "peer-listen={}", self.peer_listen)?;
         writeln!(f, "operator-token={token}")?;
         writeln!(f, "address-keep-ms={}", self.address_keep.as_millis())?;
+        writeln!(f, "leave-notice-ms={}", self.leave_notice.as_millis())?;
+        let seeds: Vec<String> = self.seed_peers.iter().map(SocketAddr::to_string).collect();
+        writeln!(f, "seed-peers={}", seeds.join(","))?;
         writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
@@ -149,6 +158,12 @@
     })
 }
 
+fn addresses(option: &Option<String>, flag: &str, findings: &mut FindingList) -> Vec<SocketAddr> {
+    let texts = option.as_deref().unwrap_or_default().split(',');
+    let texts = texts.filter(|text| !text.is_empty());
+    texts.map(|text| address(&Some(text.to_owned()), flag, "", findings)).collect()
+}
+
 fn time(
     option: &Option<String>,
     flag: &str,
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -37,6 +37,12 @@
     /// milliseconds that callers keep an address answer; default: 2000
     #[argh(option)]
     pub address_keep_ms: Option<String>,
+    /// milliseconds until every VM knows that this one is leaving; default: 10000
+    #[argh(option)]
+    pub leave_notice_ms: Option<String>,
+    /// ip:port,... of peers to ask at the start when the platform is silent; default: none
+    #[argh(option)]
+    pub seed_peers: Option<String>,
     /// milliseconds that a graceful shutdown waits for open requests; default: 15000
     #[argh(option)]
     pub drain_patience_ms: Option<String>,
@@ -70,6 +76,8 @@
             ("PEER_LISTEN", &mut self.peer_listen),
             ("OPERATOR_TOKEN", &mut self.operator_token),
             ("ADDRESS_KEEP_MS", &mut self.address_keep_ms),
+            ("LEAVE_NOTICE_MS", &mut self.leave_notice_ms),
+            ("SEED_PEERS", &mut self.seed_peers),
             ("DRAIN_PATIENCE_MS", &mut self.drain_patience_ms),
             ("HEDGE", &mut self.hedge),
             ("ROUTING", &mut self.routing),
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,97 +1,179 @@
-//! Keeps the directory up to date from the platform.
+//! Hears configuration from the platform, on the VMs that hold its watches.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
 use futures_util::StreamExt;
+use futures_util::future::try_join_all;
+use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::ObjectKind;
+use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::Revision;
+use oleanderwind_policy::WatchBackoff;
 use oleanderwind_wire::WatchKind;
 
 use crate::directory::DirectoryService;
-use crate::edge::ObjectKind;
 use crate::edge::PlatformError;
+use crate::edge::edge_kind;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
+use crate::peers::PeerService;
+use crate::peers::configuration_object;
 use crate::platform::PlatformService;
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How often a VM that holds no watch looks whether it should.
+const HOLDER_POLL: Duration = Duration::from_millis(250);
 
-/// One task a kind that lists once and then watches.
+/// One task that lists every kind and watches them while this VM holds watches.
 pub(crate) struct SyncService {
-    tasks: RefCell<Vec<JoinHandle<()>>>,
+    task: RefCell<Option<JoinHandle<()>>>,
 }
 
+/// What the task works with.
+struct SyncTask {
+    platform: Rc<PlatformService>,
+    peers: Rc<PeerService>,
+    directory: Rc<DirectoryService>,
+}
+
+/// Where each kind's next watch starts.
+type KindRevisions = Vec<(ObjectKind, Revision)>;
+
 impl SyncService {
-    /// Starts the tasks.
+    /// Starts the task.
     pub(crate) fn start(kernel: &Rc<Kernel>) -> Result<SyncService, KernelError> {
-        let platform = kernel.platform()?;
-        let directory = kernel.directory()?;
-        let tasks = ObjectKind::CONFIGURATION
-            .into_iter()
-            .map(|kind| actix_rt::spawn(follow(kind, platform.clone(), directory.clone())))
-            .collect();
-        Ok(SyncService { tasks: RefCell::new(tasks) })
+        let task = SyncTask {
+            platform: kernel.platform()?,
+            peers: kernel.peers()?,
+            directory: kernel.directory()?,
+        };
+        let backoff = WatchBackoff::new(kernel.settings().seed, Instant::now());
+        let task = actix_rt::spawn(task.follow(backoff));
+        Ok(SyncService { task: RefCell::new(Some(task)) })
     }
 
-    /// Ends the tasks.
+    /// Ends the task.
     pub(crate) fn stop(&self) {
-        for task in self.tasks.borrow_mut().drain(..) {
+        if let Some(task) = self.task.borrow_mut().take() {
             task.abort();
         }
     }
 }
 
-/// Lists and watches one kind for ever.
-async fn follow(kind: ObjectKind, platform: Rc<PlatformService>, directory: Rc<DirectoryService>) {
-    let mut revision = None;
-    loop {
-        let result = match revision {
-            None => list_once(kind, &platform, &directory).await,
-            Some(after) => watch_once(kind, after, &platform, &directory).await,
-        };
-        match result {
-            Ok(next) => revision = Some(next),
-            Err(PlatformError::Expired) => revision = None,
-            Err(error) => {
-                log::warn!("following {}: {error}", kind.as_str());
-                tokio::time::sleep(RETRY_PAUSE).await;
+impl SyncTask {
+    /// Hears the platform for ever.
+    async fn follow(self, mut backoff: WatchBackoff) {
+        let mut revisions = None;
+        loop {
+            if self.directory.is_configured() && !self.peers.is_watch_holder() {
+                // Peers keep the store up to date, so that the next watch starts from there.
+                revisions = None;
+                tokio::time::sleep(HOLDER_POLL).await;
+                continue;
+            }
+            tokio::time::sleep_until(backoff.next_call().into()).await;
+            let held = revisions.take().or_else(|| self.held_revisions());
+            let result = match held {
+                Some(held) => self.watch_all(held).await,
+                None => self.list_all().await,
+            };
+            match result {
+                Ok(next) => {
+                    backoff.succeeded(Instant::now());
+                    revisions = Some(next);
+                }
+                Err(PlatformError::Expired) => {
+                    backoff.succeeded(Instant::now());
+                    revisions = self.list_after_expiry(&mut backoff).await;
+                }
+                Err(error) => {
+                    log::warn!("the platform's watch: {error}");
+                    backoff.failed(Instant::now());
+                }
             }
         }
     }
-}
 
-async fn list_once(
-    kind: ObjectKind,
-    platform: &PlatformService,
-    directory: &DirectoryService,
-) -> Result<Revision, PlatformError> {
-    let list = platform.list(kind).await?;
-    for object in &list.items {
-        directory.apply(kind, object);
+    /// Lists anew after a watch's version grew too old.
+    async fn list_after_expiry(&self, backoff: &mut WatchBackoff) -> Option<KindRevisions> {
+        loop {
+            match self.list_all().await {
+                Ok(next) => return Some(next),
+                Err(error) => {
+                    log::warn!("the platform's lists: {error}");
+                    backoff.failed(Instant::now());
+                    tokio::time::sleep_until(backoff.next_call().into()).await;
+                }
+            }
+        }
     }
-    directory.mark_complete(kind);
-    Ok(list.metadata.resource_version.parse().unwrap_or(0))
-}
 
-async fn watch_once(
-    kind: ObjectKind,
-    after: Revision,
-    platform: &PlatformService,
-    directory: &DirectoryService,
-) -> Result<Revision, PlatformError> {
-    let mut events = platform.watch(kind, after).await?;
-    let mut revision = after;
-    while let Some(event) = events.next().await {
-        let event = event?;
-        revision = revision.max(event.object.revision());
-        match event.kind {
-            WatchKind::Added | WatchKind::Modified => directory.apply(kind, &event.object),
-            WatchKind::Deleted => directory.remove(kind, &event.object),
-            WatchKind::Bookmark => {}
+    /// Where watches may start by what is held; nowhere before that is proven.
+    fn held_revisions(&self) -> Option<KindRevisions> {
+        let complete_to = self.peers.complete_to();
+        let kinds = ObjectKind::ALL.into_iter();
+        (complete_to > 0 && self.directory.is_configured())
+            .then(|| kinds.map(|kind| (kind, complete_to)).collect())
+    }
+
+    async fn list_all(&self) -> Result<KindRevisions, PlatformError> {
+        let lists = ObjectKind::ALL.into_iter().map(async |kind| {
+            let list = self.platform.list(edge_kind(kind)).await?;
+            let revision = list.metadata.resource_version.parse().unwrap_or(0);
+            let objects = list.items.iter().map(|object| configuration_object(kind, object));
+            Ok::<_, PlatformError>(KindList { kind, revision, objects: objects.collect() })
+        });
+        let lists = try_join_all(lists).await?;
+        self.peers.platform_heard();
+        let revision = lists.iter().map(|list| list.revision).min().unwrap_or(0);
+        let objects: Vec<ConfigurationObject> =
+            lists.iter().flat_map(|list| list.objects.iter().cloned()).collect();
+        self.peers.platform_listed(&ObjectListing::from_platform(&objects, revision));
+        Ok(lists.iter().map(|list| (list.kind, list.revision)).collect())
+    }
+
+    /// Watches every kind until its watch ends; the first failure ends all.
+    async fn watch_all(&self, held: KindRevisions) -> Result<KindRevisions, PlatformError> {
+        let watches = held.into_iter().map(async |(kind, after)| {
+            let revision = self.watch_one(kind, after).await?;
+            Ok::<_, PlatformError>((kind, revision))
+        });
+        let revisions = try_join_all(watches).await?;
+        let complete_to = revisions.iter().map(|(_, revision)| *revision).min();
+        self.peers.watched_to(complete_to.unwrap_or(0));
+        Ok(revisions)
+    }
+
+    async fn watch_one(
+        &self,
+        kind: ObjectKind,
+        after: Revision,
+    ) -> Result<Revision, PlatformError> {
+        let mut events = self.platform.watch(edge_kind(kind), after).await?;
+        self.peers.platform_heard();
+        let mut revision = after;
+        while let Some(event) = events.next().await {
+            let event = event?;
+            self.peers.platform_heard();
+            revision = revision.max(event.object.revision());
+            let mut object = configuration_object(kind, &event.object);
+            match event.kind {
+                WatchKind::Added | WatchKind::Modified => {}
+                WatchKind::Deleted => object.body = None,
+                WatchKind::Bookmark => continue,
+            }
+            self.peers.objects_changed(&[object]);
         }
+        Ok(revision)
     }
-    Ok(revision)
+}
+
+/// The list of one kind.
+struct KindList {
+    kind: ObjectKind,
+    revision: Revision,
+    objects: Vec<ConfigurationObject>,
 }
--- /dev/null
+++ b/crates/daemon/src/time/mod.rs
@@ -0,0 +1,10 @@
+//! The wall clock.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Milliseconds since the epoch.
+pub(crate) fn epoch_milliseconds() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -125,6 +125,11 @@
         self.restate();
     }
 
+    /// Says where callers reach the own VM; call it before the first heartbeat.
+    pub fn set_caller_address(&mut self, address: SocketAddr) {
+        self.own.caller_address = address;
+    }
+
     /// Makes the own record outrank every record that others hold of it.
     fn restate(&mut self) {
         self.own.sequence += 1;
@@ -137,6 +142,30 @@
     }
 }
 
+/// Notices that can't wait for the next heartbeat.
+impl MembershipEngine {
+    /// Peers told at once of what can't wait; heartbeats tell the rest of a larger fleet.
+    pub const NOTICE_PEERS: usize = 16;
+
+    /// Says something new of the own VM, at once to [`MembershipEngine::NOTICE_PEERS`] peers.
+    pub fn announce(
+        &mut self,
+        phase: MemberPhase,
+        summary: ObjectSummary,
+    ) -> Vec<MembershipAction> {
+        self.set_phase(phase);
+        self.notify(Self::NOTICE_PEERS, summary)
+    }
+
+    /// A heartbeat out of turn to up to `count` random peers.
+    pub fn notify(&mut self, count: usize, summary: ObjectSummary) -> Vec<MembershipAction> {
+        let mut peers = self.names(can_answer);
+        peers.shuffle(&mut self.generator);
+        peers.truncate(count);
+        peers.into_iter().filter_map(|vm| self.exchange(vm, summary)).collect()
+    }
+}
+
 /// Heartbeats.
 impl MembershipEngine {
     /// Sends the heartbeats that are due.
@@ -208,7 +237,7 @@
         Some(MembershipAction::Exchange { vm, address, message })
     }
 
-    /// What to tell `receiver`: its own suspicion first, then news, then one record at random.
+    /// What to tell `receiver`: its own suspicion first, then news.
     fn message(&mut self, receiver: &VmId, summary: ObjectSummary) -> ExchangeMessage {
         self.own.revision = summary.highest;
         let mut members = Vec::new();
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -19,6 +19,8 @@
     pub is_ready: bool,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// `fresh`, `stale` when it hears neither platform nor peers, `isolated` after long.
+    pub contact: String,
     /// Highest configuration revision in force.
     pub revision: Revision,
     /// Contracts in force.
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -9,6 +9,7 @@
 use oleanderwind_policy::ObjectSummary;
 
 use super::ConfigurationObject;
+use super::DrainRecord;
 use super::ExchangeMessage;
 use super::FetchObjectsReply;
 use super::MemberPhase;
@@ -123,6 +124,18 @@
     }
 }
 
+impl From<&policy::DrainRecord> for DrainRecord {
+    fn from(record: &policy::DrainRecord) -> DrainRecord {
+        DrainRecord { target: record.target.to_string(), sequence: record.sequence }
+    }
+}
+
+impl From<&DrainRecord> for policy::DrainRecord {
+    fn from(record: &DrainRecord) -> policy::DrainRecord {
+        policy::DrainRecord { target: record.target.as_str().into(), sequence: record.sequence }
+    }
+}
+
 impl From<&policy::ConfigurationObject> for ConfigurationObject {
     fn from(object: &policy::ConfigurationObject) -> ConfigurationObject {
         ConfigurationObject {
--- a/tests/proofs/support/fleet.rs
+++ b/tests/proofs/support/fleet.rs
@@ -15,6 +15,8 @@
 
 /// How long callers keep an address answer, in milliseconds.
 const ADDRESS_KEEP_MS: &str = "200";
+/// How long word of a departure may take in a fleet of this size, in milliseconds.
+const LEAVE_NOTICE_MS: &str = "300";
 
 /// Stand-ins with a few daemons, all on the test's thread.
 pub(crate) struct TestFleet {
@@ -79,6 +81,7 @@
         admin_listen: any(),
         peer_listen: any(),
         address_keep_ms: Some(ADDRESS_KEEP_MS.to_owned()),
+        leave_notice_ms: Some(LEAVE_NOTICE_MS.to_owned()),
         ..RawSettings::default()
     };
     DaemonSettings::try_from(&raw).unwrap()
--- a/tests/proofs/support/process.rs
+++ b/tests/proofs/support/process.rs
@@ -108,6 +108,8 @@
                 "127.0.0.1:0",
                 "--address-keep-ms",
                 "200",
+                "--leave-notice-ms",
+                "300",
             ],
         );
         let object = json!({
