fix(peers): send callers only to VMs that said that they serve

Cause: the platform lists a VM before it can serve, and requests that went there were refused; a new VM also waited for a whole watch when the lagging list was complete up to nothing yet. Change: address answers leave out VMs that are known from the list only; the start gate takes the platform's whole list as proof whatever its revision.

--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -33,8 +33,10 @@
             }
         };
         let table = state.membership.table();
+        // The platform lists a VM before it can serve; the VM itself says when it does.
+        let heard = table.iter().filter(|(record, _)| record.incarnation > 0);
         let mut holders: Vec<(&MemberRecord, MemberStanding, u32)> =
-            table.iter().map(|(record, standing)| (record, standing, 0)).collect();
+            heard.map(|(record, standing)| (record, standing, 0)).collect();
         holders.push((own, own_standing, 0));
         let plan = address_plan(caller, &holders);
         let address = |vm: &VmId| {
--- a/crates/policy/src/objects/start.rs
+++ b/crates/policy/src/objects/start.rs
@@ -40,12 +40,13 @@
 
     /// Whether what is held is as new as what the asked ones hold.
     fn is_proven(&self, complete_to: Revision, known_peers: usize) -> bool {
-        if complete_to == 0 {
-            return false;
-        }
+        // A lagging list may be complete up to nothing yet; it is the platform's word all the same.
         if self.platform_revision.is_some_and(|revision| complete_to >= revision) {
             return true;
         }
+        if complete_to == 0 {
+            return false;
+        }
         let wanted = PEER_PROOFS.min(known_peers).max(1);
         let newest = self.peers.values().max().copied().unwrap_or(Revision::MAX);
         self.peers.len() >= wanted && complete_to >= newest
