--- a/crates/daemon/src/targets/lane.rs
+++ b/crates/daemon/src/targets/lane.rs
@@ -7,11 +7,11 @@
 use awc::Connector;
 use awc::http::StatusCode;
 use bytes::Bytes;
+use oleanderwind_http::is_unsent;
 use serde::Serialize;
 use tokio::time::timeout;
 
 use crate::edge::announced_length;
-use crate::edge::is_never_sent;
 
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -91,7 +91,7 @@
 }
 
 fn lane_error(error: &awc::error::SendRequestError) -> LaneError {
-    match is_never_sent(error) {
+    match is_unsent(error) {
         true => LaneError::NotConnected,
         false => LaneError::Broken,
     }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -15,6 +15,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::HeaderMap;
 use actix_rt::net::ActixStream;
 use actix_service::Service;
 use actix_service::ServiceFactory;
@@ -30,6 +31,7 @@
 use crate::HttpReply;
 use crate::body::BodyError;
 use crate::body::read_body;
+use crate::is_first_try;
 
 /// How often a connection that is to end looks whether it is idle.
 const IDLE_POLL: Duration = Duration::from_millis(5);
@@ -57,6 +59,7 @@
 /// JSON of a call that could not be read.
 #[derive(Serialize)]
 struct UnreadableCall {
+    request_id: String,
     outcome: &'static str,
     ran: &'static str,
     refusal: UnreadableRefusal,
@@ -142,7 +145,7 @@
             };
             handler(call).await
         }
-        Err(error) => unreadable_reply(&error),
+        Err(error) => unreadable_reply(&error, request.headers()),
     };
     let mut response = reply.response;
     if *phase.borrow() >= DrainPhase::Closing {
@@ -151,10 +154,17 @@
     Ok(response)
 }
 
-fn unreadable_reply(error: &BodyError) -> HttpReply {
+fn unreadable_reply(error: &BodyError, headers: &HeaderMap) -> HttpReply {
+    let request_id = headers.get("x-request-id").and_then(|id| id.to_str().ok());
+    let (outcome, ran) = match is_first_try(headers) {
+        true => ("not_run", "no"),
+        // An earlier try of the key may have run.
+        false => ("unknown", "unknown"),
+    };
     let body = UnreadableCall {
-        outcome: "not_run",
-        ran: "no",
+        request_id: request_id.unwrap_or_default().to_owned(),
+        outcome,
+        ran,
         refusal: UnreadableRefusal {
             reason: "unreadable",
             findings: [UnreadableFinding { place: "body", problem: error.problem() }],
--- a/crates/policy/src/drain/book.rs
+++ b/crates/policy/src/drain/book.rs
@@ -64,7 +64,7 @@
         let is_recent = |entry: &DrainEntry| now < entry.heard_at + CARRY_TIME;
         let mut recent: Vec<(&TargetId, &DrainEntry)> =
             self.entries.iter().filter(|(_, entry)| is_recent(entry)).collect();
-        recent.sort_by(|left, right| right.1.heard_at.cmp(&left.1.heard_at));
+        recent.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.heard_at));
         recent.truncate(RECORDS_PER_MESSAGE);
         let record = |(target, entry): (&TargetId, &DrainEntry)| DrainRecord {
             target: target.clone(),
