feat(admission): hold customers to their limits over the fleet; prove spread and departures

Cause: no limit was in force, connection shares rested on a constant fleet of 7, and nothing proved what peers tell each other. Change: a limiter a contract decides before any work and borrows from peers; shares follow the fleet in view; watches note progress with each event, so that a VM whose list lags is complete before its first watch ends; a new VM can be given peers to ask (--seed-peers). Conclusion: configuration, departures and limits hold over the fleet without the platform.

--- /dev/null
+++ b/crates/daemon/src/admission/mod.rs
@@ -0,0 +1,5 @@
+//! Customers' limits, decided before any work.
+
+mod service;
+
+pub(crate) use service::AdmissionService;
--- /dev/null
+++ b/crates/daemon/src/admission/service.rs
@@ -0,0 +1,136 @@
+//! One limiter a contract, with loans among the VMs.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use oleanderwind_policy::AdmissionAnswer;
+use oleanderwind_policy::BorrowCall;
+use oleanderwind_policy::ClassPriority;
+use oleanderwind_policy::CustomerId;
+use oleanderwind_policy::CustomerLimiter;
+use oleanderwind_wire::peer::BorrowReply;
+use oleanderwind_wire::peer::BorrowRequest;
+use oleanderwind_wire::peer::DemandRecord;
+
+use crate::directory::DirectoryService;
+use crate::kernel::Kernel;
+use crate::kernel::KernelError;
+use crate::peers::PeerService;
+
+/// Decides on each request of a customer.
+pub(crate) struct AdmissionService {
+    limiters: RefCell<HashMap<CustomerId, CustomerLimiter>>,
+    directory: Rc<DirectoryService>,
+    peers: Rc<PeerService>,
+}
+
+impl AdmissionService {
+    /// Follows contracts and the fleet, and lends to peers.
+    pub(crate) fn start(kernel: &Rc<Kernel>) -> Result<Rc<AdmissionService>, KernelError> {
+        let admission = Rc::new(AdmissionService {
+            limiters: RefCell::new(HashMap::new()),
+            directory: kernel.directory()?,
+            peers: kernel.peers()?,
+        });
+        actix_rt::spawn(follow_contracts(admission.clone()));
+        actix_rt::spawn(lend(admission.clone()));
+        Ok(admission)
+    }
+
+    /// Decides on one request; asks a peer for a loan when the own part does not do.
+    pub(crate) fn admit(
+        self: &Rc<Self>,
+        customer: &CustomerId,
+        priority: ClassPriority,
+    ) -> AdmissionAnswer {
+        let now = Instant::now();
+        let mut limiters = self.limiters.borrow_mut();
+        // The contract was found, so that its limiter is there within the same turn of the thread.
+        let Some(limiter) = limiters.get_mut(customer) else { return AdmissionAnswer::Admitted };
+        let answer = limiter.admit(priority, now);
+        if let Some(call) = limiter.borrow_call(&self.peers.lenders(), now) {
+            actix_rt::spawn(borrow(self.clone(), customer.clone(), call, now));
+        }
+        answer
+    }
+
+    /// Brings the limiters in line with the contracts in force and the VMs that share them.
+    fn apply_contracts(&self, holders: usize) {
+        let now = Instant::now();
+        let contracts = self.directory.contracts();
+        let mut limiters = self.limiters.borrow_mut();
+        let mut kept = HashMap::with_capacity(contracts.len());
+        for entry in contracts {
+            let customer = entry.contract.customer.clone();
+            let limit = entry.contract.requests_per_second;
+            let mut limiter = limiters
+                .remove(&customer)
+                .unwrap_or_else(|| CustomerLimiter::new(limit, holders, now));
+            limiter.set_limit(limit, holders, now);
+            kept.insert(customer, limiter);
+        }
+        *limiters = kept;
+    }
+
+    /// Lends what is left of each wanted rate.
+    fn lend_to(&self, request: &BorrowRequest) -> BorrowReply {
+        let now = Instant::now();
+        let borrower = request.vm.as_str().into();
+        let mut limiters = self.limiters.borrow_mut();
+        let mut reply = BorrowReply::default();
+        for wanted in &request.wanted {
+            let Some(limiter) = limiters.get_mut(wanted.customer.as_str()) else { continue };
+            let rate = limiter.lend(&borrower, wanted.requests_per_second, now);
+            if rate > 0.0 {
+                let customer = wanted.customer.clone();
+                reply.lent.push(DemandRecord { customer, requests_per_second: rate });
+            }
+        }
+        reply
+    }
+}
+
+/// Asks one peer for a loan.
+async fn borrow(
+    admission: Rc<AdmissionService>,
+    customer: CustomerId,
+    call: BorrowCall,
+    asked_at: Instant,
+) {
+    let wanted = DemandRecord { customer: customer.to_string(), requests_per_second: call.rate };
+    let Some(reply) = admission.peers.borrow_from(&call.vm, wanted).await else { return };
+    let mut limiters = admission.limiters.borrow_mut();
+    let Some(limiter) = limiters.get_mut(&customer) else { return };
+    for lent in reply.lent.iter().filter(|lent| *lent.customer == *customer) {
+        limiter.loan_came(&call.vm, lent.requests_per_second, asked_at, Instant::now());
+    }
+}
+
+/// Answers peers that ask for loans.
+async fn lend(admission: Rc<AdmissionService>) {
+    let Some(mut asks) = admission.peers.take_borrow_asks() else { return };
+    while let Some(ask) = asks.recv().await {
+        let reply = admission.lend_to(&ask.request);
+        // A borrower that gave up waiting uses nothing; the loan lapses.
+        let _ = ask.reply.send(reply);
+    }
+}
+
+/// Follows contracts and the number of VMs that share them.
+async fn follow_contracts(admission: Rc<AdmissionService>) {
+    let mut changes = admission.directory.contract_changes();
+    let mut sizes = admission.peers.fleet_size();
+    loop {
+        let holders = *sizes.borrow_and_update();
+        admission.apply_contracts(holders);
+        let changed = tokio::select! {
+            changed = changes.changed() => changed,
+            changed = sizes.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::admin::AdminService;
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::front::FrontService;
@@ -55,6 +56,7 @@
         kernel.register(Service::Directory(Rc::new(DirectoryService::new())));
         let peers = PeerService::start(&kernel).await?;
         kernel.register(Service::Peers(peers.clone()));
+        kernel.register(Service::Admission(AdmissionService::start(&kernel)?));
         kernel.register(Service::Sync(Rc::new(SyncService::start(&kernel)?)));
         kernel.register(Service::Targets(Rc::new(TargetService::default())));
         kernel.register(Service::Fanout(FanoutService::start(&kernel)?));
--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -25,6 +25,7 @@
     is_configured: Cell<bool>,
     is_leaving: Cell<bool>,
     target_changes: watch::Sender<u64>,
+    contract_changes: watch::Sender<u64>,
 }
 
 impl DirectoryService {
@@ -35,6 +36,7 @@
             is_configured: Cell::new(false),
             is_leaving: Cell::new(false),
             target_changes: watch::Sender::new(0),
+            contract_changes: watch::Sender::new(0),
         }
     }
 
@@ -74,8 +76,13 @@
     }
 
     fn note_change(&self, kind: ObjectKind, is_news: bool) {
-        if is_news && kind == ObjectKind::Targets {
-            self.target_changes.send_modify(|count| *count += 1);
+        let changes = match kind {
+            ObjectKind::Targets => &self.target_changes,
+            ObjectKind::Contracts => &self.contract_changes,
+            ObjectKind::Snapshots | ObjectKind::Vms | ObjectKind::Ledger => return,
+        };
+        if is_news {
+            changes.send_modify(|count| *count += 1);
         }
     }
 }
@@ -117,6 +124,11 @@
         self.state.borrow().highest
     }
 
+    /// Counts changes of contracts.
+    pub(crate) fn contract_changes(&self) -> watch::Receiver<u64> {
+        self.contract_changes.subscribe()
+    }
+
     /// Counts changes of targets.
     pub(crate) fn target_changes(&self) -> watch::Receiver<u64> {
         self.target_changes.subscribe()
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ConnectionBudget;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::FanoutAction;
 use oleanderwind_policy::FanoutEvent;
@@ -19,12 +20,14 @@
 use crate::fanout::FanoutService;
 use crate::targets::CallOutcome;
 
-/// VMs that hold connections to a target.
-const HOLDING_VMS: u32 = 7;
+/// VMs that may hold connections to a target beyond those in view, during a replacement.
+const SPARE_HOLDERS: usize = 1;
+/// Fewest connections to a target that are worth holding.
+const WANTED_CONNECTIONS: u32 = 2;
 
-/// This VM's share of the connections that a target accepts.
-pub(crate) fn connection_share(limit: u32) -> ConnectionShare {
-    ConnectionShare::of_limit(limit, HOLDING_VMS)
+/// This VM's share of the connections that a target accepts, in a fleet of `fleet` VMs.
+pub(crate) fn connection_share(limit: u32, fleet: usize) -> ConnectionShare {
+    ConnectionBudget::new(limit, fleet, SPARE_HOLDERS, WANTED_CONNECTIONS).into()
 }
 
 /// Wakes the engine whenever one of its timers is due.
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -106,10 +106,10 @@
     }
 
     /// Tells the engine of the targets and of this VM's share of their connections.
-    fn apply_targets(&self, specs: Vec<TargetSpec>) {
+    fn apply_targets(&self, specs: Vec<TargetSpec>, fleet: usize) {
         let mut engine = self.engine.borrow_mut();
         for spec in &specs {
-            let share = connection_share(spec.connection_limit);
+            let share = connection_share(spec.connection_limit, fleet);
             engine.set_connection_budget(&spec.target, share.working);
         }
         engine.apply_targets(specs, Instant::now());
@@ -187,14 +187,21 @@
     }
 }
 
-/// Tells the engine and the pools of every change of targets.
+/// Tells the engine and the pools of every change of targets and of the fleet that shares them.
 async fn follow_targets(fanout: Rc<FanoutService>, directory: Rc<DirectoryService>) {
     let mut changes = directory.target_changes();
+    let mut sizes = fanout.peers.fleet_size();
     loop {
         let specs = directory.targets();
-        fanout.targets.apply_targets(&specs, |spec| connection_share(spec.connection_limit));
-        fanout.apply_targets(specs);
-        if changes.changed().await.is_err() {
+        let fleet = *sizes.borrow_and_update();
+        let share = |spec: &TargetSpec| connection_share(spec.connection_limit, fleet);
+        fanout.targets.apply_targets(&specs, share);
+        fanout.apply_targets(specs, fleet);
+        let changed = tokio::select! {
+            changed = changes.changed() => changed,
+            changed = sizes.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -25,6 +25,11 @@
     UnknownPath,
     /// This VM has no configuration yet.
     NotReady,
+    /// The customer is over its limit.
+    OverLimit {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// The service has no snapshot at the provider.
     NoSnapshot,
 }
@@ -36,6 +41,7 @@
             RefusalKind::UnknownCustomer => "unknown_customer",
             RefusalKind::UnknownPath => "unknown_path",
             RefusalKind::NotReady => "not_ready",
+            RefusalKind::OverLimit { .. } => "over_limit",
             RefusalKind::NoSnapshot => "no_snapshot",
         }
     }
@@ -44,6 +50,7 @@
         match self {
             RefusalKind::BadRequest => StatusCode::BAD_REQUEST,
             RefusalKind::UnknownCustomer | RefusalKind::UnknownPath => StatusCode::NOT_FOUND,
+            RefusalKind::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             RefusalKind::NotReady | RefusalKind::NoSnapshot => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -54,6 +61,7 @@
             RefusalKind::BadRequest | RefusalKind::UnknownCustomer | RefusalKind::UnknownPath => {
                 None
             }
+            RefusalKind::OverLimit { retry_after } => Some(retry_after),
             RefusalKind::NotReady | RefusalKind::NoSnapshot => Some(Duration::from_secs(1)),
         }
     }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -14,10 +14,12 @@
 use oleanderwind_http::HttpListener;
 use oleanderwind_http::HttpReply;
 use oleanderwind_http::is_first_try;
+use oleanderwind_policy::AdmissionAnswer;
 use oleanderwind_policy::FindingList;
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_wire::CallerAnswer;
 
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::front::answer::RefusalKind;
@@ -55,6 +57,7 @@
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
     pub(crate) peers: Rc<PeerService>,
+    admission: Rc<AdmissionService>,
     pub(crate) ledger: Rc<LedgerService>,
     metrics: Rc<MetricsService>,
     outcomes: Rc<OutcomeService>,
@@ -74,6 +77,7 @@
             directory: kernel.directory()?,
             fanout: kernel.fanout()?,
             peers: kernel.peers()?,
+            admission: kernel.admission()?,
             ledger: kernel.ledger()?,
             metrics: kernel.metrics()?,
             outcomes: kernel.outcomes()?,
@@ -178,6 +182,14 @@
             Ok(request) => request,
             Err(findings) => return self.refuse(call, RefusalKind::BadRequest, findings),
         };
+        let priority = request.terms.priority;
+        match self.admission.admit(&entry.contract.customer, priority) {
+            AdmissionAnswer::Admitted => {}
+            AdmissionAnswer::Refused { retry_after } => {
+                let kind = RefusalKind::OverLimit { retry_after };
+                return self.refuse(call, kind, FindingList::default());
+            }
+        }
         let id = self.request_id(call);
         let end = match &request.key {
             Some(key) => Some(self.execute(&id, &entry.contract, &request, key, arrived).await),
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::Notify;
 
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::kernel::KernelError;
@@ -72,6 +73,7 @@
 typed_lookup!(metrics, Metrics, MetricsService);
 typed_lookup!(outcomes, Outcomes, OutcomeService);
 typed_lookup!(platform, Platform, PlatformService);
+typed_lookup!(admission, Admission, AdmissionService);
 typed_lookup!(peers, Peers, PeerService);
 typed_lookup!(directory, Directory, DirectoryService);
 typed_lookup!(targets, Targets, TargetService);
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::admin::AdminService;
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::front::FrontService;
@@ -27,6 +28,8 @@
     Directory,
     /// Calls between the VMs.
     Peers,
+    /// Customers' limits.
+    Admission,
     /// Hears configuration from the platform.
     Sync,
     /// Connections to targets.
@@ -54,6 +57,8 @@
     Directory(Rc<DirectoryService>),
     /// See [`ServiceName::Peers`].
     Peers(Rc<PeerService>),
+    /// See [`ServiceName::Admission`].
+    Admission(Rc<AdmissionService>),
     /// See [`ServiceName::Sync`].
     Sync(Rc<SyncService>),
     /// See [`ServiceName::Targets`].
@@ -77,6 +82,7 @@
             Service::Platform(_) => ServiceName::Platform,
             Service::Directory(_) => ServiceName::Directory,
             Service::Peers(_) => ServiceName::Peers,
+            Service::Admission(_) => ServiceName::Admission,
             Service::Sync(_) => ServiceName::Sync,
             Service::Targets(_) => ServiceName::Targets,
             Service::Fanout(_) => ServiceName::Fanout,
@@ -95,6 +101,7 @@
             Service::Metrics(_)
             | Service::Outcomes(_)
             | Service::Platform(_)
+            | Service::Admission(_)
             | Service::Sync(_)
             | Service::Targets(_)
             | Service::Fanout(_)
@@ -115,6 +122,7 @@
             Service::Metrics(_)
             | Service::Outcomes(_)
             | Service::Platform(_)
+            | Service::Admission(_)
             | Service::Directory(_)
             | Service::Targets(_) => {}
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 mod admin;
+mod admission;
 mod daemon;
 mod directory;
 mod edge;
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -10,6 +10,12 @@
 use oleanderwind_wire::peer::PushObjectsReply;
 use tokio::sync::oneshot;
 
+/// A peer that asks for loans.
+pub(crate) struct BorrowAsk {
+    pub(crate) request: BorrowRequest,
+    pub(crate) reply: oneshot::Sender<BorrowReply>,
+}
+
 /// One call; a dropped reply is an error at the caller.
 pub(crate) enum PeerCall {
     /// A heartbeat.
@@ -17,7 +23,7 @@
     /// Try another VM.
     Probe { vm: String, reply: oneshot::Sender<ProbeReply> },
     /// Lend part of customers' rates.
-    Borrow { request: BorrowRequest, reply: oneshot::Sender<BorrowReply> },
+    Borrow(BorrowAsk),
     /// Changed objects.
     Push { objects: Vec<ConfigurationObject>, reply: oneshot::Sender<PushObjectsReply> },
     /// A page of objects.
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -126,7 +126,9 @@
                 }
             }
             PeerCall::Probe { vm, reply } => self.probe_asked(vm.as_str().into(), reply),
-            PeerCall::Borrow { request: _, reply } => drop(reply),
+            PeerCall::Borrow(ask) => {
+                let _ = self.borrow_asks.send(ask);
+            }
             PeerCall::Push { objects, reply } => {
                 self.push_came(&objects);
                 let _ = reply.send(PushObjectsReply {});
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -24,6 +24,7 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
+use crate::peers::call::BorrowAsk;
 use crate::peers::call::PeerCall;
 
 /// Calls that wait for the service's thread; more are refused.
@@ -104,7 +105,7 @@
         request: Request<BorrowRequest>,
     ) -> Result<Response<BorrowReply>, Status> {
         let request = request.into_inner();
-        self.pass(|reply| PeerCall::Borrow { request, reply }).await
+        self.pass(|reply| PeerCall::Borrow(BorrowAsk { request, reply })).await
     }
 
     async fn push_objects(
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -22,6 +22,7 @@
 
 use crate::directory::DirectoryService;
 use crate::kernel::Kernel;
+use crate::peers::call::BorrowAsk;
 use crate::peers::client::PeerClients;
 use crate::peers::heartbeat::send_heartbeats;
 use crate::peers::heartbeat::serve_calls;
@@ -53,6 +54,9 @@
     pub(crate) fleet_size: watch::Sender<usize>,
     /// Departures of targets that this VM did not hear itself.
     pub(crate) drain_news: mpsc::UnboundedSender<TargetId>,
+    /// Peers that ask for loans.
+    pub(crate) borrow_asks: mpsc::UnboundedSender<BorrowAsk>,
+    borrow_receiver: RefCell<Option<mpsc::UnboundedReceiver<BorrowAsk>>>,
     drain_receiver: RefCell<Option<mpsc::UnboundedReceiver<TargetId>>>,
     listener: RefCell<Option<PeerListener>>,
     address: SocketAddr,
@@ -71,6 +75,7 @@
         let listener = PeerListener::bind(settings.peer_listen).await?;
         let address = listener.address()?;
         let (drain_news, drain_receiver) = mpsc::unbounded_channel();
+        let (borrow_asks, borrow_receiver) = mpsc::unbounded_channel();
         Ok(Rc::new(PeerService {
             directory: kernel.directory()?,
             measures: PeerMeasures::new(kernel.metrics()?.meter()),
@@ -78,6 +83,8 @@
             clients: PeerClients::default(),
             fleet_size: watch::Sender::new(1),
             drain_news,
+            borrow_asks,
+            borrow_receiver: RefCell::new(Some(borrow_receiver)),
             drain_receiver: RefCell::new(Some(drain_receiver)),
             listener: RefCell::new(Some(listener)),
             address,
@@ -109,6 +116,11 @@
         self.drain_receiver.borrow_mut().take()
     }
 
+    /// Peers that ask for loans; one taker.
+    pub(crate) fn take_borrow_asks(&self) -> Option<mpsc::UnboundedReceiver<BorrowAsk>> {
+        self.borrow_receiver.borrow_mut().take()
+    }
+
     /// Tells peers that this VM is leaving.
     pub(crate) fn announce_leaving(self: &Rc<Self>) {
         self.announce(MemberPhase::Leaving);
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -11,6 +11,9 @@
 use oleanderwind_policy::address_plan;
 use oleanderwind_policy::watch_holders;
 use oleanderwind_wire::FleetMember;
+use oleanderwind_wire::peer::BorrowReply;
+use oleanderwind_wire::peer::BorrowRequest;
+use oleanderwind_wire::peer::DemandRecord;
 use tokio::sync::watch;
 
 use crate::peers::measures::contact_label;
@@ -89,6 +92,21 @@
         self.fleet_size.subscribe()
     }
 
+    /// VMs that may lend.
+    pub(crate) fn lenders(&self) -> Vec<VmId> {
+        let state = self.state.borrow();
+        let serving = state.membership.table().iter();
+        let serving = serving.filter(|(_, standing)| *standing == MemberStanding::Serving);
+        serving.map(|(record, _)| record.vm.clone()).collect()
+    }
+
+    /// Asks one VM for a loan.
+    pub(crate) async fn borrow_from(&self, vm: &VmId, wanted: DemandRecord) -> Option<BorrowReply> {
+        let address = self.peer_address(vm)?;
+        let request = BorrowRequest { vm: self.settings.vm.to_string(), wanted: vec![wanted] };
+        self.clients.borrow(address, request).await
+    }
+
     /// Whether this VM should hold the platform's watches.
     ///
     /// One that hears nobody calls the platform whatever its view says.
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! Hears configuration from the platform, on the VMs that hold its watches.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -137,37 +138,54 @@
 
     /// Watches every kind until its watch ends; the first failure ends all.
     async fn watch_all(&self, held: KindRevisions) -> Result<KindRevisions, PlatformError> {
-        let watches = held.into_iter().map(async |(kind, after)| {
-            let revision = self.watch_one(kind, after).await?;
-            Ok::<_, PlatformError>((kind, revision))
-        });
-        let revisions = try_join_all(watches).await?;
-        let complete_to = revisions.iter().map(|(_, revision)| *revision).min();
-        self.peers.watched_to(complete_to.unwrap_or(0));
-        Ok(revisions)
+        let progress: Vec<WatchProgress> = held.into_iter().map(WatchProgress::from).collect();
+        try_join_all(progress.iter().map(|own| self.watch_one(own, &progress))).await?;
+        Ok(progress.iter().map(|own| (own.kind, own.revision.get())).collect())
     }
 
     async fn watch_one(
         &self,
-        kind: ObjectKind,
-        after: Revision,
-    ) -> Result<Revision, PlatformError> {
+        own: &WatchProgress,
+        all: &[WatchProgress],
+    ) -> Result<(), PlatformError> {
+        let (kind, after) = (own.kind, own.revision.get());
         let mut events = self.platform.watch(edge_kind(kind), after).await?;
         self.peers.platform_heard();
-        let mut revision = after;
         while let Some(event) = events.next().await {
             let event = event?;
             self.peers.platform_heard();
-            revision = revision.max(event.object.revision());
+            own.revision.set(own.revision.get().max(event.object.revision()));
             let mut object = configuration_object(kind, &event.object);
             match event.kind {
                 WatchKind::Added | WatchKind::Modified => {}
                 WatchKind::Deleted => object.body = None,
-                WatchKind::Bookmark => continue,
+                WatchKind::Bookmark => {
+                    self.note_progress(all);
+                    continue;
+                }
             }
             self.peers.objects_changed(&[object]);
+            self.note_progress(all);
         }
-        Ok(revision)
+        Ok(())
+    }
+
+    /// What every kind's watch has passed is whole.
+    fn note_progress(&self, all: &[WatchProgress]) {
+        let passed = all.iter().map(|kind| kind.revision.get()).min();
+        self.peers.watched_to(passed.unwrap_or(0));
+    }
+}
+
+/// How far the watch of one kind has come.
+struct WatchProgress {
+    kind: ObjectKind,
+    revision: Cell<Revision>,
+}
+
+impl From<(ObjectKind, Revision)> for WatchProgress {
+    fn from((kind, after): (ObjectKind, Revision)) -> WatchProgress {
+        WatchProgress { kind, revision: Cell::new(after) }
     }
 }
 
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -24,6 +24,7 @@
 /// Lanes to one target, within the VM's share of its connections.
 pub(crate) struct TargetPool {
     address: SocketAddr,
+    share: Cell<ConnectionShare>,
     /// One permit a connection that the target may count.
     counted: Arc<Semaphore>,
     /// One permit a connection in use.
@@ -52,6 +53,7 @@
         let permits = |count: u32| Arc::new(Semaphore::new(count as usize));
         Rc::new(TargetPool {
             address,
+            share: Cell::new(share),
             counted: permits(share.total),
             working: permits(share.working),
             idle: RefCell::new(Vec::new()),
@@ -59,6 +61,16 @@
         })
     }
 
+    /// Changes the share; connections above a smaller one close as their calls end.
+    pub(crate) fn set_share(&self, share: ConnectionShare) {
+        let before = self.share.replace(share);
+        if share.total < before.total {
+            self.idle.borrow_mut().clear();
+        }
+        resize(&self.counted, before.total, share.total);
+        resize(&self.working, before.working, share.working);
+    }
+
     /// Where the target listens.
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
@@ -138,6 +150,21 @@
     }
 }
 
+/// Adds permits, or takes them away as they come free.
+fn resize(permits: &Arc<Semaphore>, before: u32, after: u32) {
+    permits.add_permits(after.saturating_sub(before) as usize);
+    let surplus = before.saturating_sub(after);
+    if surplus == 0 {
+        return;
+    }
+    let permits = permits.clone();
+    actix_rt::spawn(async move {
+        if let Ok(taken) = permits.acquire_many_owned(surplus).await {
+            taken.forget();
+        }
+    });
+}
+
 fn count_as_silent(counted: OwnedSemaphorePermit) {
     actix_rt::spawn(async move {
         tokio::time::sleep(SILENT_COUNT_TIME).await;
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -49,7 +49,10 @@
         let mut kept = HashMap::with_capacity(specs.len());
         for spec in specs {
             let pool = match pools.remove(&spec.target) {
-                Some(pool) if pool.address() == spec.address => pool,
+                Some(pool) if pool.address() == spec.address => {
+                    pool.set_share(share(spec));
+                    pool
+                }
                 _ => TargetPool::new(spec.address, share(spec)),
             };
             kept.insert(spec.target.clone(), pool);
--- a/crates/policy/src/connection/mod.rs
+++ b/crates/policy/src/connection/mod.rs
@@ -1,5 +1,7 @@
 //! How many connections a VM holds to one target.
 
+use crate::ConnectionBudget;
+
 /// Connections of one VM to one target.
 ///
 /// A connection that went silent is closed here, but the target counts it until it notices. So a
@@ -13,19 +15,19 @@
     pub working: u32,
 }
 
-impl ConnectionShare {
-    /// Divides a target's limit among `holders` VMs, with room for one more during a replacement.
+impl From<ConnectionBudget> for ConnectionShare {
+    /// Parts a holder's connections; a VM that is sent a request needs one whatever the budget.
     ///
     /// # Examples
     ///
     /// ```
-    /// use oleanderwind_policy::ConnectionShare;
+    /// use oleanderwind_policy::{ConnectionBudget, ConnectionShare};
     ///
-    /// let share = ConnectionShare::of_limit(25, 7);
+    /// let share = ConnectionShare::from(ConnectionBudget::new(25, 7, 1, 2));
     /// assert_eq!((share.total, share.working), (3, 2));
     /// ```
-    pub fn of_limit(limit: u32, holders: u32) -> ConnectionShare {
-        let total = (limit / holders.saturating_add(1)).max(1);
+    fn from(budget: ConnectionBudget) -> ConnectionShare {
+        let total = budget.per_vm.max(1);
         let working = (total - total / 3).max(1);
         ConnectionShare { total, working }
     }
--- /dev/null
+++ b/tests/proofs/departure.rs
@@ -0,0 +1,63 @@
+//! A target's departure is known to every VM, with the platform down.
+
+use std::time::Duration;
+
+use oleanderwind_standin::FaultOrder;
+use oleanderwind_standin::FaultScope;
+use oleanderwind_standin::PlatformFault;
+use oleanderwind_standin::SearcherFault;
+use oleanderwind_standin::SilenceManner;
+use oleanderwind_standin::StandinSettings;
+
+use crate::support::TestFleet;
+use crate::support::wait_for;
+
+/// Customer of every request here.
+const CUSTOMER: &str = "tsagaan-ordon";
+/// Time for peers to tell each other, below the 3 s that a departure may take.
+const TELL_TIME: Duration = Duration::from_secs(1);
+/// Searches through each VM that did not hear the target.
+const SEARCHES: usize = 40;
+
+#[actix_rt::test]
+async fn drain_of_a_target_is_told_to_peers_during_an_outage() {
+    let fleet = TestFleet::start_acquainted(StandinSettings::default(), 3).await;
+    let search = async |vm: usize| {
+        let address = fleet.caller_address(vm);
+        fleet.caller.search(&address, CUSTOMER, "trainer-lookup", "board").await.unwrap()
+    };
+    let targets = fleet.standin.targets();
+    let target = targets.iter().find(|spec| &*spec.service == "trainer-roster").unwrap();
+    let received = || {
+        let calls = fleet.standin.calls();
+        calls.into_iter().find(|call| call.searcher == target.target).unwrap().received
+    };
+    wait_for("every VM calls the target", async || {
+        let before = received();
+        for vm in 0..3 {
+            search(vm).await;
+        }
+        received() > before
+    })
+    .await;
+    fleet.standin.apply_platform(PlatformFault::Outage { manner: SilenceManner::Silent });
+    let order = FaultOrder {
+        scope: FaultScope::Searcher(target.target.clone()),
+        fault: SearcherFault::Drain { object_lag_ms: 60_000 },
+    };
+    fleet.standin.apply(&order).unwrap();
+    let before = received();
+    wait_for("one VM hears the sign", async || {
+        search(0).await;
+        received() > before
+    })
+    .await;
+    tokio::time::sleep(TELL_TIME).await;
+    let before = received();
+    for _ in 0..SEARCHES {
+        for vm in 0..3 {
+            search(vm).await;
+        }
+    }
+    assert_eq!(received(), before, "calls to a target that is leaving");
+}
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -5,9 +5,12 @@
 #![allow(clippy::unwrap_used)]
 
 mod contracts;
+mod departure;
 mod ledger;
 mod ledger_processes;
 mod ledger_refusals;
+mod limits;
 mod planned_stop;
+mod spread;
 mod support;
 mod whole_path;
--- a/tests/proofs/support/caller.rs
+++ b/tests/proofs/support/caller.rs
@@ -60,6 +60,13 @@
         self.client.get(format!("http://{address}{path}")).send().await.ok()?.json().await.ok()
     }
 
+    /// Gets text from any listener.
+    pub(crate) async fn text(&self, address: &str, path: &str) -> Option<String> {
+        let mut reply = self.client.get(format!("http://{address}{path}")).send().await.ok()?;
+        let body = reply.body().await.ok()?;
+        String::from_utf8(body.to_vec()).ok()
+    }
+
     /// Puts JSON to any listener and reads JSON.
     pub(crate) async fn put(&self, address: &str, path: &str, body: &Value) -> Option<Value> {
         let request = self.client.put(format!("http://{address}{path}"));
--- a/tests/proofs/support/fleet.rs
+++ b/tests/proofs/support/fleet.rs
@@ -7,6 +7,8 @@
 use oleanderwind::RawSettings;
 use oleanderwind_standin::StandinServer;
 use oleanderwind_standin::StandinSettings;
+use oleanderwind_wire::ContractDocument;
+use oleanderwind_wire::FleetMember;
 use serde_json::json;
 
 use crate::support::TestCaller;
@@ -39,11 +41,33 @@
         fleet
     }
 
+    /// The same, and waits until each takes all for serving.
+    pub(crate) async fn start_acquainted(settings: StandinSettings, count: usize) -> TestFleet {
+        let fleet = TestFleet::start(settings, count).await;
+        for vm in 0..count {
+            wait_for("the VM knows the fleet", async || fleet.known_serving(vm).await == count)
+                .await;
+        }
+        fleet
+    }
+
     /// Starts one more daemon, lists it and waits until it is ready.
     pub(crate) async fn add_vm(&mut self) -> usize {
-        let index = self.vms.len();
         let platform = self.standin.platform_address().to_string();
-        let daemon = Daemon::start(vm_settings(index, platform)).await.unwrap();
+        self.add_vm_with(platform, None).await
+    }
+
+    /// The same with another platform's address, and a VM to ask instead.
+    pub(crate) async fn add_vm_at(&mut self, platform: &str, seed: usize) -> usize {
+        let seed = self.vms[seed].addresses().peer.to_string();
+        self.add_vm_with(platform.to_owned(), Some(seed)).await
+    }
+
+    async fn add_vm_with(&mut self, platform: String, seed: Option<String>) -> usize {
+        let index = self.vms.len();
+        let mut settings = vm_settings(index, platform);
+        settings.seed_peers = seed.iter().map(|seed| seed.parse().unwrap()).collect();
+        let daemon = Daemon::start(settings).await.unwrap();
         let addresses = daemon.addresses().clone();
         let spec = json!({
             "vm": addresses.vm,
@@ -65,6 +89,36 @@
         self.vms[vm].addresses().caller.to_string()
     }
 
+    /// A customer's rate that a VM decides by.
+    pub(crate) async fn customer_rate(&self, vm: usize, customer: &str) -> Option<f64> {
+        let list = self.caller.get(&self.admin_address(vm), "/v1/contracts").await?;
+        let list: Vec<ContractDocument> = serde_json::from_value(list).ok()?;
+        let held = list.into_iter().find(|held| &*held.customer == customer)?;
+        Some(held.contract.requests_per_second)
+    }
+
+    /// Changes a customer's rate through one VM.
+    pub(crate) async fn set_customer_rate(&self, vm: usize, customer: &str, rate: f64) {
+        let (admin, path) = (self.admin_address(vm), format!("/v1/contracts/{customer}"));
+        let base = self.caller.get(&admin, &path).await.unwrap();
+        let mut base: ContractDocument = serde_json::from_value(base).unwrap();
+        base.contract.requests_per_second = rate;
+        let edit = json!({
+            "expected_revision": base.revision,
+            "operator": "operator",
+            "contract": base.contract,
+        });
+        let report = self.caller.put(&admin, &path, &edit).await.unwrap();
+        assert_eq!(report["verdict"], "accepted", "{report}");
+    }
+
+    /// VMs that a VM takes for serving, itself included.
+    pub(crate) async fn known_serving(&self, vm: usize) -> usize {
+        let members = self.caller.get(&self.admin_address(vm), "/v1/fleet").await;
+        let members: Vec<FleetMember> = serde_json::from_value(members.unwrap()).unwrap();
+        members.iter().filter(|member| member.phase == "serving").count()
+    }
+
     /// Where a VM listens for operators.
     pub(crate) fn admin_address(&self, vm: usize) -> String {
         self.vms[vm].addresses().admin.to_string()
