--- a/crates/daemon/src/front/addresses.rs
+++ b/crates/daemon/src/front/addresses.rs
@@ -7,9 +7,14 @@
 use crate::front::service::FrontService;
 
 impl FrontService {
-    /// The answer to `GET /v1/addresses?customer=`; `caller` spreads callers over VMs.
-    pub(crate) fn addresses(&self, customer: CustomerId, caller: &str) -> AddressAnswer {
-        let mut addresses = self.peers.addresses(caller);
+    /// The answer to `GET /v1/addresses?customer=`.
+    ///
+    /// Callers connect to the first address, so each answer has an order of its own; the VM's seed
+    /// decides with which it begins, so that VMs asked at the same time begin apart.
+    pub(crate) fn addresses(&self, customer: CustomerId) -> AddressAnswer {
+        let turn = self.next_turn.get();
+        self.next_turn.set(turn.wrapping_add(1));
+        let mut addresses = self.peers.addresses(&turn.to_string());
         if addresses.is_empty() {
             addresses.push(self.address().to_string());
         }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -63,6 +63,8 @@
     outcomes: Rc<OutcomeService>,
     listener: OnceCell<HttpListener>,
     next_request: Cell<u64>,
+    /// Which of the VMs' addresses begins the next address answer.
+    pub(crate) next_turn: Cell<u64>,
 }
 
 impl FrontService {
@@ -83,6 +85,7 @@
             outcomes: kernel.outcomes()?,
             listener: OnceCell::new(),
             next_request: Cell::new(settings.seed),
+            next_turn: Cell::new(settings.seed),
             settings,
         });
         let handler = {
@@ -144,7 +147,7 @@
             findings.add("customer", "is missing; give ?customer=");
             return self.refuse(call, RefusalKind::BadRequest, findings);
         }
-        HttpReply::json(StatusCode::OK, &self.addresses(customer.into(), &self.request_id(call)))
+        HttpReply::json(StatusCode::OK, &self.addresses(customer.into()))
     }
 
     fn serve_readiness(&self) -> HttpReply {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub use daemon::Daemon;
 pub use daemon::DaemonAddresses;
+pub use front::RefusalKind;
 pub use logging::start_logging;
 pub use settings::DaemonSettings;
 pub use settings::RawSettings;
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -4,13 +4,19 @@
 //! real processes where a kill or a freeze is the point.
 #![allow(clippy::unwrap_used)]
 
+mod bad_input;
+mod combined_faults;
 mod contracts;
 mod departure;
+mod leaving_targets;
 mod ledger;
 mod ledger_processes;
 mod ledger_refusals;
 mod limits;
 mod planned_stop;
+mod refusals;
+mod searches;
+mod silence;
 mod spread;
 mod support;
 mod whole_path;
--- a/tests/proofs/support/fleet.rs
+++ b/tests/proofs/support/fleet.rs
@@ -53,22 +53,22 @@
 
     /// Starts one more daemon, lists it and waits until it is ready.
     pub(crate) async fn add_vm(&mut self) -> usize {
-        let platform = self.standin.platform_address().to_string();
-        self.add_vm_with(platform, None).await
+        let index = self.add_unready_vm().await;
+        self.list_vm(index).await
     }
 
     /// The same with another platform's address, and a VM to ask instead.
     pub(crate) async fn add_vm_at(&mut self, platform: &str, seed: usize) -> usize {
-        let seed = self.vms[seed].addresses().peer.to_string();
-        self.add_vm_with(platform.to_owned(), Some(seed)).await
+        let seed = self.vms[seed].addresses().peer;
+        let index = self.vms.len();
+        let mut settings = vm_settings(index, platform.to_owned());
+        settings.seed_peers.push(seed);
+        self.vms.push(Daemon::start(settings).await.unwrap());
+        self.list_vm(index).await
     }
 
-    async fn add_vm_with(&mut self, platform: String, seed: Option<String>) -> usize {
-        let index = self.vms.len();
-        let mut settings = vm_settings(index, platform);
-        settings.seed_peers = seed.iter().map(|seed| seed.parse().unwrap()).collect();
-        let daemon = Daemon::start(settings).await.unwrap();
-        let addresses = daemon.addresses().clone();
+    async fn list_vm(&self, index: usize) -> usize {
+        let addresses = self.vms[index].addresses();
         let spec = json!({
             "vm": addresses.vm,
             "failure_domain": format!("fd-{}", index % 3),
@@ -77,13 +77,20 @@
             "phase": "live",
         });
         self.standin.put_object("vms", &addresses.vm, &spec);
-        self.vms.push(daemon);
         let caller = self.caller.clone();
         let address = self.caller_address(index);
         wait_for("the VM is ready", async || caller.is_ready(&address).await).await;
         index
     }
 
+    /// Starts one more daemon that no other is told of.
+    pub(crate) async fn add_unready_vm(&mut self) -> usize {
+        let index = self.vms.len();
+        let platform = self.standin.platform_address().to_string();
+        self.vms.push(Daemon::start(vm_settings(index, platform)).await.unwrap());
+        index
+    }
+
     /// Where a VM listens for callers.
     pub(crate) fn caller_address(&self, vm: usize) -> String {
         self.vms[vm].addresses().caller.to_string()
@@ -125,7 +132,7 @@
     }
 }
 
-fn vm_settings(index: usize, platform: String) -> DaemonSettings {
+pub(crate) fn vm_settings(index: usize, platform: String) -> DaemonSettings {
     let any = || Some("127.0.0.1:0".to_owned());
     let raw = RawSettings {
         vm: Some(format!("vm-{index}")),
