--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -4,12 +4,14 @@
 use std::time::Instant;
 
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ConnectionBudget;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::FanoutAction;
 use oleanderwind_policy::FanoutEvent;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::QueryId;
+use oleanderwind_policy::RefusalCause;
 use oleanderwind_policy::TargetId;
 use oleanderwind_wire::ShardAnswer;
 use oleanderwind_wire::ShardCall;
@@ -18,12 +20,14 @@
 use crate::fanout::FanoutService;
 use crate::targets::CallOutcome;
 
-/// VMs that hold connections to a target.
-const HOLDING_VMS: u32 = 7;
+/// VMs that may hold connections to a target beyond those in view, during a replacement.
+const SPARE_HOLDERS: usize = 1;
+/// Fewest connections to a target that are worth holding.
+const WANTED_CONNECTIONS: u32 = 2;
 
-/// This VM's share of the connections that a target accepts.
-pub(crate) fn connection_share(limit: u32) -> ConnectionShare {
-    ConnectionShare::of_limit(limit, HOLDING_VMS)
+/// This VM's share of the connections that a target accepts, in a fleet of `fleet` VMs.
+pub(crate) fn connection_share(limit: u32, fleet: usize) -> ConnectionShare {
+    ConnectionBudget::new(limit, fleet, SPARE_HOLDERS, WANTED_CONNECTIONS).into()
 }
 
 /// Wakes the engine whenever one of its timers is due.
@@ -138,6 +142,9 @@
     deadline: Instant,
 ) {
     let outcome = fanout.targets.search(&target, &call, deadline).await;
+    if is_draining(&outcome) {
+        fanout.peers.target_draining(&target);
+    }
     let event = match outcome {
         CallOutcome::Answered(answer) => take_answer(&fanout, answer),
         CallOutcome::Refused(refusal) => FanoutEvent::Refused {
@@ -151,6 +158,17 @@
     fanout.handle(event);
 }
 
+/// Whether a target said with its reply that it is leaving.
+fn is_draining(outcome: &CallOutcome<ShardAnswer>) -> bool {
+    match outcome {
+        CallOutcome::Answered(answer) => answer.draining,
+        CallOutcome::Refused(refusal) => {
+            refusal.draining || refusal.cause == RefusalCause::Draining
+        }
+        CallOutcome::NotSent | CallOutcome::Failed => false,
+    }
+}
+
 /// Keeps an answer's hits until the engine decides on them.
 fn take_answer(fanout: &FanoutService, answer: ShardAnswer) -> FanoutEvent {
     let event = FanoutEvent::Answered {
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 
 use crate::admin::AdminService;
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::front::FrontService;
 use crate::ledger::LedgerService;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::platform::PlatformService;
 use crate::sync::SyncService;
 use crate::targets::TargetService;
@@ -24,7 +26,11 @@
     Platform,
     /// Configuration in force.
     Directory,
-    /// Keeps the directory up to date.
+    /// Calls between the VMs.
+    Peers,
+    /// Customers' limits.
+    Admission,
+    /// Hears configuration from the platform.
     Sync,
     /// Connections to targets.
     Targets,
@@ -49,6 +55,10 @@
     Platform(Rc<PlatformService>),
     /// See [`ServiceName::Directory`].
     Directory(Rc<DirectoryService>),
+    /// See [`ServiceName::Peers`].
+    Peers(Rc<PeerService>),
+    /// See [`ServiceName::Admission`].
+    Admission(Rc<AdmissionService>),
     /// See [`ServiceName::Sync`].
     Sync(Rc<SyncService>),
     /// See [`ServiceName::Targets`].
@@ -71,6 +81,8 @@
             Service::Outcomes(_) => ServiceName::Outcomes,
             Service::Platform(_) => ServiceName::Platform,
             Service::Directory(_) => ServiceName::Directory,
+            Service::Peers(_) => ServiceName::Peers,
+            Service::Admission(_) => ServiceName::Admission,
             Service::Sync(_) => ServiceName::Sync,
             Service::Targets(_) => ServiceName::Targets,
             Service::Fanout(_) => ServiceName::Fanout,
@@ -85,9 +97,11 @@
         match self {
             Service::Directory(directory) => directory.announce_leaving(),
             Service::Front(front) => front.announce_leaving(),
+            Service::Peers(peers) => peers.announce_leaving(),
             Service::Metrics(_)
             | Service::Outcomes(_)
             | Service::Platform(_)
+            | Service::Admission(_)
             | Service::Sync(_)
             | Service::Targets(_)
             | Service::Fanout(_)
@@ -104,9 +118,11 @@
             Service::Fanout(fanout) => fanout.drain().await,
             Service::Ledger(ledger) => ledger.drain().await,
             Service::Sync(sync) => sync.stop(),
+            Service::Peers(peers) => peers.drain().await,
             Service::Metrics(_)
             | Service::Outcomes(_)
             | Service::Platform(_)
+            | Service::Admission(_)
             | Service::Directory(_)
             | Service::Targets(_) => {}
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 mod admin;
+mod admission;
 mod daemon;
 mod directory;
 mod edge;
@@ -17,10 +18,12 @@
 mod logging;
 mod metrics;
 mod outcomes;
+mod peers;
 mod platform;
 mod settings;
 mod sync;
 mod targets;
+mod time;
 
 pub use daemon::Daemon;
 pub use daemon::DaemonAddresses;
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -7,13 +7,16 @@
 mod bad_input;
 mod combined_faults;
 mod contracts;
+mod departure;
 mod leaving_targets;
 mod ledger;
 mod ledger_processes;
 mod ledger_refusals;
+mod limits;
 mod planned_stop;
 mod refusals;
 mod searches;
 mod silence;
+mod spread;
 mod support;
 mod whole_path;
