feat(load): warm up before a trial; variants of the wait at the floor

Cause: all VMs of a trial are fresh, so the first seconds measured new connections (6 ms each to 100 targets and more from each VM) and cold estimates. Change: `--warm-up-seconds` (default 3, plan field warm_up_ms, default 0) runs a load that is not measured; variants floor-late, floor-hedge, floor-third and floor-half set OLEANDERWIND_FLOOR_WAIT.

--- a/crates/load/src/command/experiment.rs
+++ b/crates/load/src/command/experiment.rs
@@ -116,6 +116,7 @@
         deployments,
         rate: flags.rate,
         duration_ms,
+        warm_up_ms: (flags.warm_up_seconds * 1_000.0) as u64,
         seed: flags.seed,
     })
 }
--- a/crates/load/src/command/flags.rs
+++ b/crates/load/src/command/flags.rs
@@ -129,12 +129,13 @@
 /// Each trial starts stand-ins and daemons of its own. Give --plan or at least one --scenario. The
 /// plan's JSON: variants (name, environment), scenarios (name, control_calls of at_ms, path and
 /// body, fault of from_ms and to_ms, replace_vm_every_ms, rate_factors, contract_rates), rounds,
-/// vms, deployments, rate, duration_ms, seed.
+/// vms, deployments, rate, duration_ms, warm_up_ms, seed.
 ///
 /// Scenarios: normal-day, slow-searcher, domain-down, cold-start, shedding, false-load,
 /// over-limit, slow-period, platform-away, repartition, vm-replacement, silent-connections.
 ///
-/// Variants: default, hedge-none, hedge-20ms, hedge-q990, least-outstanding, round-robin.
+/// Variants: default, hedge-none, hedge-20ms, hedge-q990, least-outstanding, round-robin,
+/// floor-late, floor-hedge, floor-third, floor-half.
 ///
 /// Exit codes: 0 all well, 1 a contract's term is broken or an answer is wrong in some trial, 2
 /// wrong usage, 3 could not run.
@@ -168,6 +169,10 @@
     #[argh(option, default = "16.0")]
     pub(crate) seconds: f64,
 
+    /// load before each trial that is not measured, in seconds (default 3)
+    #[argh(option, default = "3.0")]
+    pub(crate) warm_up_seconds: f64,
+
     /// how often each pair of variant and scenario runs (default 1)
     #[argh(option, default = "1")]
     pub(crate) rounds: usize,
--- a/crates/load/src/experiment/builtin.rs
+++ b/crates/load/src/experiment/builtin.rs
@@ -204,6 +204,10 @@
     ("hedge-q990", "OLEANDERWIND_HEDGE", "quantile:990"),
     ("least-outstanding", "OLEANDERWIND_ROUTING", "least-outstanding"),
     ("round-robin", "OLEANDERWIND_ROUTING", "round-robin"),
+    ("floor-late", "OLEANDERWIND_FLOOR_WAIT", "late"),
+    ("floor-hedge", "OLEANDERWIND_FLOOR_WAIT", "hedge"),
+    ("floor-third", "OLEANDERWIND_FLOOR_WAIT", "share:333"),
+    ("floor-half", "OLEANDERWIND_FLOOR_WAIT", "share:500"),
 ];
 
 /// The variant of that name.
--- a/crates/load/src/experiment/plan.rs
+++ b/crates/load/src/experiment/plan.rs
@@ -30,6 +30,9 @@
     pub rate: f64,
     /// Length of each trial, in milliseconds.
     pub duration_ms: u64,
+    /// Load before each trial that is not measured, so that VMs know their targets; in milliseconds.
+    #[serde(default)]
+    pub warm_up_ms: u64,
     /// Seed of the first round; each further round takes the next one, the same for all variants.
     pub seed: u64,
 }
--- a/crates/load/src/experiment/trial.rs
+++ b/crates/load/src/experiment/trial.rs
@@ -1,5 +1,6 @@
 //! One trial: fresh stand-ins and daemons, a load, and control calls at their times.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -76,6 +77,7 @@
     fleet.start(plan.vms).await?;
     let settings = trial_settings(plan, step, &fleet);
     let contracts = standin_contracts()?;
+    warm_up(&settings, plan.warm_up_ms).await?;
     let control = send_control_calls(standin.address("control")?, &scenario.control_calls);
     let load = async { futures_util::join!(run_load(&settings, &contracts), control) };
     let Some(period_ms) = scenario.replace_vm_every_ms else {
@@ -116,6 +118,21 @@
     }
 }
 
+/// Runs a load that is not measured.
+async fn warm_up(settings: &RunSettings, duration_ms: u64) -> eyre::Result<()> {
+    if duration_ms == 0 {
+        return Ok(());
+    }
+    let settings = RunSettings {
+        duration_ms,
+        phase_ends_ms: Vec::new(),
+        rate_factors: BTreeMap::new(),
+        seed: !settings.seed,
+        ..settings.clone()
+    };
+    run_load(&settings, &[]).await.map(|_| ())
+}
+
 /// Makes each call at its time.
 async fn send_control_calls(address: String, calls: &[ControlCall]) -> eyre::Result<()> {
     let start = tokio::time::Instant::now();
