fix(policy): wait at the floor for a hedge's answer; keep a shard's own cause

Cause 1: a contract that prefers time was answered at its floor once each missing shard was past its own 95th percentile, the very moment at which the hedge for it goes out. Of 20 shards some one is that late in most queries, so hedges were paid for and thrown away, and coverage was lost with four fifths of the deadline left. Change 1: FloorWait::HedgeAnswer (default): until a hedge sent in time would be late too.

Tests, both failing before: preference_latency_waits_for_the_hedge_of_a_late_shard (FloorMet in place of Complete), shard_without_budget_for_its_other_replica_is_busy (Unknown with 0 shards in place of Partial with 19).

--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -142,6 +142,7 @@
     engine.seed = settings.seed;
     engine.hedge = settings.hedge;
     engine.routing = settings.routing;
+    engine.floor_wait = settings.floor_wait;
     // The process start is mixed in, so that a restarted VM reuses no call id.
     let start = std::time::SystemTime::now();
     let since = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -9,6 +9,7 @@
 use oleanderwind_policy::FailureDomainId;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FindingList;
+use oleanderwind_policy::FloorWait;
 use oleanderwind_policy::HedgePolicy;
 use oleanderwind_policy::RoutingPolicy;
 use oleanderwind_policy::VmId;
@@ -46,6 +47,8 @@
     pub hedge: HedgePolicy,
     /// How a target is chosen.
     pub routing: RoutingPolicy,
+    /// How long a query that may answer at its floor waits for the rest.
+    pub floor_wait: FloorWait,
     /// What is logged.
     pub log_level: LevelFilter,
     /// Seed of every random choice.
@@ -91,6 +94,7 @@
             ),
             hedge: hedge(&raw.hedge, &mut findings),
             routing: routing(&raw.routing, &mut findings),
+            floor_wait: floor_wait(&raw.floor_wait, &mut findings),
             log_level: parsed(&raw.log_level, "--log-level", LevelFilter::Info, &mut findings),
             seed: parsed(&raw.seed, "--seed", seed, &mut findings),
             vm: vm.into(),
@@ -115,6 +119,7 @@
         writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
+        writeln!(f, "floor_wait={:?}", self.floor_wait)?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
@@ -215,3 +220,23 @@
         }
     }
 }
+
+fn floor_wait(option: &Option<String>, findings: &mut FindingList) -> FloorWait {
+    let default = FanoutSettings::default().floor_wait;
+    let Some(text) = option else { return default };
+    let wait = match text.split_once(':') {
+        None if text == "late" => Some(FloorWait::Late),
+        None if text == "hedge" => Some(FloorWait::HedgeAnswer),
+        Some(("share", part)) => part
+            .parse()
+            .ok()
+            .filter(|permille| (1..=1_000).contains(permille))
+            .map(|permille| FloorWait::DeadlineShare { permille }),
+        _ => None,
+    };
+    wait.unwrap_or_else(|| {
+        let problem = format!("is \"{text}\"; give late, hedge or share:PERMILLE");
+        findings.add(place("--floor-wait"), problem);
+        default
+    })
+}
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -46,6 +46,9 @@
     /// expected-wait, least-outstanding or round-robin; default: expected-wait
     #[argh(option)]
     pub routing: Option<String>,
+    /// late, hedge or share:PERMILLE of the deadline, for contracts that prefer time; default: hedge
+    #[argh(option)]
+    pub floor_wait: Option<String>,
     /// error, warn, info, debug or trace; default: info
     #[argh(option)]
     pub log_level: Option<String>,
@@ -73,6 +76,7 @@
             ("DRAIN_PATIENCE_MS", &mut self.drain_patience_ms),
             ("HEDGE", &mut self.hedge),
             ("ROUTING", &mut self.routing),
+            ("FLOOR_WAIT", &mut self.floor_wait),
             ("LOG_LEVEL", &mut self.log_level),
             ("SEED", &mut self.seed),
         ];
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -37,7 +37,8 @@
         let shard = &running.shards[position];
         let is_extra = shard.sends > 0;
         if is_extra && !(shard.sends < MAX_SENDS && self.has_extra_credit(running)) {
-            return running.lose(position, shard.last_cause);
+            let cause = unpaid_cause(running, position);
+            return running.lose(position, cause);
         }
         let skipped = shard.tried | shard.excluded;
         match self.choose(running, position, skipped, now) {
@@ -86,7 +87,8 @@
         actions: &mut Vec<FanoutAction>,
     ) {
         if !self.pay(running, position) {
-            return running.lose(position, running.shards[position].last_cause);
+            let cause = unpaid_cause(running, position);
+            return running.lose(position, cause);
         }
         let call = self.fresh_call();
         let replicas = &running.resolved.shards[position].replicas;
@@ -250,3 +252,15 @@
         true
     }
 }
+
+/// Why a shard is lost that may send no further call: a snapshot counts as unknown only once no
+/// replica is left that may hold it.
+fn unpaid_cause(running: &RunningQuery, position: usize) -> LossCause {
+    let shard = &running.shards[position];
+    let replicas = running.resolved.shards[position].replicas.len();
+    let is_any_left = (0..replicas).any(|replica| shard.excluded & replica_bit(replica) == 0);
+    match shard.last_cause {
+        LossCause::SnapshotUnknown if is_any_left => LossCause::Busy,
+        cause => cause,
+    }
+}
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use rand::SeedableRng;
@@ -14,6 +15,7 @@
 use crate::FanoutPlan;
 use crate::FanoutSettings;
 use crate::FinishReason;
+use crate::FloorWait;
 use crate::QueryId;
 use crate::budget::BudgetTable;
 use crate::fanout::manifest::ManifestCache;
@@ -23,6 +25,7 @@
 use crate::fanout::timer::EngineTimer;
 use crate::fanout::timer::TimerKind;
 use crate::latency::LatencyTable;
+use crate::latency::ShardEstimate;
 use crate::routing::TargetIndex;
 use crate::routing::TargetTable;
 
@@ -30,6 +33,8 @@
 const CALL_COUNTER_BITS: u32 = 40;
 /// The margin before a deadline is at most this part of the time left.
 const MARGIN_DIVISOR: u32 = 4;
+/// A whole, in thousandths.
+const WHOLE_PERMILLE: u32 = 1_000;
 
 /// Every running query of one VM, with what is known of the targets.
 ///
@@ -234,16 +239,28 @@
     fn start(&mut self, plan: FanoutPlan, now: Instant) -> Box<RunningQuery> {
         let resolved =
             self.manifests.resolve(&plan.manifest, &mut self.targets, &mut self.latencies);
-        let late_at = |latency| now + self.latencies.estimate(latency).late;
+        let left = plan.deadline.saturating_duration_since(now);
+        let late_at = |latency| now + self.floor_wait(self.latencies.estimate(latency), left);
         let shards = resolved.shards.iter();
         let shards = shards.map(|shard| ShardProgress::new(late_at(shard.latency))).collect();
-        let left = plan.deadline.saturating_duration_since(now);
         let margin = self.settings.answer_margin.min(left / MARGIN_DIVISOR);
         let answer_by = plan.deadline.checked_sub(margin).unwrap_or(plan.deadline);
         let budget = self.budgets.intern(&plan.customer);
         Box::new(RunningQuery::new(plan, resolved, shards, budget, answer_by))
     }
 
+    /// Time from a query's start until a missing shard is not waited for any longer.
+    fn floor_wait(&self, estimate: ShardEstimate, left: Duration) -> Duration {
+        match self.settings.floor_wait {
+            FloorWait::Late => estimate.late,
+            FloorWait::HedgeAnswer => {
+                let delay = self.settings.hedge.delay(estimate.hedge).unwrap_or_default();
+                delay + estimate.late
+            }
+            FloorWait::DeadlineShare { permille } => left * permille / WHOLE_PERMILLE,
+        }
+    }
+
     fn act_on(&mut self, timer: EngineTimer, now: Instant, actions: &mut Vec<FanoutAction>) {
         if !self.is_live(&timer) {
             return;
--- a/crates/policy/src/fanout/mod.rs
+++ b/crates/policy/src/fanout/mod.rs
@@ -29,4 +29,5 @@
 pub use result::FanoutResult;
 pub use result::FinishReason;
 pub use settings::FanoutSettings;
+pub use settings::FloorWait;
 pub use settings::HedgePolicy;
--- a/crates/policy/src/fanout/settings.rs
+++ b/crates/policy/src/fanout/settings.rs
@@ -24,6 +24,21 @@
     },
 }
 
+/// How long a query whose contract prefers time waits at its floor for the missing shards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum FloorWait {
+    /// Until each is late by its own expected latency.
+    Late,
+    /// Until a hedge sent in time would be late too.
+    HedgeAnswer,
+    /// Until a part of the time to the deadline has passed.
+    DeadlineShare {
+        /// The part, in thousandths.
+        permille: u32,
+    },
+}
+
 /// How the engine decides; the defaults are the product's.
 #[derive(Clone, Debug, PartialEq)]
 #[non_exhaustive]
@@ -36,6 +51,8 @@
     pub routing: RoutingPolicy,
     /// When a second call is sent.
     pub hedge: HedgePolicy,
+    /// How long a query that may answer at its floor waits for the rest.
+    pub floor_wait: FloorWait,
     /// Latency taken for a service without samples.
     pub cold_latency: Duration,
     /// Time kept before a deadline for merging and replying; at most a quarter of what is left.
@@ -53,6 +70,7 @@
             seed: 1,
             routing: RoutingPolicy::ExpectedWait,
             hedge: HedgePolicy::Quantile { permille: HEDGE_PERMILLE },
+            floor_wait: FloorWait::HedgeAnswer,
             cold_latency: Duration::from_millis(50),
             answer_margin: Duration::from_millis(5),
             extra_load_burst: 100,
--- a/crates/policy/src/latency/mod.rs
+++ b/crates/policy/src/latency/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) use mean::LatencyMean;
 pub(crate) use shard::LatencyIndex;
 pub(crate) use shard::LatencyTable;
+pub(crate) use shard::ShardEstimate;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub use fanout::FanoutResult;
 pub use fanout::FanoutSettings;
 pub use fanout::FinishReason;
+pub use fanout::FloorWait;
 pub use fanout::HedgePolicy;
 pub use fanout::QueryId;
 pub use finding::Finding;
--- a/crates/policy/tests/fanout/answers.rs
+++ b/crates/policy/tests/fanout/answers.rs
@@ -1,6 +1,7 @@
 //! When to answer, and what an answer tells.
 
 use oleanderwind_policy::AnswerPreference;
+use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FinishReason;
 use oleanderwind_policy::HedgePolicy;
@@ -37,6 +38,30 @@
     assert!(fleet.latency(1) < ms(60), "took {:?}", fleet.latency(1));
 }
 
+#[test]
+fn preference_latency_waits_for_the_hedge_of_a_late_shard() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    for query in 1..=8 {
+        let plan = FanoutPlan {
+            preference: AnswerPreference::Latency,
+            coverage_floor_permille: 950,
+            ..fleet.plan()
+        };
+        fleet.target("s3r0").behaviour = Behaviour::Silent;
+        fleet.target("s3r1").behaviour = Behaviour::Silent;
+        let sent = fleet.sent.len();
+        fleet.submit(query, plan);
+        let first = fleet.sent[sent..].iter().find(|sent| sent.shard == 3).cloned().unwrap();
+        let other = if &*first.target == "s3r0" { "s3r1" } else { "s3r0" };
+        fleet.target(other).behaviour = Behaviour::Serve;
+        fleet.advance(ms(300));
+        let hedges = fleet.sent[sent..].iter().filter(|sent| sent.shard == 3).count();
+        assert_eq!(hedges, 2, "the late shard was hedged");
+        assert_eq!(fleet.result(query).reason, FinishReason::Complete, "query {query}");
+        assert!(fleet.latency(query) < ms(150));
+    }
+}
+
 #[test]
 fn preference_coverage_waits_for_the_last_shard() {
     let mut fleet = fleet_with_a_silent_shard(AnswerPreference::Coverage);
@@ -83,6 +108,22 @@
     assert_eq!((result.reason, result.outcome), (FinishReason::Complete, RequestOutcome::Partial));
 }
 
+#[test]
+fn shard_without_budget_for_its_other_replica_is_busy() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 20, 2);
+    fleet.extra_permille = 0;
+    fleet.target("s3r0").behaviour = Behaviour::Refuse(RefusalCause::SnapshotUnknown);
+    fleet.submit_every(1, 20, ms(20));
+    let is_refused = |query: &u64| fleet.result(*query).outcome != RequestOutcome::Answered;
+    let refused: Vec<u64> = (1..=20).filter(is_refused).collect();
+    assert!(!refused.is_empty(), "some first calls go to the replica without the snapshot");
+    for query in refused {
+        let result = fleet.result(query);
+        assert_eq!((result.outcome, result.shards_answered), (RequestOutcome::Partial, 19));
+        assert_eq!(result.reason, FinishReason::TargetsBusy, "the other replica holds it");
+    }
+}
+
 #[test]
 fn ran_is_unknown_after_a_cancelled_call() {
     let mut fleet = FakeFleet::new(FanoutSettings::default(), 2, 1);
