fix(policy): keep credit and lose fewer calls when targets are lost

Change: hedges leave half of a full budget to retries; a broken or refused connection makes a target failing at once (probed after 100 ms), lateness still after three.

--- a/crates/policy/src/budget/extra_load.rs
+++ b/crates/policy/src/budget/extra_load.rs
@@ -3,6 +3,12 @@
 /// Credit that one extra call costs, in thousandths of a call.
 const CALL_CREDIT: u64 = 1_000;
 
+/// Part of the full budget that hedges leave to retries and refills, as a divisor.
+///
+/// A hedge makes a slow answer faster; a retry saves one that would be lost. The part covers the
+/// failures after which the targets of a lost failure domain count as failing.
+const RETRY_RESERVE_DIVISOR: u64 = 2;
+
 /// Extra calls that a customer has earned and not yet spent.
 ///
 /// Starts empty and is earned by primary calls only, so at any time the extra calls so far are at
@@ -31,6 +37,11 @@
         true
     }
 
+    /// Whether a hedge would leave enough for retries.
+    pub(crate) fn has_hedge_credit(&self) -> bool {
+        self.credit >= self.cap / RETRY_RESERVE_DIVISOR + CALL_CREDIT
+    }
+
     /// Whether an extra call would be granted now.
     pub(crate) fn has_credit(&self) -> bool {
         self.credit >= CALL_CREDIT
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -64,7 +64,7 @@
         let is_shedding =
             replicas.iter().any(|target| self.targets.state(*target).is_shedding(now));
         let is_late = self.latest_start(running, position) < now;
-        if is_shedding || is_late || !self.has_extra_credit(running) {
+        if is_shedding || is_late || !self.has_hedge_credit(running) {
             return;
         }
         let skipped = running.shards[position].tried | running.shards[position].excluded;
@@ -237,6 +237,11 @@
         is_allowed && self.budgets.budget_mut(running.budget).has_credit()
     }
 
+    fn has_hedge_credit(&mut self, running: &RunningQuery) -> bool {
+        let is_allowed = running.plan.extra_load_permille > 0;
+        is_allowed && self.budgets.budget_mut(running.budget).has_hedge_credit()
+    }
+
     /// Books a call: a shard's first earns budget, each further one spends it.
     fn pay(&mut self, running: &mut RunningQuery, position: usize) -> bool {
         let budget = self.budgets.budget_mut(running.budget);
--- a/crates/policy/src/routing/backoff.rs
+++ b/crates/policy/src/routing/backoff.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Failures in a row that make a target failing.
+/// Unanswered calls in a row that make a target failing.
 const FAILING_AFTER: u32 = 3;
 /// Time to the first probe of a failing target.
 const FIRST_PROBE: Duration = Duration::from_millis(100);
@@ -31,6 +31,12 @@
         }
     }
 
+    /// Takes in a call whose connection broke or could not be made: the target is failing at once.
+    pub(crate) fn note_broken(&mut self, now: Instant) {
+        self.failures = self.failures.max(FAILING_AFTER - 1);
+        self.note_failure(now);
+    }
+
     /// Whether other replicas go first.
     pub(crate) fn is_failing(&self) -> bool {
         self.failures >= FAILING_AFTER
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -144,13 +144,16 @@
         match end {
             CancelledCall::InTime => {}
             CancelledCall::Late => self.backoff.note_failure(now),
-            CancelledCall::PastDeadline => self.note_failure(now),
+            CancelledCall::PastDeadline => {
+                self.backoff.note_failure(now);
+                self.window.note_shed(now);
+            }
         }
     }
 
     /// Takes in a failed call.
     pub(crate) fn note_failure(&mut self, now: Instant) {
-        self.backoff.note_failure(now);
+        self.backoff.note_broken(now);
         self.window.note_shed(now);
     }
 
--- a/crates/policy/tests/fanout/load.rs
+++ b/crates/policy/tests/fanout/load.rs
@@ -39,6 +39,42 @@
     assert!((2_000..2_100).all(|query| fleet.result(query).ran == RunState::Unknown));
 }
 
+#[test]
+fn budget_keeps_retries_for_lost_targets_beside_hedges() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    // So many stragglers that hedges alone would use up the budget.
+    fleet.targets.values_mut().for_each(|target| target.straggle_permille = 150);
+    fleet.submit_every(2_000, 100, ms(20));
+    fleet.targets.values_mut().for_each(|target| target.straggle_permille = 0);
+    for shard in 0..10 {
+        fleet.target(&format!("s{shard}r0")).behaviour = Behaviour::Fail;
+    }
+    fleet.submit_every(3_000, 50, ms(20));
+    let whole =
+        (3_000..3_050).filter(|query| fleet.result(*query).outcome == RequestOutcome::Answered);
+    assert_eq!(whole.count(), 50, "every shard has a replica that answers");
+}
+
+#[test]
+fn backoff_spends_one_retry_on_each_lost_target() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    for shard in 0..10 {
+        fleet.target(&format!("s{shard}r0")).behaviour = Behaviour::Fail;
+    }
+    let sent = fleet.sent.len();
+    for query in 2_000..2_008 {
+        let plan = fleet.plan();
+        fleet.submit(query, plan);
+        fleet.advance(ms(10));
+    }
+    // Within the time to the first probe; one more call may be open when the first one fails.
+    for shard in 0..10 {
+        let lost = format!("s{shard}r0");
+        let calls = fleet.sent[sent..].iter().filter(|sent| *sent.target == *lost).count();
+        assert!(calls <= 2, "{calls} calls to {lost}");
+    }
+}
+
 #[test]
 fn hedge_stops_while_a_replica_sheds() {
     let mut fleet = warm_fleet(FanoutSettings::default());
