--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -2,8 +2,10 @@
 
 mod addresses;
 mod answer;
+mod execute;
 mod request;
 mod search;
 mod service;
 
+pub use answer::RefusalKind;
 pub(crate) use service::FrontService;
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -1,16 +1,17 @@
 //! Serving a search.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FinishReason;
-use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::CoverageReport;
 use oleanderwind_wire::RefusalReport;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fanout::FanoutReply;
 use crate::front::answer::empty_answer;
@@ -18,13 +19,12 @@
 use crate::front::answer::set_hits;
 use crate::front::request::CallerRequest;
 use crate::front::service::FrontService;
+use crate::front::service::RequestEnd;
 
-/// What one search came to.
-pub(crate) struct SearchEnd {
-    pub(crate) answer: CallerAnswer,
-    pub(crate) primary_calls: u32,
-    pub(crate) extra_calls: u32,
-}
+/// Longest wait for word of the snapshot that follows a retired one.
+const NEWER_SNAPSHOT_TIME: Duration = Duration::from_millis(20);
+/// Pause between two looks for it.
+const NEWER_SNAPSHOT_POLL: Duration = Duration::from_millis(2);
 
 impl FrontService {
     /// Runs a search; a retired snapshot restarts it whole while there is time.
@@ -33,9 +33,9 @@
         request_id: &str,
         contract: &Rc<CustomerContract>,
         request: &CallerRequest,
-        provider: &ProviderId,
         arrived: Instant,
-    ) -> Option<SearchEnd> {
+    ) -> Option<RequestEnd> {
+        let provider = contract.provider_for(xxh3_64(request_id.as_bytes()))?;
         let deadline = arrived + request.deadline;
         let mut extra_calls = 0;
         loop {
@@ -52,8 +52,7 @@
             };
             let reply = self.fanout.search(plan, &request.text).await?;
             if reply.result.reason == FinishReason::SnapshotRetired
-                && self.has_newer(&manifest)
-                && Instant::now() < deadline
+                && self.wait_for_newer(&manifest, deadline).await
             {
                 extra_calls += reply.result.calls_sent;
                 continue;
@@ -61,14 +60,21 @@
             let primary_calls = reply.result.calls_sent - reply.result.extra_calls;
             extra_calls += reply.result.extra_calls;
             let answer = search_answer(request_id, &manifest, reply);
-            return Some(SearchEnd { answer, primary_calls, extra_calls });
+            return Some(RequestEnd { answer, primary_calls, extra_calls });
         }
     }
 
-    fn has_newer(&self, manifest: &SnapshotManifest) -> bool {
-        self.directory
-            .snapshot(&manifest.service, &manifest.provider)
-            .is_some_and(|newest| newest.index_version > manifest.index_version)
+    /// Whether a newer snapshot is known soon enough; targets may retire one before that.
+    async fn wait_for_newer(&self, manifest: &SnapshotManifest, deadline: Instant) -> bool {
+        let end = deadline.min(Instant::now() + NEWER_SNAPSHOT_TIME);
+        while Instant::now() < end {
+            let newest = self.directory.snapshot(&manifest.service, &manifest.provider);
+            if newest.is_some_and(|newest| newest.index_version > manifest.index_version) {
+                return true;
+            }
+            tokio::time::sleep(NEWER_SNAPSHOT_POLL).await;
+        }
+        false
     }
 }
 
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream;
+use oleanderwind_http::is_unsent;
 use oleanderwind_policy::Revision;
 use oleanderwind_wire::API_PREFIX;
 use oleanderwind_wire::ObjectDocument;
@@ -25,7 +26,6 @@
 use crate::edge::PlatformError;
 use crate::edge::WatchStream;
 use crate::edge::announced_length;
-use crate::edge::is_never_sent;
 use crate::platform::lines::EventLines;
 
 /// Longest time for a call that is not a watch.
@@ -193,7 +193,7 @@
 
 /// A call that never connected had no effect; any other failure may have had one.
 fn send_error(error: &awc::error::SendRequestError) -> PlatformError {
-    match is_never_sent(error) {
+    match is_unsent(error) {
         true => PlatformError::Refused(error.to_string()),
         false => PlatformError::Uncertain(error.to_string()),
     }
@@ -206,8 +206,10 @@
         StatusCode::NOT_FOUND => PlatformError::NotFound,
         StatusCode::GONE => PlatformError::Expired,
         StatusCode::TOO_MANY_REQUESTS => PlatformError::Refused("too many calls".to_owned()),
+        // A proxy that gave up waiting may have passed the call on.
+        StatusCode::REQUEST_TIMEOUT => PlatformError::Uncertain(format!("status {status}")),
         _ if status.is_client_error() => {
-            PlatformError::Refused(String::from_utf8_lossy(body).into_owned())
+            PlatformError::Rejected(String::from_utf8_lossy(body).into_owned())
         }
         _ => PlatformError::Uncertain(format!("status {status}")),
     }
--- a/crates/policy/src/ledger/engine.rs
+++ b/crates/policy/src/ledger/engine.rs
@@ -7,11 +7,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::RequestOutcome;
 use crate::Revision;
-use crate::RunState;
 
 use super::action::LedgerAction;
+use super::answer::LedgerVerdict;
+use super::cause::LedgerCause;
+use super::deadlines::DeadlineBook;
 use super::event::ExecuteOutcome;
 use super::event::LedgerEvent;
 use super::key::ClockReading;
@@ -36,6 +37,8 @@
     pub(super) settings: LedgerSettings,
     pub(super) segments: BTreeMap<SegmentId, SegmentWork>,
     pub(super) requests: BTreeMap<LedgerRequestId, RequestWork>,
+    /// Of every try that is not answered.
+    pub(super) deadlines: DeadlineBook,
     next_token: u64,
 }
 
@@ -69,6 +72,8 @@
     pub(super) view: Option<SegmentView>,
     pub(super) call: SegmentCall,
     pub(super) requests: BTreeSet<LedgerRequestId>,
+    /// Whether the newest call did not reach the platform.
+    pub(super) is_unreachable: bool,
     /// No call before this.
     pub(super) not_before: Option<Instant>,
 }
@@ -80,6 +85,7 @@
             settings,
             segments: BTreeMap::new(),
             requests: BTreeMap::new(),
+            deadlines: DeadlineBook::default(),
             next_token: 0,
         }
     }
@@ -103,20 +109,24 @@
             token: self.fresh_token(),
             phase: RequestPhase::Claiming,
             exposed: None,
+            cause: LedgerCause::DeadlinePassed,
             is_answered: false,
             is_fresh: false,
             segment,
             request,
         };
+        self.deadlines.insert(&work.request);
         self.requests.insert(id, work);
         self.segments.entry(segment).or_default().requests.insert(id);
         if self.refuse_by_age(id, wall, actions) {
             return;
         }
-        if self.requests[&id].is_expired(ClockReading { now, wall })
-            || self.is_backing_off(segment, now)
-        {
-            self.refuse(id, actions);
+        if self.requests[&id].is_expired(ClockReading { now, wall }) {
+            self.refuse(id, LedgerCause::DeadlinePassed, actions);
+            return;
+        }
+        if self.is_backing_off(segment, now) {
+            self.refuse(id, LedgerCause::PlatformUnreachable, actions);
             return;
         }
         self.advance(segment, ClockReading { now, wall }, actions);
@@ -143,8 +153,13 @@
                 self.take_accepted(segment, revision, now);
                 segment
             }
-            LedgerEvent::WriteConflict { segment } | LedgerEvent::WriteUncertain { segment } => {
+            LedgerEvent::WriteConflict { segment } => {
+                self.forget_view(segment);
+                segment
+            }
+            LedgerEvent::WriteUncertain { segment } => {
                 self.forget_view(segment);
+                self.pause(segment, now);
                 segment
             }
             LedgerEvent::WriteRefused { segment } => {
@@ -165,29 +180,28 @@
 
     /// Answers what is due and takes up what has waited.
     pub fn wake(&mut self, now: Instant, wall: SystemTime, actions: &mut Vec<LedgerAction>) {
+        let clock = ClockReading { now, wall };
         let is_due =
-            |work: &RequestWork| !work.is_answered && work.is_expired(ClockReading { now, wall });
-        let due: Vec<LedgerRequestId> =
-            self.requests.iter().filter(|(_, work)| is_due(work)).map(|(id, _)| *id).collect();
-        for id in due {
+            |work: &SegmentWork| work.not_before.is_some_and(|instant| instant <= clock.now);
+        let waited = self.segments.iter().filter(|(_, work)| is_due(work)).map(|(id, _)| *id);
+        let mut segments: BTreeSet<SegmentId> = waited.collect();
+        for id in self.deadlines.due(clock) {
+            segments.extend(self.requests.get(&id).map(|work| work.segment));
             self.answer_late(id, actions);
         }
-        let segments: Vec<SegmentId> = self.segments.keys().copied().collect();
         for segment in segments {
-            self.advance(segment, ClockReading { now, wall }, actions);
+            self.advance(segment, clock, actions);
         }
     }
 
     /// When [`LedgerEngine::wake`] is due next.
     pub fn next_wake(&self) -> Option<Instant> {
-        let open = self.requests.values().filter(|work| !work.is_answered);
-        let deadlines = open.map(|work| work.request.deadline);
         let waits = self
             .segments
             .values()
             .filter(|work| work.call == SegmentCall::Idle && !work.requests.is_empty())
             .filter_map(|work| work.not_before);
-        deadlines.chain(waits).min()
+        self.deadlines.first().into_iter().chain(waits).min()
     }
 
     /// How many tries are not yet answered and recorded; a VM that stops waits for 0.
@@ -203,7 +217,7 @@
 
     fn is_backing_off(&self, segment: SegmentId, now: Instant) -> bool {
         self.segments.get(&segment).is_some_and(|work| {
-            work.view.is_none() && work.not_before.is_some_and(|instant| instant > now)
+            work.is_unreachable && work.not_before.is_some_and(|instant| instant > now)
         })
     }
 
@@ -212,12 +226,18 @@
             return;
         };
         match &work.phase {
-            RequestPhase::Claiming if work.exposed.is_none() => self.refuse(id, actions),
+            RequestPhase::Claiming if work.exposed.is_none() => {
+                self.refuse(id, LedgerCause::DeadlinePassed, actions);
+            }
             RequestPhase::Recording(EntryState::NotRun(_)) => {
-                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                let verdict = LedgerVerdict::not_run(work.cause);
+                self.answer(id, verdict, actions);
+            }
+            RequestPhase::Claiming => {
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ClaimUncertain), actions);
             }
-            RequestPhase::Claiming | RequestPhase::Running | RequestPhase::Recording(_) => {
-                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+            RequestPhase::Running | RequestPhase::Recording(_) => {
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ReplyMissing), actions);
             }
         }
     }
@@ -240,14 +260,12 @@
                 let kept = Some(result.clone()).filter(|text| json_bytes(text) <= max_result_bytes);
                 let state = EntryState::Done { provider, result: kept };
                 work.phase = RequestPhase::Recording(state);
-                self.answer(id, RequestOutcome::Answered, RunState::Yes, Some(result), actions);
-            }
-            ExecuteOutcome::RefusedNotRun | ExecuteOutcome::NotSent => {
-                let state = EntryState::NotRun(work.request.attempt);
-                work.phase = RequestPhase::Recording(state);
+                self.answer(id, LedgerVerdict::ran(LedgerCause::Ran, Some(result)), actions);
             }
+            ExecuteOutcome::RefusedNotRun => work.record_not_run(LedgerCause::TargetRefused),
+            ExecuteOutcome::NotSent => work.record_not_run(LedgerCause::NotSent),
             ExecuteOutcome::Uncertain => {
-                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ReplyMissing), actions);
                 self.remove(id);
             }
         }
