--- a/crates/policy/benches/fanout.rs
+++ b/crates/policy/benches/fanout.rs
@@ -31,8 +31,8 @@
 /// Most instructions for the timers of one sub-query.
 const WAKE_INSTRUCTIONS: u64 = 4_000;
 
-fn submitted_fleet() -> LargeFleet {
-    let mut fleet = LargeFleet::new();
+fn submitted_fleet(services: usize) -> LargeFleet {
+    let mut fleet = LargeFleet::with_services(services);
     fleet.submit(QUERIES);
     fleet
 }
@@ -46,6 +46,7 @@
 }
 
 #[library_benchmark(config = limit(SUBMIT_INSTRUCTIONS))]
+#[bench::targets_1008(LargeFleet::with_services(7))]
 #[bench::target_size(LargeFleet::new())]
 fn submit_queries(mut fleet: LargeFleet) -> LargeFleet {
     fleet.submit(QUERIES);
@@ -53,14 +54,16 @@
 }
 
 #[library_benchmark(config = limit(ANSWER_INSTRUCTIONS))]
-#[bench::target_size(submitted_fleet())]
+#[bench::targets_1008(submitted_fleet(7))]
+#[bench::target_size(submitted_fleet(66))]
 fn answer_calls(mut fleet: LargeFleet) -> LargeFleet {
     fleet.answer();
     black_box(fleet)
 }
 
 #[library_benchmark(config = limit(WAKE_INSTRUCTIONS))]
-#[bench::target_size(submitted_fleet())]
+#[bench::targets_1008(submitted_fleet(7))]
+#[bench::target_size(submitted_fleet(66))]
 fn wake_hedges(mut fleet: LargeFleet) -> LargeFleet {
     fleet.wake(Duration::from_millis(60));
     black_box(fleet)
--- a/crates/policy/benches/large_fleet/mod.rs
+++ b/crates/policy/benches/large_fleet/mod.rs
@@ -46,14 +46,20 @@
 impl LargeFleet {
     /// A fleet that has served a few queries of each service.
     pub(crate) fn new() -> LargeFleet {
+        LargeFleet::with_services(SERVICES as usize)
+    }
+
+    /// The same with another count of services, of 144 targets each.
+    pub(crate) fn with_services(services: usize) -> LargeFleet {
         let mut specs = Vec::new();
-        let manifests = (0..SERVICES).map(|service| add_service(service, &mut specs)).collect();
+        let services = u32::try_from(services).unwrap_or(u32::MAX);
+        let manifests = (0..services).map(|service| add_service(service, &mut specs)).collect();
         let now = Instant::now();
         let mut engine = FanoutEngine::new(FanoutSettings::default());
         engine.apply_targets(specs, now);
         let open = Vec::new();
         let mut fleet = LargeFleet { engine, now, open, finished: 0, manifests, next_query: 0 };
-        fleet.serve(u64::from(SERVICES) * 3);
+        fleet.serve(u64::from(services) * 3);
         fleet
     }
 
