perf(policy): platform calls of the ledger by rate, bytes of a change by size

Cause: docs/CAPACITY.md needs the ledger's writes a second at several rates, and what changes of targets and VMs add to control's 2 KB/s; the ceilings in the ledger's module were arithmetic alone.

--- /dev/null
+++ b/crates/policy/examples/capacity_ledger.rs
@@ -0,0 +1,231 @@
+//! Prints the platform's calls that the ledger makes at several rates of claims, in virtual time.
+//!
+//! A read takes 3 ms, a write 5 ms and a dispatched request 10 ms. Keys are random, so that with
+//! several VMs each segment is written by all of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use oleanderwind_policy::ExecuteOutcome;
+use oleanderwind_policy::LedgerAction;
+use oleanderwind_policy::LedgerEngine;
+use oleanderwind_policy::LedgerEvent;
+use oleanderwind_policy::LedgerKey;
+use oleanderwind_policy::LedgerRequest;
+use oleanderwind_policy::LedgerSegment;
+use oleanderwind_policy::LedgerSettings;
+use oleanderwind_policy::Revision;
+use oleanderwind_policy::RunState;
+use oleanderwind_policy::SegmentId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const READ_MS: u64 = 3;
+const WRITE_MS: u64 = 5;
+const EXECUTE_MS: u64 = 10;
+const SECONDS: u64 = 5;
+/// Time that a request has.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Milliseconds since 1970 at the start.
+const START_MS: u64 = 1_800_000_000_000;
+
+/// The end of an action, on its way to an engine.
+struct Reply {
+    vm: usize,
+    event: LedgerEvent,
+}
+
+/// What is on its way to the platform or a target.
+enum Call {
+    Read(SegmentId),
+    Write { segment: SegmentId, body: LedgerSegment, expected: Revision },
+    Execute(u64),
+}
+
+#[derive(Default)]
+struct Counts {
+    submitted: u64,
+    ran: u64,
+    waited_ms: u64,
+    reads: u64,
+    writes: u64,
+    conflicts: u64,
+    written_bytes: usize,
+}
+
+struct LedgerFleet {
+    engines: Vec<LedgerEngine>,
+    store: BTreeMap<SegmentId, (Revision, LedgerSegment)>,
+    calls: BTreeMap<u64, Vec<(usize, Call)>>,
+    start: Instant,
+    now_ms: u64,
+    counts: Counts,
+    /// When each request was submitted.
+    submitted_ms: Vec<u64>,
+    generator: Pcg64Mcg,
+}
+
+impl LedgerFleet {
+    fn new(vms: usize, segments: u64, commit_interval: Duration) -> LedgerFleet {
+        let engine = |vm: usize| {
+            let token_seed = vm as u64;
+            LedgerEngine::new(LedgerSettings {
+                segments,
+                commit_interval,
+                token_seed,
+                ..LedgerSettings::default()
+            })
+        };
+        LedgerFleet {
+            engines: (0..vms).map(engine).collect(),
+            store: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            start: Instant::now(),
+            now_ms: 0,
+            counts: Counts::default(),
+            submitted_ms: Vec::new(),
+            generator: Pcg64Mcg::seed_from_u64(1),
+        }
+    }
+
+    fn clocks(&self) -> (Instant, SystemTime) {
+        let wall = SystemTime::UNIX_EPOCH + Duration::from_millis(START_MS + self.now_ms);
+        (self.start + Duration::from_millis(self.now_ms), wall)
+    }
+
+    fn run(&mut self, claims_a_second: u64) {
+        for now_ms in 0..SECONDS * 1_000 {
+            self.now_ms = now_ms;
+            let due = (now_ms + 1) * claims_a_second / 1_000;
+            while self.counts.submitted < due {
+                self.submit();
+            }
+            for (vm, call) in self.calls.remove(&now_ms).unwrap_or_default() {
+                let event = self.serve(call);
+                self.deliver(Reply { vm, event });
+            }
+            for vm in 0..self.engines.len() {
+                self.step(vm, |engine, (now, wall), actions| engine.wake(now, wall, actions));
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        let vm = self.generator.random_range(0..self.engines.len());
+        let request = self.counts.submitted;
+        self.counts.submitted += 1;
+        self.submitted_ms.push(self.now_ms);
+        let (now, wall) = self.clocks();
+        let text = format!("{}-{:x}", START_MS + self.now_ms, self.generator.random::<u64>());
+        let Ok(key) = LedgerKey::try_from(text.as_str()) else { return };
+        let request = LedgerRequest {
+            request,
+            customer: "cooperative".into(),
+            key,
+            attempt: 1,
+            deadline: now + PATIENCE,
+            wall_deadline: wall + PATIENCE,
+        };
+        self.step(vm, |engine, (now, wall), actions| engine.submit(request, now, wall, actions));
+    }
+
+    fn deliver(&mut self, reply: Reply) {
+        self.step(reply.vm, |engine, (now, wall), actions| {
+            engine.handle(reply.event, now, wall, actions);
+        });
+    }
+
+    fn step(
+        &mut self,
+        vm: usize,
+        act: impl FnOnce(&mut LedgerEngine, (Instant, SystemTime), &mut Vec<LedgerAction>),
+    ) {
+        let mut actions = Vec::new();
+        let clocks = self.clocks();
+        act(&mut self.engines[vm], clocks, &mut actions);
+        for action in actions {
+            self.take(vm, action);
+        }
+    }
+
+    fn take(&mut self, vm: usize, action: LedgerAction) {
+        let (delay, call) = match action {
+            LedgerAction::ReadSegment { segment } => (READ_MS, Call::Read(segment)),
+            LedgerAction::CreateSegment { segment, body } => {
+                (WRITE_MS, Call::Write { segment, body, expected: 0 })
+            }
+            LedgerAction::UpdateSegment { segment, body, expected } => {
+                (WRITE_MS, Call::Write { segment, body, expected })
+            }
+            LedgerAction::Dispatch { request, .. } => (EXECUTE_MS, Call::Execute(request)),
+            LedgerAction::Answer { request, ran, .. } => {
+                self.counts.ran += u64::from(ran == RunState::Yes);
+                self.counts.waited_ms += self.now_ms - self.submitted_ms[request as usize];
+                return;
+            }
+        };
+        self.calls.entry(self.now_ms + delay).or_default().push((vm, call));
+    }
+
+    fn serve(&mut self, call: Call) -> LedgerEvent {
+        match call {
+            Call::Read(segment) => {
+                self.counts.reads += 1;
+                let held = self.store.get(&segment).cloned();
+                let revision = held.as_ref().map_or(0, |held| held.0);
+                LedgerEvent::SegmentRead { segment, body: held.map(|held| held.1), revision }
+            }
+            Call::Write { segment, body, expected } => {
+                self.counts.writes += 1;
+                let held = self.store.get(&segment).map_or(0, |held| held.0);
+                if held != expected {
+                    self.counts.conflicts += 1;
+                    return LedgerEvent::WriteConflict { segment };
+                }
+                let bytes = serde_json::to_vec(&body).map_or(0, |json| json.len());
+                self.counts.written_bytes += bytes;
+                self.store.insert(segment, (held + 1, body));
+                LedgerEvent::WriteAccepted { segment, revision: held + 1 }
+            }
+            Call::Execute(request) => {
+                let result = "r".repeat(40);
+                let outcome = ExecuteOutcome::Done { provider: "east".into(), result };
+                LedgerEvent::ExecuteFinished { request, outcome }
+            }
+        }
+    }
+}
+
+fn main() {
+    println!(
+        "{:>4} {:>9} {:>9} {:>9} {:>8} {:>9} {:>12} {:>12} {:>8}",
+        "VMs",
+        "segments",
+        "every ms",
+        "claims/s",
+        "reads/s",
+        "writes/s",
+        "conflicts/s",
+        "bytes/write",
+        "mean ms"
+    );
+    for (vms, segments, commit_ms) in [(1, 64, 20), (1, 64, 200), (1, 8, 20), (8, 64, 20)] {
+        for claims_a_second in [20, 100, 300, 600] {
+            let mut fleet = LedgerFleet::new(vms, segments, Duration::from_millis(commit_ms));
+            fleet.run(claims_a_second);
+            let counts = &fleet.counts;
+            println!(
+                "{vms:>4} {segments:>9} {commit_ms:>9} {claims_a_second:>9} {:>8} {:>9} {:>12} \
+                 {:>12} {:>8}",
+                counts.reads / SECONDS,
+                counts.writes / SECONDS,
+                counts.conflicts / SECONDS,
+                counts.written_bytes / (counts.writes - counts.conflicts) as usize,
+                counts.waited_ms / counts.ran,
+            );
+        }
+    }
+}
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -87,3 +87,38 @@
         assert!(figures.most_bytes <= CONTROL_BYTES);
     }
 }
+
+/// Bytes that one change costs a VM, beyond what it spends without any.
+fn bytes_of_a_change(body_bytes: usize) -> usize {
+    const VMS: usize = 200;
+    const CHANGES: usize = 10;
+    let mean_bytes = |changes: usize| {
+        let mut fleet = Fleet::new(VMS, settings(1));
+        fleet.run(Duration::from_secs(5));
+        fleet.nodes.iter_mut().for_each(|node| node.bytes = 0);
+        let body = "x".repeat(body_bytes);
+        for number in 0..changes {
+            fleet.write(&format!("change-{number}"), Some(&body));
+            fleet.run(Duration::from_secs(2));
+        }
+        fleet.run(Duration::from_secs(2) * (CHANGES - changes) as u32);
+        fleet.nodes.iter().map(|node| node.bytes).sum::<usize>() / VMS
+    };
+    mean_bytes(CHANGES).saturating_sub(mean_bytes(0)) / CHANGES
+}
+
+#[test]
+fn spread_of_a_day_of_changes_leaves_room_for_heartbeats() {
+    const DAY: usize = 86_400;
+    // Contracts, one state of each target, and three of each VM that fails or is replaced.
+    let changes = [(CONTRACT_BYTES, 2_500), (300, 9_500), (300, 3 * 1_716)];
+    let mut sum = 0;
+    for (body_bytes, a_day) in changes {
+        let bytes = bytes_of_a_change(body_bytes);
+        let rate = bytes * a_day / DAY;
+        println!("change of {body_bytes} bytes: {bytes} bytes a VM; {a_day} a day: {rate} bytes/s");
+        sum += rate;
+    }
+    println!("sum {sum} bytes/s of {CONTROL_BYTES}");
+    assert!(sum <= CONTROL_BYTES / 2, "changes take more than half of control's bytes");
+}
