--- a/crates/load/src/runner/mod.rs
+++ b/crates/load/src/runner/mod.rs
@@ -102,16 +102,17 @@
     let caller = context.caller(&planned);
     let reply = caller.send(&request).await;
     let sample = take_sample(&request, &reply, context.start + planned.at);
-    context.tallies.borrow_mut().tally(&planned).record(&sample);
+    context.tallies.borrow_mut().record(&planned, &sample);
     if !planned.repeats || sample.is_answered() {
         return;
     }
     let wait_ms = reply.ok().and_then(|reply| reply.answer.retry_after_ms).unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(wait_ms).min(MAX_REPEAT_WAIT)).await;
+    let request = CallRequest { attempt: request.attempt + 1, ..request };
     let sent_at = Instant::now();
     let reply = caller.send(&request).await;
     let sample = take_sample(&request, &reply, sent_at);
-    context.tallies.borrow_mut().tally(&planned).record_repeat(&sample);
+    context.tallies.borrow_mut().record_repeat(&planned, &sample);
 }
 
 /// Checks a reply; the latency counts from `intended`.
@@ -160,7 +161,7 @@
             id: format!("{:x}-{:x}", started_at.as_nanos(), std::process::id()),
             start: Instant::now(),
             callers: settings.deployments.iter().map(make_callers).collect(),
-            tallies: RefCell::new(RunTallies::new(&settings.deployments, contracts)?),
+            tallies: RefCell::new(RunTallies::new(settings, contracts)?),
             permits: Semaphore::new(settings.concurrency),
             overflowed: Cell::new(0),
         })
@@ -174,6 +175,7 @@
             operation: planned.share.operation,
             text: format!("text {}", planned.query),
             issued_at: SystemTime::now(),
+            attempt: 1,
         }
     }
 
--- a/crates/policy/src/ledger/settle.rs
+++ b/crates/policy/src/ledger/settle.rs
@@ -2,11 +2,9 @@
 
 use std::time::Instant;
 
-use crate::RequestOutcome;
-use crate::Revision;
-use crate::RunState;
-
 use super::action::LedgerAction;
+use super::answer::LedgerVerdict;
+use super::cause::LedgerCause;
 use super::engine::LedgerEngine;
 use super::engine::SegmentCall;
 use super::engine::SegmentView;
@@ -22,87 +20,6 @@
 use super::segment::LedgerSegment;
 use super::settings::ClaimMode;
 
-/// Ends of platform calls.
-impl LedgerEngine {
-    pub(super) fn take_read(
-        &mut self,
-        segment: SegmentId,
-        body: LedgerSegment,
-        revision: Revision,
-    ) {
-        let Some(work) = self.segments.get_mut(&segment) else {
-            return;
-        };
-        work.call = SegmentCall::Idle;
-        work.view = Some(SegmentView { body, revision });
-        for id in &work.requests {
-            if let Some(request) = self.requests.get_mut(id) {
-                request.is_fresh = true;
-            }
-        }
-    }
-
-    pub(super) fn take_accepted(&mut self, segment: SegmentId, revision: Revision, now: Instant) {
-        let interval = self.settings.commit_interval;
-        let Some(work) = self.segments.get_mut(&segment) else {
-            return;
-        };
-        if let SegmentCall::Writing(write) = std::mem::take(&mut work.call) {
-            work.view = Some(SegmentView { body: write.body, revision });
-            work.not_before = Some(now + interval);
-        }
-    }
-
-    /// A conflict or a lost reply: only a read tells what is there.
-    pub(super) fn forget_view(&mut self, segment: SegmentId) {
-        if let Some(work) = self.segments.get_mut(&segment) {
-            work.call = SegmentCall::Idle;
-            work.view = None;
-        }
-    }
-
-    /// The write had no effect, so the claims that only it carried are not exposed.
-    pub(super) fn take_refused(&mut self, segment: SegmentId) {
-        let Some(work) = self.segments.get_mut(&segment) else {
-            return;
-        };
-        if let SegmentCall::Writing(write) = std::mem::take(&mut work.call) {
-            for id in write.exposed {
-                if let Some(request) = self.requests.get_mut(&id) {
-                    request.exposed = None;
-                }
-            }
-        }
-    }
-
-    /// The platform can't be reached: refuses what certainly wrote nothing, tries the rest later.
-    pub(super) fn fail_call(
-        &mut self,
-        segment: SegmentId,
-        now: Instant,
-        actions: &mut Vec<LedgerAction>,
-    ) {
-        let backoff = self.settings.backoff;
-        let Some(work) = self.segments.get_mut(&segment) else {
-            return;
-        };
-        work.call = SegmentCall::Idle;
-        work.not_before = Some(now + backoff);
-        let ids: Vec<LedgerRequestId> = work.requests.iter().copied().collect();
-        for id in ids {
-            let is_unwritten = self.requests.get(&id).is_some_and(|request| {
-                request.phase == RequestPhase::Claiming && request.exposed.is_none()
-            });
-            if is_unwritten {
-                self.refuse(id, actions);
-            }
-        }
-        if let Some(work) = self.segments.get_mut(&segment) {
-            work.view = None;
-        }
-    }
-}
-
 /// Progress of a segment.
 impl LedgerEngine {
     /// Starts the segment's next call, if it is due and there is something to do.
@@ -170,7 +87,8 @@
         match &request.phase {
             RequestPhase::Running => {}
             RequestPhase::Recording(EntryState::NotRun(_)) if !is_mine => {
-                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                let verdict = LedgerVerdict::not_run(request.cause);
+                self.answer(id, verdict, actions);
                 self.remove(id);
             }
             RequestPhase::Recording(_) if !is_mine => self.remove(id),
@@ -195,7 +113,7 @@
             return;
         };
         if work.is_answered || work.is_expired(clock) {
-            work.phase = RequestPhase::Recording(EntryState::NotRun(work.request.attempt));
+            work.record_not_run(LedgerCause::DeadlinePassed);
             return;
         }
         work.phase = RequestPhase::Running;
@@ -304,12 +222,13 @@
         match state {
             Some(EntryState::Done { result, .. }) => {
                 let result = result.clone();
-                self.answer(id, RequestOutcome::Answered, RunState::Yes, result, actions);
+                let verdict = LedgerVerdict::ran(LedgerCause::RanBefore, result);
+                self.answer(id, verdict, actions);
                 self.remove(id);
                 return None;
             }
             Some(EntryState::Claimed(_)) if work.is_fresh => {
-                self.answer(id, RequestOutcome::Unknown, RunState::Unknown, None, actions);
+                self.answer(id, LedgerVerdict::unknown(LedgerCause::ClaimHeld), actions);
                 self.remove(id);
                 return None;
             }
@@ -318,7 +237,11 @@
                 if proven.state(&work.entry_name) != state {
                     return None;
                 }
-                self.answer(id, RequestOutcome::NotRun, RunState::No, None, actions);
+                let cause = match work.is_expired(clock) {
+                    true => LedgerCause::DeadlinePassed,
+                    false => LedgerCause::AttemptClosed,
+                };
+                self.answer(id, LedgerVerdict::not_run(cause), actions);
                 self.remove(id);
                 return None;
             }
@@ -330,8 +253,12 @@
         if self.refuse_by_age(id, clock.wall, actions) {
             return None;
         }
-        if !has_room || self.requests.get(&id)?.is_expired(clock) {
-            self.refuse(id, actions);
+        if self.requests.get(&id)?.is_expired(clock) {
+            self.refuse(id, LedgerCause::DeadlinePassed, actions);
+            return None;
+        }
+        if !has_room {
+            self.refuse(id, LedgerCause::SegmentFull, actions);
             return None;
         }
         Some(EntryState::Claimed(token))
--- a/tests/proofs/support/mod.rs
+++ b/tests/proofs/support/mod.rs
@@ -1,12 +1,25 @@
 //! Fleets for the proofs.
 
+mod bookings;
 mod caller;
+mod checker;
 mod fleet;
 mod process;
+mod workload;
 
+pub(crate) use bookings::BookingRecord;
+pub(crate) use bookings::CLASS;
+pub(crate) use bookings::CUSTOMER;
+pub(crate) use bookings::KeyTry;
+pub(crate) use bookings::SERVICE;
+pub(crate) use bookings::runs_of;
 pub(crate) use caller::TestCaller;
+pub(crate) use checker::AnswerChecker;
 pub(crate) use fleet::TestFleet;
+pub(crate) use fleet::vm_settings;
 pub(crate) use process::ProcessFleet;
+pub(crate) use workload::PAIRED_SERVICES;
+pub(crate) use workload::SearchFleet;
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
