test(policy): the property behind the connection bound, calls for loans

Cause: the tests of the connection bound passed under a flawed trial form of holders_by_service, which skipped VMs that other services had taken; only the spread over domains noticed it. And nobody had counted the calls for loans. Change: holders_by_service_move_no_other_vm_down tests the property itself; it fails under that trial form and passes as it stands. limiter_calls_for_loans_by_demand counts calls.

--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -24,6 +24,8 @@
     now: Instant,
     generator: Pcg64Mcg,
     admitted: Vec<u64>,
+    /// Calls for loans that each VM made.
+    calls: Vec<u64>,
 }
 
 impl LimiterGroup {
@@ -37,6 +39,7 @@
             now,
             generator: Pcg64Mcg::seed_from_u64(3),
             admitted: vec![0; count],
+            calls: vec![0; count],
         }
     }
 
@@ -62,6 +65,7 @@
     fn borrow(&mut self, from: usize) {
         let (names, now) = (&self.names, self.now);
         let Some(call) = self.limiters[from].borrow_call(names, now) else { return };
+        self.calls[from] += 1;
         let to = names.iter().position(|name| *name == call.vm).unwrap();
         let is_cut = self.cut.is_some_and(|cut| (from < cut) != (to < cut));
         if to == from || is_cut || self.generator.random_bool(self.loss) {
@@ -109,10 +113,33 @@
     group.limiters.push(CustomerLimiter::new(700.0, 7, group.now));
     group.names.push("new".into());
     group.admitted.push(0);
+    group.calls.push(0);
     let admitted = group.run(Duration::from_secs(20), &[200.0; 8]);
     assert!(admitted <= 21 * 800, "one part of 100 above the limit");
 }
 
+#[test]
+fn limiter_calls_for_loans_by_demand() {
+    const SECONDS: u64 = 30;
+    let calls = |demand: [f64; 21]| {
+        let mut group = LimiterGroup::new(21, 168.0);
+        group.run(Duration::from_secs(5), &demand);
+        group.calls.fill(0);
+        group.run(Duration::from_secs(SECONDS), &demand);
+        let rates = group.calls.iter().map(|calls| *calls as f64 / SECONDS as f64);
+        let (mean, most) = (rates.clone().sum::<f64>() / 21.0, rates.fold(0.0, f64::max));
+        println!("demand {:?}..: calls/s a VM: mean {mean:.2}, most {most:.2}", &demand[..2]);
+        (mean, most)
+    };
+    let mut lopsided = [0.0; 21];
+    lopsided[0] = 140.0;
+    assert_eq!(calls([2.0; 21]).1, 0.0, "a quarter of the limit everywhere asks nobody");
+    let (mean, _) = calls(lopsided);
+    assert!(mean <= 0.1 + 1e-9, "only the VM with the demand asks, twice a second");
+    let (_, most) = calls([16.0; 21]);
+    assert!(most <= 2.1, "twice the limit everywhere: each VM asks twice a second");
+}
+
 #[test]
 fn admit_keeps_half_for_interactive_requests() {
     let now = Instant::now();
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -88,6 +88,28 @@
         assert!(connections(&views, limit, disputed.len(), wanted, services) <= limit);
     }
 
+    /// What the connection bound rests on: without one VM, all other holders hold still.
+    #[test]
+    fn holders_by_service_move_no_other_vm_down(
+        size in 2..80_usize,
+        gone in any::<proptest::sample::Index>(),
+        domains in 1..7_usize,
+        services in 1..9_usize,
+        holders in 1..20_usize,
+    ) {
+        let gone = gone.index(size);
+        let services = held_services(services, holders);
+        let with = holders_by_service(&services, &candidates(0..size, domains));
+        let rest = (0..size).filter(|number| *number != gone);
+        let without = holders_by_service(&services, &candidates(rest, domains));
+        let gone = platform_vm(gone, domains).vm;
+        for (service, with) in with {
+            let without = &without[&service];
+            assert!(with.iter().all(|vm| *vm == gone || without.contains(vm)), "{service}");
+            assert_eq!(without.len(), holders.min(size - 1));
+        }
+    }
+
     /// VMs are replaced one after the other; each VM has heard of the latest replacement or not.
     #[test]
     fn connections_stay_within_the_limit_during_rolling_replacement(
