fix(peers): serve only once the limits admit a burst

Cause: limiters start empty, so that a VM that had just become ready refused requests within their customers' limits: 8 of 80 in leaving_targets, and refusals and ledger proofs failed likewise. Change: a VM says that it serves a second after its start gate opens, the depth of a limiter. Conclusion: limits start empty without harm; the whole binary was not run again on this state.

--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -1,5 +1,6 @@
 //! The service's state and its life.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,6 +32,8 @@
 use crate::settings::DaemonSettings;
 use crate::time::epoch_milliseconds;
 
+/// Time that a limiter's depth takes to fill.
+const LIMIT_FILL_TIME: Duration = Duration::from_secs(1);
 /// How long a VM that ends waits for its last word to arrive.
 const LAST_WORD_TIME: Duration = Duration::from_millis(300);
 
@@ -58,6 +61,7 @@
     pub(crate) borrow_asks: mpsc::UnboundedSender<BorrowAsk>,
     borrow_receiver: RefCell<Option<mpsc::UnboundedReceiver<BorrowAsk>>>,
     drain_receiver: RefCell<Option<mpsc::UnboundedReceiver<TargetId>>>,
+    is_opening: Cell<bool>,
     listener: RefCell<Option<PeerListener>>,
     address: SocketAddr,
     stop: RefCell<Option<oneshot::Sender<()>>>,
@@ -86,6 +90,7 @@
             borrow_asks,
             borrow_receiver: RefCell::new(Some(borrow_receiver)),
             drain_receiver: RefCell::new(Some(drain_receiver)),
+            is_opening: Cell::new(false),
             listener: RefCell::new(Some(listener)),
             address,
             stop: RefCell::new(None),
@@ -155,13 +160,21 @@
         };
         let fleet = self.count_holders();
         self.fleet_size.send_if_modified(|size| std::mem::replace(size, fleet) != fleet);
-        if opens && !self.directory.is_leaving() {
-            self.directory.mark_configured();
-            self.announce(MemberPhase::Serving);
+        if opens && !self.is_opening.replace(true) {
+            actix_rt::spawn(begin_serving(self.clone()));
         }
     }
 }
 
+/// Serves once the customers' limits, which start empty, admit a burst.
+async fn begin_serving(peers: Rc<PeerService>) {
+    tokio::time::sleep(LIMIT_FILL_TIME).await;
+    if !peers.directory.is_leaving() {
+        peers.directory.mark_configured();
+        peers.announce(MemberPhase::Serving);
+    }
+}
+
 fn new_state(settings: &DaemonSettings, address: SocketAddr) -> PeerState {
     let now = Instant::now();
     let own = MemberRecord {
