--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -265,7 +265,7 @@
     let replicas = running.resolved.shards[position].replicas.len();
     let is_any_left = (0..replicas).any(|replica| shard.excluded & replica_bit(replica) == 0);
     match shard.last_cause {
-        LossCause::SnapshotUnknown if is_any_left => LossCause::Busy,
+        LossCause::SnapshotUnknown if is_any_left => LossCause::SnapshotUnpaid,
         cause => cause,
     }
 }
--- a/crates/policy/src/fanout/query.rs
+++ b/crates/policy/src/fanout/query.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum LossCause {
     SnapshotUnknown,
+    /// A replica no longer holds the snapshot and the budget can't pay for asking another.
+    SnapshotUnpaid,
     NoTarget,
     Busy,
     TooLate,
@@ -256,7 +258,7 @@
 impl LossCause {
     fn reason(self) -> FinishReason {
         match self {
-            LossCause::SnapshotUnknown => FinishReason::SnapshotRetired,
+            LossCause::SnapshotUnknown | LossCause::SnapshotUnpaid => FinishReason::SnapshotRetired,
             LossCause::NoTarget => FinishReason::ShardLost,
             LossCause::Busy => FinishReason::TargetsBusy,
             LossCause::TooLate => FinishReason::DeadlineNear,
