--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::Notify;
 
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::kernel::KernelError;
@@ -13,6 +14,7 @@
 use crate::ledger::LedgerService;
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
 use crate::targets::TargetService;
@@ -71,6 +73,8 @@
 typed_lookup!(metrics, Metrics, MetricsService);
 typed_lookup!(outcomes, Outcomes, OutcomeService);
 typed_lookup!(platform, Platform, PlatformService);
+typed_lookup!(admission, Admission, AdmissionService);
+typed_lookup!(peers, Peers, PeerService);
 typed_lookup!(directory, Directory, DirectoryService);
 typed_lookup!(targets, Targets, TargetService);
 typed_lookup!(fanout, Fanout, FanoutService);
