--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -27,6 +27,7 @@
 use crate::fanout::driver::run_timers;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
+use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
 use crate::targets::TargetService;
 
@@ -57,6 +58,7 @@
     pub(crate) queries: RefCell<HashMap<QueryId, DrivenQuery>>,
     pub(crate) answers: RefCell<HashMap<CallId, Vec<SearchHit>>>,
     pub(crate) targets: Rc<TargetService>,
+    pub(crate) peers: Rc<PeerService>,
     pub(crate) timer_changes: Notify,
     next_query: Cell<QueryId>,
 }
@@ -70,10 +72,12 @@
             queries: RefCell::new(HashMap::new()),
             answers: RefCell::new(HashMap::new()),
             targets: kernel.targets()?,
+            peers: kernel.peers()?,
             timer_changes: Notify::new(),
             next_query: Cell::new(1),
         });
         actix_rt::spawn(follow_targets(fanout.clone(), directory));
+        actix_rt::spawn(follow_departures(fanout.clone()));
         actix_rt::spawn(run_timers(fanout.clone()));
         Ok(fanout)
     }
@@ -102,10 +106,10 @@
     }
 
     /// Tells the engine of the targets and of this VM's share of their connections.
-    fn apply_targets(&self, specs: Vec<TargetSpec>) {
+    fn apply_targets(&self, specs: Vec<TargetSpec>, fleet: usize) {
         let mut engine = self.engine.borrow_mut();
         for spec in &specs {
-            let share = connection_share(spec.connection_limit);
+            let share = connection_share(spec.connection_limit, fleet);
             engine.set_connection_budget(&spec.target, share.working);
         }
         engine.apply_targets(specs, Instant::now());
@@ -166,6 +170,7 @@
     engine.seed = settings.seed;
     engine.hedge = settings.hedge;
     engine.routing = settings.routing;
+    engine.floor_wait = settings.floor_wait;
     // The process start is mixed in, so that a restarted VM reuses no call id.
     let start = std::time::SystemTime::now();
     let since = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -175,14 +180,29 @@
     engine
 }
 
-/// Tells the engine and the pools of every change of targets.
+/// Tells the engine of the departures that peers heard of.
+async fn follow_departures(fanout: Rc<FanoutService>) {
+    let Some(mut news) = fanout.peers.take_drain_news() else { return };
+    while let Some(target) = news.recv().await {
+        fanout.mark_draining(&target);
+    }
+}
+
+/// Tells the engine and the pools of every change of targets and of the fleet that shares them.
 async fn follow_targets(fanout: Rc<FanoutService>, directory: Rc<DirectoryService>) {
     let mut changes = directory.target_changes();
+    let mut sizes = fanout.peers.fleet_size();
     loop {
         let specs = directory.targets();
-        fanout.targets.apply_targets(&specs, |spec| connection_share(spec.connection_limit));
-        fanout.apply_targets(specs);
-        if changes.changed().await.is_err() {
+        let fleet = *sizes.borrow_and_update();
+        let share = |spec: &TargetSpec| connection_share(spec.connection_limit, fleet);
+        fanout.targets.apply_targets(&specs, share);
+        fanout.apply_targets(specs, fleet);
+        let changed = tokio::select! {
+            changed = changes.changed() => changed,
+            changed = sizes.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -14,10 +14,12 @@
 use oleanderwind_http::HttpListener;
 use oleanderwind_http::HttpReply;
 use oleanderwind_http::is_first_try;
+use oleanderwind_policy::AdmissionAnswer;
 use oleanderwind_policy::FindingList;
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_wire::CallerAnswer;
 
+use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
 use crate::fanout::FanoutService;
 use crate::front::answer::RefusalKind;
@@ -32,6 +34,7 @@
 use crate::metrics::RequestMeasure;
 use crate::outcomes::FinishedRequest;
 use crate::outcomes::OutcomeService;
+use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
 
 /// What one request came to.
@@ -53,6 +56,8 @@
     pub(crate) settings: DaemonSettings,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
+    pub(crate) peers: Rc<PeerService>,
+    admission: Rc<AdmissionService>,
     pub(crate) ledger: Rc<LedgerService>,
     metrics: Rc<MetricsService>,
     outcomes: Rc<OutcomeService>,
@@ -73,6 +78,8 @@
         let front = Rc::new(FrontService {
             directory: kernel.directory()?,
             fanout: kernel.fanout()?,
+            peers: kernel.peers()?,
+            admission: kernel.admission()?,
             ledger: kernel.ledger()?,
             metrics: kernel.metrics()?,
             outcomes: kernel.outcomes()?,
@@ -144,7 +151,7 @@
     }
 
     fn serve_readiness(&self) -> HttpReply {
-        match (self.directory.is_ready(), self.directory.is_leaving()) {
+        match (self.peers.can_serve(), self.directory.is_leaving()) {
             (true, false) => HttpReply::text(StatusCode::OK, "ready\n"),
             (false, _) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n"),
             (true, true) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
@@ -166,7 +173,7 @@
 impl FrontService {
     async fn serve_request(&self, call: &HttpCall, customer: &str) -> HttpReply {
         let arrived = Instant::now();
-        if !self.directory.is_ready() {
+        if !self.peers.can_serve() {
             return self.refuse(call, RefusalKind::NotReady, FindingList::default());
         }
         let Some(entry) = self.directory.contract(customer) else {
@@ -178,6 +185,14 @@
             Ok(request) => request,
             Err(findings) => return self.refuse(call, RefusalKind::BadRequest, findings),
         };
+        let priority = request.terms.priority;
+        match self.admission.admit(&entry.contract.customer, priority) {
+            AdmissionAnswer::Admitted => {}
+            AdmissionAnswer::Refused { retry_after } => {
+                let kind = RefusalKind::OverLimit { retry_after };
+                return self.refuse(call, kind, FindingList::default());
+            }
+        }
         let id = self.request_id(call);
         let end = match &request.key {
             Some(key) => Some(self.execute(&id, &entry.contract, &request, key, arrived).await),
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -9,6 +9,7 @@
 use oleanderwind_policy::FailureDomainId;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FindingList;
+use oleanderwind_policy::FloorWait;
 use oleanderwind_policy::HedgePolicy;
 use oleanderwind_policy::RoutingPolicy;
 use oleanderwind_policy::VmId;
@@ -40,12 +41,18 @@
     pub operator_token: Option<String>,
     /// How long callers keep an address answer.
     pub address_keep: Duration,
+    /// How long word of a departure takes to reach every VM.
+    pub leave_notice: Duration,
+    /// Peers to ask at the start; the platform's list names the others.
+    pub seed_peers: Vec<SocketAddr>,
     /// How long a graceful shutdown waits for open requests.
     pub drain_patience: Duration,
     /// When a second call is sent.
     pub hedge: HedgePolicy,
     /// How a target is chosen.
     pub routing: RoutingPolicy,
+    /// How long a query that may answer at its floor waits for the rest.
+    pub floor_wait: FloorWait,
     /// What is logged.
     pub log_level: LevelFilter,
     /// Seed of every random choice.
@@ -83,6 +90,8 @@
             ),
             operator_token: raw.operator_token.clone().filter(|token| !token.is_empty()),
             address_keep: time(&raw.address_keep_ms, "--address-keep-ms", 2_000, &mut findings),
+            leave_notice: time(&raw.leave_notice_ms, "--leave-notice-ms", 10_000, &mut findings),
+            seed_peers: addresses(&raw.seed_peers, "--seed-peers", &mut findings),
             drain_patience: time(
                 &raw.drain_patience_ms,
                 "--drain-patience-ms",
@@ -91,6 +100,7 @@
             ),
             hedge: hedge(&raw.hedge, &mut findings),
             routing: routing(&raw.routing, &mut findings),
+            floor_wait: floor_wait(&raw.floor_wait, &mut findings),
             log_level: parsed(&raw.log_level, "--log-level", LevelFilter::Info, &mut findings),
             seed: parsed(&raw.seed, "--seed", seed, &mut findings),
             vm: vm.into(),
@@ -112,9 +122,13 @@
         writeln!(f, "peer-listen={}", self.peer_listen)?;
         writeln!(f, "operator-token={token}")?;
         writeln!(f, "address-keep-ms={}", self.address_keep.as_millis())?;
+        writeln!(f, "leave-notice-ms={}", self.leave_notice.as_millis())?;
+        let seeds: Vec<String> = self.seed_peers.iter().map(SocketAddr::to_string).collect();
+        writeln!(f, "seed-peers={}", seeds.join(","))?;
         writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
+        writeln!(f, "floor_wait={:?}", self.floor_wait)?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
@@ -149,6 +163,12 @@
     })
 }
 
+fn addresses(option: &Option<String>, flag: &str, findings: &mut FindingList) -> Vec<SocketAddr> {
+    let texts = option.as_deref().unwrap_or_default().split(',');
+    let texts = texts.filter(|text| !text.is_empty());
+    texts.map(|text| address(&Some(text.to_owned()), flag, "", findings)).collect()
+}
+
 fn time(
     option: &Option<String>,
     flag: &str,
@@ -215,3 +235,23 @@
         }
     }
 }
+
+fn floor_wait(option: &Option<String>, findings: &mut FindingList) -> FloorWait {
+    let default = FanoutSettings::default().floor_wait;
+    let Some(text) = option else { return default };
+    let wait = match text.split_once(':') {
+        None if text == "late" => Some(FloorWait::Late),
+        None if text == "hedge" => Some(FloorWait::HedgeAnswer),
+        Some(("share", part)) => part
+            .parse()
+            .ok()
+            .filter(|permille| (1..=1_000).contains(permille))
+            .map(|permille| FloorWait::DeadlineShare { permille }),
+        _ => None,
+    };
+    wait.unwrap_or_else(|| {
+        let problem = format!("is \"{text}\"; give late, hedge or share:PERMILLE");
+        findings.add(place("--floor-wait"), problem);
+        default
+    })
+}
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -37,7 +37,8 @@
         let shard = &running.shards[position];
         let is_extra = shard.sends > 0;
         if is_extra && !(shard.sends < MAX_SENDS && self.has_extra_credit(running)) {
-            return running.lose(position, shard.last_cause);
+            let cause = unpaid_cause(running, position);
+            return running.lose(position, cause);
         }
         let skipped = shard.tried | shard.excluded;
         match self.choose(running, position, skipped, now) {
@@ -63,7 +64,7 @@
         let is_shedding =
             replicas.iter().any(|target| self.targets.state(*target).is_shedding(now));
         let is_late = self.latest_start(running, position) < now;
-        if is_shedding || is_late || !self.has_extra_credit(running) {
+        if is_shedding || is_late || !self.has_hedge_credit(running) {
             return;
         }
         let skipped = running.shards[position].tried | running.shards[position].excluded;
@@ -86,7 +87,8 @@
         actions: &mut Vec<FanoutAction>,
     ) {
         if !self.pay(running, position) {
-            return running.lose(position, running.shards[position].last_cause);
+            let cause = unpaid_cause(running, position);
+            return running.lose(position, cause);
         }
         let call = self.fresh_call();
         let replicas = &running.resolved.shards[position].replicas;
@@ -235,6 +237,11 @@
         is_allowed && self.budgets.budget_mut(running.budget).has_credit()
     }
 
+    fn has_hedge_credit(&mut self, running: &RunningQuery) -> bool {
+        let is_allowed = running.plan.extra_load_permille > 0;
+        is_allowed && self.budgets.budget_mut(running.budget).has_hedge_credit()
+    }
+
     /// Books a call: a shard's first earns budget, each further one spends it.
     fn pay(&mut self, running: &mut RunningQuery, position: usize) -> bool {
         let budget = self.budgets.budget_mut(running.budget);
@@ -250,3 +257,15 @@
         true
     }
 }
+
+/// Why a shard is lost that may send no further call: a snapshot counts as unknown only once no
+/// replica is left that may hold it.
+fn unpaid_cause(running: &RunningQuery, position: usize) -> LossCause {
+    let shard = &running.shards[position];
+    let replicas = running.resolved.shards[position].replicas.len();
+    let is_any_left = (0..replicas).any(|replica| shard.excluded & replica_bit(replica) == 0);
+    match shard.last_cause {
+        LossCause::SnapshotUnknown if is_any_left => LossCause::Busy,
+        cause => cause,
+    }
+}
--- a/tests/proofs/refusals.rs
+++ b/tests/proofs/refusals.rs
@@ -33,11 +33,12 @@
 }
 
 /// Every end, kept whole by the exhaustive matches of [`provoke`] and [`reason`].
-const SEARCH_ENDS: [SearchEnd; 12] = [
+const SEARCH_ENDS: [SearchEnd; 13] = [
     SearchEnd::Refused(RefusalKind::BadRequest),
     SearchEnd::Refused(RefusalKind::UnknownCustomer),
     SearchEnd::Refused(RefusalKind::UnknownPath),
     SearchEnd::Refused(RefusalKind::NotReady),
+    SearchEnd::Refused(RefusalKind::OverLimit { retry_after: Duration::ZERO }),
     SearchEnd::Refused(RefusalKind::NoSnapshot),
     SearchEnd::Finished(FinishReason::Complete),
     SearchEnd::Finished(FinishReason::FloorMet),
@@ -80,6 +81,10 @@
                 let vm = searches.fleet.add_unready_vm().await;
                 ProvokedRequest { vm, ..request("module-finder") }
             }
+            RefusalKind::OverLimit { .. } => {
+                searches.fleet.set_customer_rate(0, CUSTOMER, 0.5).await;
+                request("module-finder")
+            }
             RefusalKind::NoSnapshot => {
                 searches.place_elsewhere().await;
                 request("module-finder")
