--- a/crates/policy/src/drain/book.rs
+++ b/crates/policy/src/drain/book.rs
@@ -33,7 +33,7 @@
 
 /// Signs heard here or from peers, the newest of each target.
 ///
-/// An entry stays as the answer to echoes until [`ENTRY_LIMIT`] newer ones push it out; whether the
+/// An entry stays as the answer to echoes until a fixed number newer ones push it out; whether the
 /// target comes back is the platform's word, not the book's.
 #[derive(Clone, Debug, Default)]
 pub struct DrainBook {
