--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,9 +3,6 @@
 //! A [`Daemon`] is a small kernel with services that find each other by name. Every service runs
 //! on one thread; only the peer protocol's handlers run beside it and cross by channels.
 
-// Until the ledger and the operators' interface use all of it.
-#![allow(dead_code)]
-
 mod admin;
 mod admission;
 mod daemon;
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -128,7 +128,7 @@
         writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
-        writeln!(f, "floor_wait={:?}", self.floor_wait)?;
+        writeln!(f, "floor-wait={:?}", self.floor_wait)?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,106 @@
+//! Settings as operators see them.
+#![allow(clippy::unwrap_used)]
+
+use argh::FromArgs;
+use expect_test::expect;
+use oleanderwind_daemon::DaemonSettings;
+use oleanderwind_daemon::RawSettings;
+
+fn raw_settings(flags: &[&str]) -> RawSettings {
+    RawSettings::from_args(&["oleanderwindd"], flags).unwrap()
+}
+
+#[test]
+fn try_from_reports_all_findings_together() {
+    let raw = raw_settings(&[
+        "--platform",
+        "nowhere",
+        "--drain-patience-ms",
+        "600001",
+        "--hedge",
+        "often",
+        "--routing",
+        "random",
+        "--log-level",
+        "loud",
+    ]);
+    let findings = DaemonSettings::try_from(&raw).err().unwrap();
+    expect![[r#"
+        --vm or OLEANDERWIND_VM: is missing; give it a value
+        --failure-domain or OLEANDERWIND_FAILURE_DOMAIN: is missing; give it a value
+        --platform or OLEANDERWIND_PLATFORM: is "nowhere"; give ip:port
+        --drain-patience-ms or OLEANDERWIND_DRAIN_PATIENCE_MS: is 600001; give at most 600000
+        --hedge or OLEANDERWIND_HEDGE: is "often"; give none, fixed:MS or quantile:PERMILLE
+        --routing or OLEANDERWIND_ROUTING: is "random"; give expected-wait, least-outstanding or round-robin
+        --log-level or OLEANDERWIND_LOG_LEVEL: is "loud"; see --help for what it takes"#]].assert_eq(&findings.to_string());
+}
+
+#[test]
+fn with_environment_fills_what_no_flag_gave() {
+    let raw = raw_settings(&["--vm", "vm-1", "--platform", "127.0.0.1:9"]);
+    let raw = raw.with_environment(|name| match name {
+        "OLEANDERWIND_VM" => Some("other".to_owned()),
+        "OLEANDERWIND_FAILURE_DOMAIN" => Some("fd-1".to_owned()),
+        "OLEANDERWIND_OPERATOR_TOKEN" => Some("secret".to_owned()),
+        _ => None,
+    });
+    let settings = DaemonSettings::try_from(&raw).unwrap();
+    expect![[r#"
+        vm=vm-1
+        failure-domain=fd-1
+        region=region-1
+        platform=127.0.0.1:9
+        caller-listen=127.0.0.1:7400
+        admin-listen=127.0.0.1:7401
+        peer-listen=127.0.0.1:7402
+        operator-token=(hidden)
+        address-keep-ms=2000
+        leave-notice-ms=10000
+        seed-peers=
+        drain-patience-ms=15000
+        hedge=Quantile { permille: 950 }
+        routing=ExpectedWait
+        floor-wait=HedgeAnswer
+        log-level=info
+        seed=4858201782971753306
+    "#]]
+    .assert_eq(&settings.to_string());
+}
+
+#[test]
+fn from_args_explains_every_flag() {
+    let help = RawSettings::from_args(&["oleanderwindd"], &["--help"]).unwrap_err().output;
+    expect![[r#"
+        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--log-level <log-level>] [--seed <seed>] [--check]
+
+        Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag goes before the environment. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for bad settings, 3 when it could not run.
+
+        Options:
+          --vm              name of this VM, unique in the fleet
+          --failure-domain  failure domain that the VM stands in
+          --region          region of the failure domain; default: region-1
+          --platform        ip:port of the platform's Object API
+          --caller-listen   ip:port for callers; default: 127.0.0.1:7400
+          --admin-listen    ip:port for operators; default: 127.0.0.1:7401
+          --peer-listen     ip:port for the other VMs; default: 127.0.0.1:7402
+          --operator-token  token that operators need for changes; default: none
+          --address-keep-ms milliseconds that callers keep an address answer; default:
+                            2000
+          --leave-notice-ms milliseconds until every VM knows that this one is leaving;
+                            default: 10000
+          --seed-peers      ip:port,... of peers to ask at the start when the platform
+                            is silent; default: none
+          --drain-patience-ms
+                            milliseconds that a graceful shutdown waits for open
+                            requests; default: 15000
+          --hedge           none, fixed:MS or quantile:PERMILLE; default: quantile:950
+          --routing         expected-wait, least-outstanding or round-robin; default:
+                            expected-wait
+          --floor-wait      late, hedge or share:PERMILLE of the deadline, for contracts
+                            that prefer time; default: hedge
+          --log-level       error, warn, info, debug or trace; default: info
+          --seed            seed of every random choice; default: from the VM's name
+          --check           check the settings, print those in force and end
+          --help, help      display usage information
+    "#]].assert_eq(&help);
+}
