fix(load): ask once for requests that come together

Cause: each request of a caller without a kept address asked for one itself, so requests that came together repeated the same call. Change: a caller's requests wait for the answer that is being asked for. Conclusion: the fault was the caller's, not the test's; its bound is unchanged.

--- a/crates/load/src/caller/mod.rs
+++ b/crates/load/src/caller/mod.rs
@@ -17,6 +17,7 @@
 use oleanderwind_wire::AddressAnswer;
 use oleanderwind_wire::CallerAnswer;
 use serde_json::json;
+use tokio::sync::Mutex;
 use tokio::time::Instant;
 
 pub use address_book::AddressBook;
@@ -83,6 +84,8 @@
     customer: &'static str,
     client: awc::Client,
     book: RefCell<AddressBook>,
+    /// Held while an answer is asked for, so that requests that come meanwhile wait for it.
+    asking: Mutex<()>,
     reconnects: Cell<u64>,
 }
 
@@ -90,7 +93,13 @@
     /// A caller that asks the seed addresses of `book` first.
     pub fn new(customer: &'static str, book: AddressBook, timeout: Duration) -> TierCaller {
         let client = awc::Client::builder().timeout(timeout).finish();
-        TierCaller { customer, client, book: RefCell::new(book), reconnects: Cell::new(0) }
+        TierCaller {
+            customer,
+            client,
+            book: RefCell::new(book),
+            asking: Mutex::new(()),
+            reconnects: Cell::new(0),
+        }
     }
 
     /// How often another address was asked for because none took a connection.
@@ -129,6 +138,7 @@
 
     /// The kept address, or a new answer's when none is kept any longer.
     async fn address(&self) -> Result<String, CallFailure> {
+        let _asking = self.asking.lock().await;
         if let Some(address) = self.book.borrow().current(Instant::now()) {
             return Ok(address);
         }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -70,6 +70,17 @@
     assert!(vm.address_calls.get() < 60, "a kept address is not asked for again");
 }
 
+#[actix_rt::test]
+async fn run_load_asks_once_for_requests_that_come_together() {
+    let vm = FakeVm::start(FakeBehaviour::Sound).await;
+    let mut settings = short_run(&[&vm.address], 60);
+    settings.rate = 100_000.0;
+    settings.callers = 2;
+    run_load(&settings, &[]).await.unwrap();
+    assert_eq!(vm.seen.borrow().len(), 60);
+    assert_eq!(vm.address_calls.get(), 2, "one call a caller");
+}
+
 #[actix_rt::test]
 async fn run_load_wrong_answers() {
     for behaviour in [FakeBehaviour::WrongDigest, FakeBehaviour::WrongId] {
