refactor(subset): one time that callers keep an address answer

Cause: address_plan carried a keep time of its own that nothing read; the daemon answers with its setting. Two sources, one dead. Change: address_plan gives the VMs alone; AddressPlan and its constant go.

--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -41,12 +41,12 @@
         let mut holders: Vec<(&MemberRecord, MemberStanding, u32)> =
             heard.map(|(record, standing)| (record, standing, 0)).collect();
         holders.push((own, own_standing, 0));
-        let plan = address_plan(caller, &holders);
+        let vms = address_plan(caller, &holders);
         let address = |vm: &VmId| {
             let record = if *vm == own.vm { Some(own) } else { table.record(vm) };
             record.map(|record| record.caller_address.to_string())
         };
-        plan.vms.iter().filter_map(address).collect()
+        vms.iter().filter_map(address).collect()
     }
 
     /// Every VM with its standing, this one first.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -112,7 +112,6 @@
 pub use snapshot::SnapshotManifest;
 pub use snapshot::TargetPhase;
 pub use snapshot::TargetSpec;
-pub use subset::AddressPlan;
 pub use subset::ConnectionBudget;
 pub use subset::HeldService;
 pub use subset::SubsetCandidate;
--- a/crates/policy/src/subset/address.rs
+++ b/crates/policy/src/subset/address.rs
@@ -1,32 +1,19 @@
 //! Which VMs a customer's callers are sent to.
 
-use std::time::Duration;
-
 use crate::MemberRecord;
 use crate::MemberStanding;
 use crate::VmId;
 use crate::subset::rendezvous_weight;
 
-/// How long callers keep an answer.
-const ADDRESS_KEEP: Duration = Duration::from_secs(5);
 /// Addresses in one answer.
 const ADDRESS_COUNT: usize = 4;
 
-/// An answer to a caller that asks where to connect.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AddressPlan {
-    /// VMs to use, best first.
-    pub vms: Vec<VmId>,
-    /// How long to keep the answer; a leaving VM serves at least as long.
-    pub keep: Duration,
-}
-
-/// Picks VMs for a caller among the holders of its service.
+/// Picks VMs for a caller among the holders of its service, best first.
 ///
 /// Serving VMs come first, busy ones (`load_permille`) behind idle ones, then suspect ones, as a
 /// suspicion may be wrong; leaving and stopped ones are left out. `caller` spreads callers over
 /// VMs of like load.
-pub fn address_plan(caller: &str, holders: &[(&MemberRecord, MemberStanding, u32)]) -> AddressPlan {
+pub fn address_plan(caller: &str, holders: &[(&MemberRecord, MemberStanding, u32)]) -> Vec<VmId> {
     let mut ranked: Vec<(bool, u32, u64, &VmId)> = Vec::with_capacity(holders.len());
     for (record, standing, load_permille) in holders {
         let is_suspect = match standing {
@@ -41,6 +28,5 @@
     }
     ranked.sort_unstable();
     ranked.truncate(ADDRESS_COUNT);
-    let vms = ranked.into_iter().map(|(_, _, _, vm)| vm.clone()).collect();
-    AddressPlan { vms, keep: ADDRESS_KEEP }
+    ranked.into_iter().map(|(_, _, _, vm)| vm.clone()).collect()
 }
--- a/crates/policy/src/subset/mod.rs
+++ b/crates/policy/src/subset/mod.rs
@@ -8,7 +8,6 @@
 mod holders;
 mod rendezvous;
 
-pub use address::AddressPlan;
 pub use address::address_plan;
 pub use budget::ConnectionBudget;
 pub use holders::HeldService;
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -251,7 +251,7 @@
         .zip(standings)
         .map(|(record, (standing, load))| (record, standing, load))
         .collect();
-    let plan = address_plan("caller", &holders);
-    let names: Vec<&str> = plan.vms.iter().map(|vm| &**vm).collect();
+    let vms = address_plan("caller", &holders);
+    let names: Vec<&str> = vms.iter().map(|vm| &**vm).collect();
     assert_eq!(names, ["vm-0003", "vm-0002", "vm-0001"]);
 }
