--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -8,6 +8,8 @@
 use crate::admin::AdminService;
 use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
+use crate::edge::CallerDialect;
+use crate::edge::PlatformEdge;
 use crate::fanout::FanoutService;
 use crate::front::FrontService;
 use crate::kernel::Kernel;
@@ -16,8 +18,9 @@
 use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
 use crate::peers::PeerService;
-use crate::platform::HttpPlatform;
 use crate::platform::PlatformService;
+use crate::platform::product_edges;
+use crate::routes::RouteService;
 use crate::settings::DaemonSettings;
 use crate::sync::SyncService;
 use crate::targets::TargetService;
@@ -35,6 +38,14 @@
     pub peer: SocketAddr,
 }
 
+/// What a daemon speaks to the platform, and to callers if not the product's own interface.
+pub struct DaemonEdges {
+    /// The platform's objects.
+    pub objects: Box<dyn PlatformEdge>,
+    /// Opaque requests by routes, in place of the product's own interface for callers.
+    pub callers: Option<Rc<dyn CallerDialect>>,
+}
+
 /// A running daemon.
 pub struct Daemon {
     kernel: Rc<Kernel>,
@@ -48,27 +59,36 @@
     ///
     /// When a listener can't be bound.
     pub async fn start(settings: DaemonSettings) -> eyre::Result<Daemon> {
+        let edges = product_edges(&settings);
+        Daemon::start_on(settings, edges).await
+    }
+
+    /// Starts every service on the edges of a deployment, as [`Daemon::start`] does on its own.
+    ///
+    /// # Errors
+    ///
+    /// When a listener can't be bound.
+    pub async fn start_on(settings: DaemonSettings, edges: DaemonEdges) -> eyre::Result<Daemon> {
         let kernel = Kernel::new(settings.clone());
         kernel.register(Service::Metrics(Rc::new(MetricsService::new()?)));
         kernel.register(Service::Outcomes(Rc::new(OutcomeService::new())));
-        let platform = PlatformService::new(Box::new(HttpPlatform::new(settings.platform)));
+        let platform = PlatformService::new(edges.objects);
         kernel.register(Service::Platform(Rc::new(platform)));
-        kernel.register(Service::Directory(Rc::new(DirectoryService::new())));
+        kernel.register(Service::Directory(Rc::new(DirectoryService::new(settings.lapse_hold))));
         let peers = PeerService::start(&kernel).await?;
         kernel.register(Service::Peers(peers.clone()));
         kernel.register(Service::Admission(AdmissionService::start(&kernel)?));
         kernel.register(Service::Sync(Rc::new(SyncService::start(&kernel)?)));
         kernel.register(Service::Targets(Rc::new(TargetService::default())));
-        kernel.register(Service::Fanout(FanoutService::start(&kernel)?));
+        kernel.register(Service::Fanout(FanoutService::start(&kernel, edges.callers.clone())?));
         kernel.register(Service::Ledger(LedgerService::start(&kernel)?));
         let admin = Rc::new(AdminService::start(&kernel).await?);
         kernel.register(Service::Admin(admin.clone()));
-        let front = FrontService::start(&kernel).await?;
-        kernel.register(Service::Front(front.clone()));
-        peers.open(front.address());
+        let caller = start_front(&kernel, edges.callers).await?;
+        peers.open(caller);
         let addresses = DaemonAddresses {
             vm: settings.vm.to_string(),
-            caller: front.address(),
+            caller,
             admin: admin.address(),
             peer: peers.address(),
         };
@@ -90,10 +110,28 @@
         let settings = self.kernel.settings();
         log::info!("drain starts");
         self.kernel.announce_leaving();
-        // Until every VM knows, callers still get this VM's address; they use it as long as they
-        // keep their answer.
-        tokio::time::sleep(settings.leave_notice + settings.address_keep).await;
-        self.kernel.drain().await;
+        let (notice, patience) = settings.stop_times();
+        tokio::time::sleep(notice).await;
+        self.kernel.drain(patience).await;
         log::info!("drain ends");
     }
 }
+
+/// Starts the service that callers reach; says where.
+async fn start_front(
+    kernel: &Rc<Kernel>,
+    dialect: Option<Rc<dyn CallerDialect>>,
+) -> eyre::Result<SocketAddr> {
+    match dialect {
+        Some(dialect) => {
+            let routes = RouteService::start(kernel, dialect).await?;
+            kernel.register(Service::Routes(routes.clone()));
+            Ok(routes.address())
+        }
+        None => {
+            let front = FrontService::start(kernel).await?;
+            kernel.register(Service::Front(front.clone()));
+            Ok(front.address())
+        }
+    }
+}
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -4,3 +4,4 @@
 mod state;
 
 pub(crate) use service::DirectoryService;
+pub(crate) use state::RoutesInForce;
--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -2,7 +2,10 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use oleanderwind_policy as policy;
 use oleanderwind_policy::ConfigurationObject;
@@ -15,27 +18,33 @@
 
 use crate::directory::state::ContractEntry;
 use crate::directory::state::DirectoryState;
+use crate::directory::state::RoutesInForce;
 use crate::directory::state::SnapshotKey;
 use crate::edge::ObjectKind;
 use crate::edge::edge_kind;
 
 /// Configuration in force; objects only ever get newer.
 pub(crate) struct DirectoryService {
-    state: RefCell<DirectoryState>,
+    state: Rc<RefCell<DirectoryState>>,
+    /// How long a target that is listed no more stands as lapsed; none for not at all.
+    lapse_hold: Option<Duration>,
     is_configured: Cell<bool>,
     is_leaving: Cell<bool>,
-    target_changes: watch::Sender<u64>,
+    target_changes: Rc<watch::Sender<u64>>,
     contract_changes: watch::Sender<u64>,
 }
 
 impl DirectoryService {
-    /// An empty directory.
-    pub(crate) fn new() -> DirectoryService {
+    /// An empty directory; targets that are listed no more lapse for `lapse_hold`, if it is given.
+    pub(crate) fn new(lapse_hold: Option<Duration>) -> DirectoryService {
+        let mut state = DirectoryState::default();
+        state.lets_lapse = lapse_hold.is_some();
         DirectoryService {
-            state: RefCell::new(DirectoryState::default()),
+            state: Rc::new(RefCell::new(state)),
+            lapse_hold,
             is_configured: Cell::new(false),
             is_leaving: Cell::new(false),
-            target_changes: watch::Sender::new(0),
+            target_changes: Rc::new(watch::Sender::new(0)),
             contract_changes: watch::Sender::new(0),
         }
     }
@@ -77,16 +86,41 @@
 
     fn note_change(&self, kind: ObjectKind, is_news: bool) {
         let changes = match kind {
-            ObjectKind::Targets => &self.target_changes,
+            // Routes say how many connections the targets of a service accept.
+            ObjectKind::Targets | ObjectKind::Routes => &*self.target_changes,
             ObjectKind::Contracts => &self.contract_changes,
             ObjectKind::Snapshots | ObjectKind::Vms | ObjectKind::Ledger => return,
         };
         if is_news {
             changes.send_modify(|count| *count += 1);
+            self.time_lapsed();
         }
     }
 }
 
+impl DirectoryService {
+    /// Takes targets that lapse now out later, unless they are back by then.
+    fn time_lapsed(&self) {
+        let Some(hold) = self.lapse_hold else { return };
+        let lapsed = self.state.borrow().lapsed();
+        if lapsed.is_empty() {
+            return;
+        }
+        let state = self.state.clone();
+        let changes = self.target_changes.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(hold).await;
+            let gone = state.borrow_mut().drop_lapsed(&lapsed);
+            for target in &gone {
+                log::info!(target = target.as_ref(); "a target that is listed no more is gone");
+            }
+            if !gone.is_empty() {
+                changes.send_modify(|count| *count += 1);
+            }
+        });
+    }
+}
+
 /// What is in force.
 impl DirectoryService {
     /// Whether what is in force is proven to be whole, so that requests may be served.
@@ -114,9 +148,25 @@
         self.state.borrow().snapshots.get(&key).cloned()
     }
 
-    /// Every target.
+    /// Every target; routes know how many connections it accepts where its own entry does not say.
     pub(crate) fn targets(&self) -> Vec<TargetSpec> {
-        self.state.borrow().targets.values().cloned().collect()
+        let state = self.state.borrow();
+        let terms = state.routes.iter().flat_map(|routes| &routes.configuration.services);
+        let limits: HashMap<&str, u32> =
+            terms.map(|terms| (&*terms.service, terms.connection_limit)).collect();
+        let complete = |spec: &TargetSpec| {
+            let mut spec = spec.clone();
+            if let Some(limit) = limits.get(&*spec.service) {
+                spec.connection_limit = *limit;
+            }
+            spec
+        };
+        state.targets.values().map(complete).collect()
+    }
+
+    /// The routes in force; none before the first ones came.
+    pub(crate) fn routes(&self) -> Option<Rc<RoutesInForce>> {
+        self.state.borrow().routes.clone()
     }
 
     /// The highest revision taken in.
@@ -129,6 +179,11 @@
         self.contract_changes.subscribe()
     }
 
+    /// Changes of targets and routes so far.
+    pub(crate) fn target_change_count(&self) -> u64 {
+        *self.target_changes.borrow()
+    }
+
     /// Counts changes of targets.
     pub(crate) fn target_changes(&self) -> watch::Receiver<u64> {
         self.target_changes.subscribe()
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -10,10 +10,14 @@
 use oleanderwind_policy::CustomerId;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::RawContract;
+use oleanderwind_policy::RawRouteConfiguration;
 use oleanderwind_policy::Revision;
+use oleanderwind_policy::RouteConfiguration;
+use oleanderwind_policy::RouteTable;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_policy::TargetId;
+use oleanderwind_policy::TargetPhase;
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::ObjectDocument;
 
@@ -41,6 +45,13 @@
     }
 }
 
+/// Routes with the revision that they are in force at.
+pub(crate) struct RoutesInForce {
+    pub(crate) revision: Revision,
+    pub(crate) configuration: RouteConfiguration,
+    pub(crate) table: RouteTable,
+}
+
 /// Everything in force.
 #[derive(Default)]
 pub(crate) struct DirectoryState {
@@ -48,6 +59,11 @@
     pub(crate) contracts: BTreeMap<CustomerId, ContractEntry>,
     pub(crate) snapshots: HashMap<SnapshotKey, Arc<SnapshotManifest>>,
     pub(crate) targets: BTreeMap<TargetId, TargetSpec>,
+    pub(crate) routes: Option<Rc<RoutesInForce>>,
+    /// Targets that are listed no more and still stand as lapsed.
+    lapsed: HashMap<TargetId, Revision>,
+    /// Whether targets lapse before they go.
+    pub(crate) lets_lapse: bool,
     pub(crate) highest: Revision,
 }
 
@@ -61,6 +77,7 @@
             ObjectKind::Contracts => self.apply_contract(object),
             ObjectKind::Snapshots => self.apply_snapshot(object),
             ObjectKind::Targets => self.apply_target(object),
+            ObjectKind::Routes => self.apply_routes(object),
             // Membership keeps the VMs, the ledger its segments.
             ObjectKind::Vms | ObjectKind::Ledger => {}
         }
@@ -76,13 +93,12 @@
             ObjectKind::Contracts => {
                 self.contracts.remove(name);
             }
-            ObjectKind::Targets => {
-                self.targets.remove(name);
-            }
+            ObjectKind::Targets => self.lose_target(name, revision),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| key.object_name() != name);
             }
-            ObjectKind::Vms | ObjectKind::Ledger => {}
+            // Routes that are gone stay in force: callers are better served by the last ones.
+            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger => {}
         }
         true
     }
@@ -92,11 +108,11 @@
         let before = self.count(kind);
         match kind {
             ObjectKind::Contracts => self.contracts.retain(|name, _| names.contains(&**name)),
-            ObjectKind::Targets => self.targets.retain(|name, _| names.contains(&**name)),
+            ObjectKind::Targets => return self.retain_targets(names),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| names.contains(key.object_name().as_str()));
             }
-            ObjectKind::Vms | ObjectKind::Ledger => {}
+            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger => {}
         }
         self.count(kind) != before
     }
@@ -106,7 +122,7 @@
             ObjectKind::Contracts => self.contracts.len(),
             ObjectKind::Targets => self.targets.len(),
             ObjectKind::Snapshots => self.snapshots.len(),
-            ObjectKind::Vms | ObjectKind::Ledger => 0,
+            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger => 0,
         }
     }
 
@@ -155,6 +171,7 @@
     fn apply_target(&mut self, object: &ObjectDocument) {
         match serde_json::from_value::<TargetSpec>(object.spec.clone()) {
             Ok(spec) => {
+                self.lapsed.remove(&spec.target);
                 self.targets.insert(spec.target.clone(), spec);
             }
             Err(error) => log_bad_object(object, &error.to_string()),
@@ -162,10 +179,84 @@
     }
 }
 
+/// Routes never go back: an older or broken version leaves the one in force as it is.
+impl DirectoryState {
+    fn apply_routes(&mut self, object: &ObjectDocument) {
+        let raw = match serde_json::from_value::<RawRouteConfiguration>(object.spec.clone()) {
+            Ok(raw) => raw,
+            Err(error) => return log_bad_object(object, &error.to_string()),
+        };
+        let configuration = match RouteConfiguration::try_from(&raw) {
+            Ok(configuration) => configuration,
+            Err(findings) => return log_bad_object(object, &findings.to_string()),
+        };
+        let held = self.routes.as_ref().map_or(0, |routes| routes.configuration.version);
+        if self.routes.is_some() && configuration.version < held {
+            let problem = format!("version {} is older than {held}", configuration.version);
+            return log_bad_object(object, &problem);
+        }
+        log::info!(
+            version = configuration.version,
+            revision = object.revision(),
+            routes = configuration.routes.len();
+            "routes in force"
+        );
+        let table = RouteTable::new(&configuration);
+        let revision = object.revision();
+        self.routes = Some(Rc::new(RoutesInForce { revision, configuration, table }));
+    }
+}
+
+/// Targets that are listed no more.
+impl DirectoryState {
+    /// A target that never said that it leaves may be back soon; until then it lapses.
+    fn lose_target(&mut self, name: &str, revision: Revision) {
+        let Some(spec) = self.targets.get_mut(name) else { return };
+        if !self.lets_lapse || spec.phase == TargetPhase::Draining {
+            self.targets.remove(name);
+            return;
+        }
+        spec.phase = TargetPhase::Lapsed;
+        self.lapsed.insert(spec.target.clone(), revision);
+    }
+
+    /// Loses every target that `names` lacks; says whether there was one.
+    fn retain_targets(&mut self, names: &HashSet<&str>) -> bool {
+        let missing: Vec<TargetId> = self
+            .targets
+            .keys()
+            .filter(|name| !names.contains(&***name) && !self.lapsed.contains_key(*name))
+            .cloned()
+            .collect();
+        let highest = self.highest;
+        missing.iter().for_each(|name| self.lose_target(name, highest));
+        !missing.is_empty()
+    }
+
+    /// Targets that lapse now.
+    pub(crate) fn lapsed(&self) -> HashMap<TargetId, Revision> {
+        self.lapsed.clone()
+    }
+
+    /// Takes out the targets that still lapse as they did in `since`; says which.
+    pub(crate) fn drop_lapsed(&mut self, since: &HashMap<TargetId, Revision>) -> Vec<TargetId> {
+        let is_same = |name: &TargetId| self.lapsed.get(name) == since.get(name);
+        let gone: Vec<TargetId> =
+            since.keys().filter(|name| self.lapsed.contains_key(*name)).cloned().collect();
+        let gone: Vec<TargetId> = gone.into_iter().filter(is_same).collect();
+        for name in &gone {
+            self.lapsed.remove(name);
+            self.targets.remove(name);
+        }
+        gone
+    }
+}
+
 fn log_bad_object(object: &ObjectDocument, problem: &str) {
     log::error!(
-        "object {} at revision {} is left out: {problem}",
-        object.metadata.name,
-        object.metadata.resource_version
+        object = object.metadata.name.as_str(),
+        kind = object.kind.as_str(),
+        revision = object.revision();
+        "an object is left out: {problem}"
     );
 }
--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -12,7 +12,7 @@
 
 /// Kinds of objects that the daemon uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum ObjectKind {
+pub enum ObjectKind {
     /// Operators' contracts.
     Contracts,
     /// Index versions with their partition maps.
@@ -21,18 +21,21 @@
     Targets,
     /// The platform's VM list.
     Vms,
+    /// Routes of opaque requests.
+    Routes,
     /// Segments of the ledger.
     Ledger,
 }
 
 impl ObjectKind {
     /// The kind's plural name in paths.
-    pub(crate) fn as_str(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             ObjectKind::Contracts => "contracts",
             ObjectKind::Snapshots => "snapshots",
             ObjectKind::Targets => "targets",
             ObjectKind::Vms => "vms",
+            ObjectKind::Routes => "routes",
             ObjectKind::Ledger => "ledger",
         }
     }
@@ -45,12 +48,13 @@
         policy::ObjectKind::Snapshots => ObjectKind::Snapshots,
         policy::ObjectKind::Targets => ObjectKind::Targets,
         policy::ObjectKind::Vms => ObjectKind::Vms,
+        policy::ObjectKind::Routes => ObjectKind::Routes,
     }
 }
 
 /// Why a call to the platform has no result.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum PlatformError {
+pub enum PlatformError {
     /// The object changed since it was read; nothing was written.
     Conflict,
     /// An object of that name exists; nothing was written.
@@ -84,10 +88,16 @@
 impl std::error::Error for PlatformError {}
 
 /// Events of a watch; ends when the platform ends it or the connection breaks.
-pub(crate) type WatchStream = LocalBoxStream<'static, Result<WatchEvent, PlatformError>>;
+pub type WatchStream = LocalBoxStream<'static, Result<WatchEvent, PlatformError>>;
 
 /// Calls to the Object API.
-pub(crate) trait PlatformEdge {
+pub trait PlatformEdge {
+    /// Kinds of configuration objects that the platform keeps.
+    fn kinds(&self) -> &'static [policy::ObjectKind];
+
+    /// Whether each VM enters itself into the platform's VM list.
+    fn is_self_enrolled(&self) -> bool;
+
     /// Every object of a kind.
     fn list(&self, kind: ObjectKind) -> LocalBoxFuture<'_, Result<ObjectList, PlatformError>>;
 
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -10,14 +10,21 @@
 use oleanderwind_policy::FanoutEvent;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FanoutResult;
+use oleanderwind_policy::IndexVersion;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::ShardId;
 use oleanderwind_policy::TargetId;
 use oleanderwind_wire::ShardAnswer;
 use oleanderwind_wire::ShardCall;
 
 use crate::fanout::FanoutReply;
 use crate::fanout::FanoutService;
+use crate::fanout::QueryWork;
+use crate::fanout::forward::ForwardCall;
+use crate::fanout::forward::make_forward_call;
+use crate::fanout::service::DrivenQuery;
+use crate::fanout::work::CallAnswer;
 use crate::targets::CallOutcome;
 
 /// VMs that may hold connections to a target beyond those in view, during a replacement.
@@ -69,68 +76,103 @@
     }
 
     /// Feeds the engine an event.
-    fn handle(self: &Rc<Self>, event: FanoutEvent) {
+    pub(crate) fn handle(self: &Rc<Self>, event: FanoutEvent) {
         let call = event.call();
         let mut actions = Vec::new();
         self.engine.borrow_mut().handle(event, Instant::now(), &mut actions);
         self.carry_out(actions);
         self.answers.borrow_mut().remove(&call);
+        self.forwards.borrow_mut().remove(&call);
     }
 
     fn carry_out(self: &Rc<Self>, actions: Vec<FanoutAction>) {
         for action in actions {
             match action {
                 FanoutAction::Send { query, call, target, shard, index_version, deadline } => {
-                    let Some(shard_call) =
-                        self.shard_call(query, call, shard, index_version, deadline)
-                    else {
-                        continue;
-                    };
-                    actix_rt::spawn(make_call(self.clone(), target, shard_call, deadline));
+                    let order = CallOrder { query, call, target, deadline };
+                    self.send(order, shard, index_version);
                 }
                 FanoutAction::Merge { query, call } => self.merge(query, call),
-                FanoutAction::Cancel { call, target } => {
-                    let targets = self.targets.clone();
-                    actix_rt::spawn(async move { targets.cancel(&target, call).await });
-                }
+                FanoutAction::Cancel { call, target } => self.cancel(call, target),
                 FanoutAction::Finish { query, result } => self.finish(query, result),
             }
         }
         self.timer_changes.notify_one();
     }
 
-    fn shard_call(
-        &self,
-        query: QueryId,
-        call_id: CallId,
-        shard: u32,
-        index_version: u64,
-        deadline: Instant,
-    ) -> Option<ShardCall> {
+    /// Starts one call in the query's own protocol.
+    fn send(self: &Rc<Self>, order: CallOrder, shard: ShardId, index_version: IndexVersion) {
         let queries = self.queries.borrow();
-        let driven = queries.get(&query)?;
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        Some(ShardCall {
-            call_id,
-            customer: driven.plan.customer.clone(),
-            shard,
-            index_version,
-            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            query: driven.text.to_string(),
-        })
+        let Some(driven) = queries.get(&order.query) else { return };
+        match &driven.work {
+            QueryWork::Search { text, .. } => {
+                let call = shard_call(driven, text, &order, shard, index_version);
+                actix_rt::spawn(make_call(self.clone(), order.target, call, order.deadline));
+            }
+            QueryWork::Forward { request, .. } => {
+                let Some(dialect) = self.dialect.clone() else { return };
+                let call = ForwardCall {
+                    query: order.query,
+                    call: order.call,
+                    target: order.target,
+                    deadline: order.deadline,
+                    may_repeat: driven.plan.repeats.is_idempotent,
+                    takes_failures: driven.plan.manifest.shards.len() == 1,
+                };
+                let id = call.call;
+                let making = make_forward_call(self.clone(), dialect, call, request.clone());
+                let task = actix_rt::spawn(making);
+                self.forwards.borrow_mut().insert(id, task);
+            }
+        }
+    }
+
+    /// Ends one call: a forwarded one by closing its connection, others by asking the target.
+    fn cancel(self: &Rc<Self>, call: CallId, target: TargetId) {
+        if let Some(task) = self.forwards.borrow_mut().remove(&call) {
+            return task.abort();
+        }
+        let targets = self.targets.clone();
+        actix_rt::spawn(async move { targets.cancel(&target, call).await });
     }
 
     fn merge(&self, query: QueryId, call: CallId) {
-        let Some(hits) = self.answers.borrow_mut().remove(&call) else { return };
+        let Some(answer) = self.answers.borrow_mut().remove(&call) else { return };
         if let Some(driven) = self.queries.borrow_mut().get_mut(&query) {
-            driven.hits.extend(hits);
+            driven.work.merge(answer);
         }
     }
 
     fn finish(&self, query: QueryId, result: FanoutResult) {
         let Some(driven) = self.queries.borrow_mut().remove(&query) else { return };
         // A receiver that is gone is a caller that went away.
-        let _ = driven.reply.send(FanoutReply { result, hits: driven.hits });
+        let _ = driven.reply.send(FanoutReply { result, work: driven.work });
+    }
+}
+
+/// A call that the engine wants sent.
+struct CallOrder {
+    query: QueryId,
+    call: CallId,
+    target: TargetId,
+    deadline: Instant,
+}
+
+fn shard_call(
+    driven: &DrivenQuery,
+    text: &str,
+    order: &CallOrder,
+    shard: ShardId,
+    index_version: IndexVersion,
+) -> ShardCall {
+    let remaining = order.deadline.saturating_duration_since(Instant::now());
+    ShardCall {
+        call_id: order.call,
+        customer: driven.plan.customer.clone(),
+        shard,
+        index_version,
+        deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        query: text.to_owned(),
     }
 }
 
@@ -153,7 +195,8 @@
             load: refusal.load,
             draining: refusal.draining,
         },
-        CallOutcome::NotSent | CallOutcome::Failed => FanoutEvent::Failed { call: call.call_id },
+        CallOutcome::NotSent => FanoutEvent::Unsent { call: call.call_id },
+        CallOutcome::Failed => FanoutEvent::Failed { call: call.call_id },
     };
     fanout.handle(event);
 }
@@ -177,6 +220,6 @@
         load: answer.load,
         draining: answer.draining,
     };
-    fanout.answers.borrow_mut().insert(answer.call_id, answer.hits);
+    fanout.answers.borrow_mut().insert(answer.call_id, CallAnswer::Hits(answer.hits));
     event
 }
--- /dev/null
+++ b/crates/daemon/src/fanout/forward.rs
@@ -0,0 +1,131 @@
+//! Calls that pass a request on unread.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use http::Request;
+use http::Uri;
+use http_body_util::Full;
+use oleanderwind_http::LaneReply;
+use oleanderwind_policy::CallId;
+use oleanderwind_policy::FanoutEvent;
+use oleanderwind_policy::LoadReport;
+use oleanderwind_policy::QueryId;
+use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::TargetId;
+
+use crate::edge::CallerDialect;
+use crate::edge::OpaqueRequest;
+use crate::edge::TargetMarks;
+use crate::fanout::FanoutService;
+use crate::fanout::work::CallAnswer;
+use crate::fanout::work::QueryWork;
+use crate::fanout::work::TargetPart;
+use crate::targets::ForwardOutcome;
+
+/// A call as the engine ordered it.
+pub(crate) struct ForwardCall {
+    pub(crate) query: QueryId,
+    pub(crate) call: CallId,
+    pub(crate) target: TargetId,
+    pub(crate) deadline: Instant,
+    /// Whether it may be repeated when it is not known to have run.
+    pub(crate) may_repeat: bool,
+    /// Whether a failure of the target is an answer to the caller.
+    pub(crate) takes_failures: bool,
+}
+
+/// Makes one call and feeds the engine what came of it.
+pub(crate) async fn make_forward_call(
+    fanout: Rc<FanoutService>,
+    dialect: Rc<dyn CallerDialect>,
+    call: ForwardCall,
+    request: Rc<OpaqueRequest>,
+) {
+    let Some(message) = build_request(dialect.as_ref(), &call, &request) else {
+        return fanout.handle(FanoutEvent::Unsent { call: call.call });
+    };
+    let is_own = |reply: &LaneReply| {
+        let marks = dialect.read_marks(reply.status, &reply.headers);
+        marks.request_id.is_none_or(|id| id == request.id.as_bytes())
+    };
+    let targets = fanout.targets.clone();
+    let sent = targets.forward(&call.target, message, call.may_repeat, call.deadline, is_own);
+    let event = match sent.await {
+        ForwardOutcome::Unsent => FanoutEvent::Unsent { call: call.call },
+        ForwardOutcome::Failed => FanoutEvent::Failed { call: call.call },
+        ForwardOutcome::Replied(reply) => {
+            let marks = dialect.read_marks(reply.status, &reply.headers);
+            take_reply(&fanout, &call, reply, marks)
+        }
+    };
+    fanout.handle(event);
+}
+
+fn build_request(
+    dialect: &dyn CallerDialect,
+    call: &ForwardCall,
+    request: &OpaqueRequest,
+) -> Option<Request<Full<bytes::Bytes>>> {
+    let uri: Uri = match request.target.parse() {
+        Ok(uri) => uri,
+        Err(error) => {
+            log::error!(request = request.id.as_str(); "a path can't be passed on: {error}");
+            return None;
+        }
+    };
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = uri;
+    *message.headers_mut() = request.headers.clone();
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    for (name, value) in dialect.call_headers(left, &call.target) {
+        message.headers_mut().insert(name, value);
+    }
+    Some(message)
+}
+
+/// What a whole reply means for the call.
+fn take_reply(
+    fanout: &FanoutService,
+    call: &ForwardCall,
+    reply: LaneReply,
+    marks: TargetMarks,
+) -> FanoutEvent {
+    let id = call.call;
+    let load = marks.load.unwrap_or_default();
+    if marks.is_not_run || marks.is_misdirected {
+        let cause = match marks.is_misdirected {
+            true => RefusalCause::Draining,
+            false => RefusalCause::Shedding,
+        };
+        return FanoutEvent::Refused { call: id, cause, load, draining: false };
+    }
+    let Some(signature) = marks.signature.filter(|_| !marks.is_encoded) else {
+        return FanoutEvent::Failed { call: id };
+    };
+    let is_success = reply.status.is_success();
+    let is_final = is_success || (call.takes_failures && !reply.status.is_server_error());
+    let part = TargetPart { signature, reply };
+    if is_final {
+        fanout.answers.borrow_mut().insert(id, CallAnswer::Part(Box::new(part)));
+        return answered(id, load);
+    }
+    if call.takes_failures {
+        keep_failure(fanout, call.query, part);
+    }
+    FanoutEvent::Failed { call: id }
+}
+
+fn answered(call: CallId, load: LoadReport) -> FanoutEvent {
+    FanoutEvent::Answered { call, documents: 1, load, draining: false }
+}
+
+/// Keeps a target's own failure; it is the caller's answer if nothing better comes.
+fn keep_failure(fanout: &FanoutService, query: QueryId, part: TargetPart) {
+    if let Some(driven) = fanout.queries.borrow_mut().get_mut(&query)
+        && let QueryWork::Forward { failure, .. } = &mut driven.work
+    {
+        *failure = Some(part);
+    }
+}
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -7,24 +7,27 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_rt::task::JoinHandle;
 use oleanderwind_policy::CallId;
 use oleanderwind_policy::ExecutorOutcome;
 use oleanderwind_policy::FanoutEngine;
 use oleanderwind_policy::FanoutPlan;
-use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
-use oleanderwind_wire::SearchHit;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::directory::DirectoryService;
+use crate::edge::CallerDialect;
+use crate::fanout::FanoutReply;
+use crate::fanout::QueryWork;
 use crate::fanout::driver::connection_share;
 use crate::fanout::driver::run_timers;
+use crate::fanout::work::CallAnswer;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
 use crate::peers::PeerService;
@@ -36,19 +39,10 @@
 /// Bits of the VM's hash that go into call ids.
 const CALL_PREFIX_MASK: u64 = 0x00ff_ffff;
 
-/// What a query came to, with its merged hits.
-#[derive(Debug)]
-pub(crate) struct FanoutReply {
-    pub(crate) result: FanoutResult,
-    /// Hits of every merged answer, unordered.
-    pub(crate) hits: Vec<SearchHit>,
-}
-
 /// A query as the driver holds it.
 pub(crate) struct DrivenQuery {
     pub(crate) plan: FanoutPlan,
-    pub(crate) text: Rc<str>,
-    pub(crate) hits: Vec<SearchHit>,
+    pub(crate) work: QueryWork,
     pub(crate) reply: oneshot::Sender<FanoutReply>,
 }
 
@@ -56,24 +50,35 @@
 pub(crate) struct FanoutService {
     pub(crate) engine: RefCell<FanoutEngine>,
     pub(crate) queries: RefCell<HashMap<QueryId, DrivenQuery>>,
-    pub(crate) answers: RefCell<HashMap<CallId, Vec<SearchHit>>>,
+    pub(crate) answers: RefCell<HashMap<CallId, CallAnswer>>,
+    /// Calls under way that end by being dropped.
+    pub(crate) forwards: RefCell<HashMap<CallId, JoinHandle<()>>>,
+    /// How opaque requests are spelled, if the VM serves them.
+    pub(crate) dialect: Option<Rc<dyn CallerDialect>>,
     pub(crate) targets: Rc<TargetService>,
     pub(crate) peers: Rc<PeerService>,
     pub(crate) timer_changes: Notify,
+    settings: DaemonSettings,
     next_query: Cell<QueryId>,
 }
 
 impl FanoutService {
     /// Starts the timers and follows the directory's targets.
-    pub(crate) fn start(kernel: &Rc<Kernel>) -> Result<Rc<FanoutService>, KernelError> {
+    pub(crate) fn start(
+        kernel: &Rc<Kernel>,
+        dialect: Option<Rc<dyn CallerDialect>>,
+    ) -> Result<Rc<FanoutService>, KernelError> {
         let directory = kernel.directory()?;
         let fanout = Rc::new(FanoutService {
             engine: RefCell::new(FanoutEngine::new(engine_settings(kernel.settings()))),
             queries: RefCell::new(HashMap::new()),
             answers: RefCell::new(HashMap::new()),
+            forwards: RefCell::new(HashMap::new()),
+            dialect,
             targets: kernel.targets()?,
             peers: kernel.peers()?,
             timer_changes: Notify::new(),
+            settings: kernel.settings().clone(),
             next_query: Cell::new(1),
         });
         actix_rt::spawn(follow_targets(fanout.clone(), directory));
@@ -83,20 +88,15 @@
     }
 
     /// Runs a query to its end; dropping the future abandons it.
-    pub(crate) async fn search(
+    pub(crate) async fn run(
         self: &Rc<Self>,
         plan: FanoutPlan,
-        text: &str,
+        work: QueryWork,
     ) -> Option<FanoutReply> {
         let query = self.next_query.get();
         self.next_query.set(query + 1);
         let (sender, receiver) = oneshot::channel();
-        let driven = DrivenQuery {
-            plan: plan.clone(),
-            text: Rc::from(text),
-            hits: Vec::new(),
-            reply: sender,
-        };
+        let driven = DrivenQuery { plan: plan.clone(), work, reply: sender };
         self.queries.borrow_mut().insert(query, driven);
         let guard = AbandonGuard { fanout: self.clone(), query };
         self.submit(query, plan);
@@ -112,6 +112,7 @@
             let share = connection_share(spec.connection_limit, fleet);
             engine.set_connection_budget(&spec.target, share.working);
         }
+        engine.set_service_burst(self.settings.service_burst(fleet));
         engine.apply_targets(specs, Instant::now());
         self.timer_changes.notify_one();
     }
@@ -171,6 +172,8 @@
     engine.hedge = settings.hedge;
     engine.routing = settings.routing;
     engine.floor_wait = settings.floor_wait;
+    engine.own_domain = Some(settings.failure_domain.clone());
+    engine.crossing_cost = settings.crossing_cost;
     // The process start is mixed in, so that a restarted VM reuses no call id.
     let start = std::time::SystemTime::now();
     let since = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -7,6 +7,7 @@
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FinishReason;
+use oleanderwind_policy::RepeatTerms;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_wire::CallerAnswer;
 use oleanderwind_wire::CoverageReport;
@@ -14,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fanout::FanoutReply;
+use crate::fanout::QueryWork;
 use crate::front::answer::empty_answer;
 use crate::front::answer::milliseconds;
 use crate::front::answer::set_hits;
@@ -49,8 +51,10 @@
                 preference: contract.preference,
                 priority: request.terms.priority,
                 extra_load_permille: contract.extra_load_permille,
+                objective: None,
+                repeats: RepeatTerms::default(),
             };
-            let reply = self.fanout.search(plan, &request.text).await?;
+            let reply = self.fanout.run(plan, QueryWork::search(&request.text)).await?;
             if reply.result.reason == FinishReason::SnapshotRetired
                 && self.wait_for_newer(&manifest, deadline).await
             {
@@ -97,7 +101,9 @@
         answer.refusal = Some(RefusalReport { reason, findings: Vec::new() });
     }
     answer.retry_after_ms = result.retry_after.map(milliseconds);
-    set_hits(&mut answer, reply.hits);
+    if let QueryWork::Search { hits, .. } = reply.work {
+        set_hits(&mut answer, hits);
+    }
     answer
 }
 
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -4,6 +4,7 @@
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use actix_http::Method;
@@ -111,9 +112,9 @@
     }
 
     /// Finishes open requests and closes every connection.
-    pub(crate) async fn drain(&self) {
+    pub(crate) async fn drain(&self, patience: Duration) {
         let Some(listener) = self.listener.get() else { return };
-        let left = listener.drain(self.settings.drain_patience).await;
+        let left = listener.drain(patience).await;
         if left > 0 {
             log::error!("{left} caller connections were still open at the end of the drain");
         }
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -99,11 +100,11 @@
     }
 
     /// Drains the services in the reverse order of their start.
-    pub(crate) async fn drain(&self) {
+    pub(crate) async fn drain(&self, patience: Duration) {
         let services: Vec<Service> = self.services.borrow().iter().rev().cloned().collect();
         for service in services {
             log::info!("service {:?} drains", service.name());
-            service.drain().await;
+            service.drain(patience).await;
         }
     }
 }
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -1,6 +1,7 @@
 //! The closed set of services.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::admin::AdminService;
 use crate::admission::AdmissionService;
@@ -12,6 +13,7 @@
 use crate::outcomes::OutcomeService;
 use crate::peers::PeerService;
 use crate::platform::PlatformService;
+use crate::routes::RouteService;
 use crate::sync::SyncService;
 use crate::targets::TargetService;
 
@@ -40,6 +42,8 @@
     Ledger,
     /// Callers' HTTP interface.
     Front,
+    /// Opaque requests by routes.
+    Routes,
     /// Operators' HTTP interface.
     Admin,
 }
@@ -69,6 +73,8 @@
     Ledger(Rc<LedgerService>),
     /// See [`ServiceName::Front`].
     Front(Rc<FrontService>),
+    /// See [`ServiceName::Routes`].
+    Routes(Rc<RouteService>),
     /// See [`ServiceName::Admin`].
     Admin(Rc<AdminService>),
 }
@@ -88,6 +94,7 @@
             Service::Fanout(_) => ServiceName::Fanout,
             Service::Ledger(_) => ServiceName::Ledger,
             Service::Front(_) => ServiceName::Front,
+            Service::Routes(_) => ServiceName::Routes,
             Service::Admin(_) => ServiceName::Admin,
         }
     }
@@ -97,6 +104,7 @@
         match self {
             Service::Directory(directory) => directory.announce_leaving(),
             Service::Front(front) => front.announce_leaving(),
+            Service::Routes(routes) => routes.announce_leaving(),
             Service::Peers(peers) => peers.announce_leaving(),
             Service::Metrics(_)
             | Service::Outcomes(_)
@@ -111,9 +119,10 @@
     }
 
     /// Finishes what runs and ends the service.
-    pub(crate) async fn drain(&self) {
+    pub(crate) async fn drain(&self, patience: Duration) {
         match self {
-            Service::Front(front) => front.drain().await,
+            Service::Front(front) => front.drain(patience).await,
+            Service::Routes(routes) => routes.drain(patience).await,
             Service::Admin(admin) => admin.drain().await,
             Service::Fanout(fanout) => fanout.drain().await,
             Service::Ledger(ledger) => ledger.drain().await,
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -1,7 +1,9 @@
 //! The instruments of one daemon.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::RequestOutcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -46,6 +48,9 @@
     refusals: Counter<u64>,
     primary_calls: Counter<u64>,
     extra_calls: Counter<u64>,
+    route_requests: Counter<u64>,
+    route_latency: Histogram<f64>,
+    route_calls: Counter<u64>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
 }
@@ -70,6 +75,9 @@
             refusals: meter.u64_counter("oleanderwind_refusals").build(),
             primary_calls: meter.u64_counter("oleanderwind_primary_calls").build(),
             extra_calls: meter.u64_counter("oleanderwind_extra_calls").build(),
+            route_requests: meter.u64_counter("oleanderwind_route_requests").build(),
+            route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
+            route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
             latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
             coverage: meter
                 .f64_histogram("oleanderwind_request_coverage_permille")
@@ -106,6 +114,24 @@
         self.extra_calls.add(u64::from(measure.extra_calls), &customer);
     }
 
+    /// Adds a finished request of a route.
+    pub(crate) fn record_route(
+        &self,
+        route: &Arc<str>,
+        outcome: &'static str,
+        latency: Duration,
+        result: &FanoutResult,
+    ) {
+        let route = KeyValue::new("route", route.clone());
+        self.route_latency.record(latency.as_secs_f64() * 1_000.0, std::slice::from_ref(&route));
+        let first = result.calls_sent.saturating_sub(result.extra_calls);
+        for (kind, calls) in [("first", first), ("extra", result.extra_calls)] {
+            let labels = [route.clone(), KeyValue::new("kind", kind)];
+            self.route_calls.add(u64::from(calls), &labels);
+        }
+        self.route_requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
+    }
+
     /// Adds a refusal.
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -6,6 +6,7 @@
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::ObjectDelta;
+use oleanderwind_policy::ObjectKey;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::PlatformVm;
@@ -67,6 +68,25 @@
     }
 }
 
+/// The VM list.
+impl PeerService {
+    /// Whether the list holds exactly this entry.
+    pub(crate) fn is_listed(&self, entry: &ObjectDocument) -> bool {
+        let key = ObjectKey { kind: ObjectKind::Vms, name: entry.metadata.name.as_str().into() };
+        let state = self.state.borrow();
+        let body = state.spread.store().get(&key).and_then(|held| held.body.as_ref());
+        let held = body.and_then(|body| serde_json::from_slice::<ObjectDocument>(body).ok());
+        held.is_some_and(|held| held.spec == entry.spec)
+    }
+
+    /// Where callers and where peers reach this VM.
+    pub(crate) fn own_addresses(&self) -> (String, String) {
+        let state = self.state.borrow();
+        let own = state.membership.own();
+        (own.caller_address.to_string(), own.peer_address.to_string())
+    }
+}
+
 /// From and to peers.
 impl PeerService {
     /// Takes a peer's push in; a broken object is left out.
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -168,7 +168,9 @@
 
 /// Serves once the customers' limits, which start empty, admit a burst.
 async fn begin_serving(peers: Rc<PeerService>) {
-    tokio::time::sleep(LIMIT_FILL_TIME).await;
+    if !peers.directory.contracts().is_empty() {
+        tokio::time::sleep(LIMIT_FILL_TIME).await;
+    }
     if !peers.directory.is_leaving() {
         peers.directory.mark_configured();
         peers.announce(MemberPhase::Serving);
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -9,6 +9,7 @@
 use oleanderwind_policy::MemberStanding;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::address_plan;
+use oleanderwind_policy::caller_plan;
 use oleanderwind_policy::watch_holders;
 use oleanderwind_wire::FleetMember;
 use oleanderwind_wire::peer::BorrowReply;
@@ -49,6 +50,25 @@
         vms.iter().filter_map(address).collect()
     }
 
+    /// Callers' addresses for a caller in a failure domain, those that it should use.
+    pub(crate) fn caller_addresses(&self, failure_domain: Option<&str>) -> Vec<String> {
+        let state = self.state.borrow();
+        let own = state.membership.own();
+        let is_fresh = state.contact.state(Instant::now()) == ContactState::Fresh;
+        let own_standing = match own.phase {
+            MemberPhase::Serving if is_fresh => MemberStanding::Serving,
+            MemberPhase::Serving | MemberPhase::Leaving | MemberPhase::Left => {
+                MemberStanding::Leaving
+            }
+        };
+        let table = state.membership.table();
+        let heard = table.iter().filter(|(record, _)| record.incarnation > 0);
+        let mut members: Vec<(&MemberRecord, MemberStanding)> = heard.collect();
+        members.push((own, own_standing));
+        let chosen = caller_plan(failure_domain, &members);
+        chosen.iter().map(|record| record.caller_address.to_string()).collect()
+    }
+
     /// Every VM with its standing, this one first.
     pub(crate) fn fleet(&self) -> Vec<FleetMember> {
         let state = self.state.borrow();
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -100,6 +100,19 @@
 }
 
 impl PlatformEdge for HttpPlatform {
+    fn kinds(&self) -> &'static [policy::ObjectKind] {
+        &[
+            policy::ObjectKind::Contracts,
+            policy::ObjectKind::Snapshots,
+            policy::ObjectKind::Targets,
+            policy::ObjectKind::Vms,
+        ]
+    }
+
+    fn is_self_enrolled(&self) -> bool {
+        false
+    }
+
     fn list(&self, kind: ObjectKind) -> LocalBoxFuture<'_, Result<ObjectList, PlatformError>> {
         self.call(Method::GET, kind.as_str().to_owned(), None).boxed_local()
     }
--- /dev/null
+++ b/crates/daemon/src/routes/answer.rs
@@ -0,0 +1,101 @@
+//! What callers of opaque requests get.
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use oleanderwind_http::HttpReply;
+use oleanderwind_policy::FanoutResult;
+use oleanderwind_policy::FinishReason;
+use oleanderwind_policy::RouteContract;
+use oleanderwind_policy::RunState;
+use oleanderwind_policy::TargetSet;
+use oleanderwind_policy::merge_records;
+use std::time::Duration;
+
+use crate::edge::CallerDialect;
+use crate::fanout::TargetPart;
+
+/// Header with the seconds after which to come back.
+const RETRY_AFTER: &str = "retry-after";
+
+/// What a request came to.
+pub(crate) struct RouteEnd {
+    pub(crate) reply: HttpReply,
+    /// The stable name for logs and metrics.
+    pub(crate) outcome: &'static str,
+}
+
+/// The answer made of the targets' answers.
+pub(crate) fn answer(
+    dialect: &dyn CallerDialect,
+    route: &RouteContract,
+    result: &FanoutResult,
+    parts: Vec<TargetPart>,
+    failure: Option<TargetPart>,
+) -> RouteEnd {
+    match &route.targets {
+        TargetSet::Shards(shards) if parts.len() >= shards.floor => {
+            let outcome = if parts.len() == shards.services.len() { "whole" } else { "partial" };
+            let reply = merged_reply(dialect, &parts, shards.services.len(), shards.top);
+            RouteEnd { reply, outcome }
+        }
+        TargetSet::Shards(_) => unanswered(result),
+        TargetSet::One(_) | TargetSet::Weighted(_) => match (parts.into_iter().next(), failure) {
+            (Some(part), _) => RouteEnd { reply: whole_reply(dialect, part), outcome: "answered" },
+            (None, Some(part)) => {
+                RouteEnd { reply: whole_reply(dialect, part), outcome: "target_failed" }
+            }
+            (None, None) => unanswered(result),
+        },
+    }
+}
+
+/// A target's own reply, unchanged.
+fn whole_reply(dialect: &dyn CallerDialect, part: TargetPart) -> HttpReply {
+    let kept = dialect.answer_headers(&part.reply.headers);
+    with_headers(HttpReply::raw(status(part.reply.status), part.reply.body), &kept)
+}
+
+fn merged_reply(
+    dialect: &dyn CallerDialect,
+    parts: &[TargetPart],
+    shards: usize,
+    top: usize,
+) -> HttpReply {
+    let bodies: Vec<Bytes> = parts.iter().map(|part| part.reply.body.clone()).collect();
+    let signatures: Vec<HeaderValue> = parts.iter().map(|part| part.signature.clone()).collect();
+    let headers = dialect.merged_headers(&signatures, shards - parts.len());
+    with_headers(HttpReply::raw(StatusCode::OK, merge_records(&bodies, top)), &headers)
+}
+
+fn with_headers(mut reply: HttpReply, headers: &HeaderMap) -> HttpReply {
+    for (name, value) in headers {
+        reply.add_header(name.as_str().as_bytes(), value.as_bytes());
+    }
+    reply
+}
+
+/// The end of a request without an answer: a promise that it did not run only where it didn't.
+fn unanswered(result: &FanoutResult) -> RouteEnd {
+    match (result.ran, result.reason) {
+        (RunState::No, _) => RouteEnd { reply: refusal(result.retry_after), outcome: "refused" },
+        (_, FinishReason::DeadlineNear) => {
+            RouteEnd { reply: HttpReply::empty(StatusCode::GATEWAY_TIMEOUT), outcome: "late" }
+        }
+        _ => RouteEnd { reply: HttpReply::empty(StatusCode::BAD_GATEWAY), outcome: "failed" },
+    }
+}
+
+/// A request has not run and never will; callers may come back after `retry_after`.
+pub(crate) fn refusal(retry_after: Option<Duration>) -> HttpReply {
+    let reply = HttpReply::empty(StatusCode::SERVICE_UNAVAILABLE);
+    match retry_after {
+        Some(time) => reply.with_header(RETRY_AFTER, &format!("{:.3}", time.as_secs_f64())),
+        None => reply,
+    }
+}
+
+fn status(status: http::StatusCode) -> StatusCode {
+    StatusCode::from_u16(status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY)
+}
--- /dev/null
+++ b/crates/daemon/src/routes/service.rs
@@ -0,0 +1,308 @@
+//! The listeners for callers of opaque requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use futures_util::FutureExt;
+use oleanderwind_http::HttpCall;
+use oleanderwind_http::HttpLimits;
+use oleanderwind_http::HttpListener;
+use oleanderwind_http::HttpReply;
+use oleanderwind_policy::AnswerPreference;
+use oleanderwind_policy::BudgetOwner;
+use oleanderwind_policy::CallerLimits;
+use oleanderwind_policy::ClassPriority;
+use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::OperationKind;
+use oleanderwind_policy::RepeatTerms;
+use oleanderwind_policy::RouteContract;
+use oleanderwind_policy::ServiceId;
+use oleanderwind_policy::ShareTurns;
+use oleanderwind_policy::TargetSet;
+
+use crate::directory::DirectoryService;
+use crate::directory::RoutesInForce;
+use crate::edge::CallerDialect;
+use crate::edge::CallerQuestion;
+use crate::edge::OpaqueRequest;
+use crate::fanout::FanoutReply;
+use crate::fanout::FanoutService;
+use crate::fanout::QueryWork;
+use crate::kernel::Kernel;
+use crate::metrics::MetricsService;
+use crate::peers::PeerService;
+use crate::routes::answer::RouteEnd;
+use crate::routes::answer::answer;
+use crate::routes::answer::refusal;
+use crate::routes::manifests::ManifestBook;
+use crate::settings::DaemonSettings;
+
+/// When to come back to a VM that has no configuration yet; it lists the platform in a second.
+const RETRY_AFTER_START: Duration = Duration::from_millis(500);
+/// Callers' connections served at once; the smallest VM has 3,900 descriptors for sockets.
+const CALLER_CONNECTIONS: usize = 2_000;
+/// Customer that routes' queries are booked under.
+const ROUTE_CUSTOMER: &str = "routes";
+/// A whole, in thousandths.
+const WHOLE_PERMILLE: usize = 1_000;
+
+/// Serves callers whose requests are passed on unread.
+pub(crate) struct RouteService {
+    settings: DaemonSettings,
+    dialect: Rc<dyn CallerDialect>,
+    directory: Rc<DirectoryService>,
+    fanout: Rc<FanoutService>,
+    peers: Rc<PeerService>,
+    metrics: Rc<MetricsService>,
+    manifests: ManifestBook,
+    turns: RefCell<HashMap<Arc<str>, ShareTurns>>,
+    listeners: RefCell<Vec<HttpListener>>,
+}
+
+impl RouteService {
+    /// Binds the callers' addresses.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be bound or a service is missing.
+    pub(crate) async fn start(
+        kernel: &Rc<Kernel>,
+        dialect: Rc<dyn CallerDialect>,
+    ) -> eyre::Result<Rc<RouteService>> {
+        let settings = kernel.settings().clone();
+        let directory = kernel.directory()?;
+        let routes = Rc::new(RouteService {
+            dialect,
+            fanout: kernel.fanout()?,
+            peers: kernel.peers()?,
+            metrics: kernel.metrics()?,
+            manifests: ManifestBook::new(directory.clone()),
+            directory,
+            turns: RefCell::new(HashMap::new()),
+            listeners: RefCell::new(Vec::new()),
+            settings,
+        });
+        let addresses = [
+            Some(routes.settings.caller_listen),
+            routes.settings.readiness_listen,
+            routes.settings.address_listen,
+        ];
+        for address in addresses.into_iter().flatten() {
+            let handler = {
+                let routes = routes.clone();
+                Rc::new(move |call| routes.clone().serve(call).boxed_local())
+            };
+            let listener = HttpListener::bind(address, default_limits(), handler).await?;
+            routes.listeners.borrow_mut().push(listener);
+        }
+        actix_rt::spawn(follow_limits(routes.clone()));
+        Ok(routes)
+    }
+
+    /// Where callers reach it.
+    pub(crate) fn address(&self) -> SocketAddr {
+        let listeners = self.listeners.borrow();
+        listeners.first().map_or(self.settings.caller_listen, HttpListener::address)
+    }
+
+    /// Makes callers look for another VM with their next request.
+    pub(crate) fn announce_leaving(&self) {
+        if let Some(listener) = self.listeners.borrow().first() {
+            listener.close_after_replies();
+        }
+    }
+
+    /// Finishes open requests and closes every connection.
+    pub(crate) async fn drain(&self, patience: Duration) {
+        let listeners = self.listeners.borrow().clone();
+        for listener in listeners {
+            let left = listener.drain(patience).await;
+            if left > 0 {
+                log::error!(connections = left; "callers were still there at the end of the drain");
+            }
+        }
+    }
+}
+
+/// Answering questions.
+impl RouteService {
+    async fn serve(self: Rc<Self>, call: HttpCall) -> HttpReply {
+        match self.dialect.read_call(call) {
+            CallerQuestion::Readiness => self.readiness(),
+            CallerQuestion::Addresses { failure_domain } => {
+                let addresses = self.peers.caller_addresses(failure_domain.as_deref());
+                self.dialect.address_reply(&addresses, self.settings.address_keep)
+            }
+            CallerQuestion::Malformed(findings) => {
+                log::warn!("a request is malformed: {findings}");
+                HttpReply::empty(StatusCode::BAD_REQUEST).closing()
+            }
+            CallerQuestion::Request(request) => self.serve_request(*request).await,
+        }
+    }
+
+    fn readiness(&self) -> HttpReply {
+        let is_ready = self.is_routing() && !self.directory.is_leaving();
+        match is_ready {
+            true => HttpReply::empty(StatusCode::OK),
+            false => HttpReply::empty(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    /// Whether routes are in force that are proven to be no older than those of an earlier process.
+    fn is_routing(&self) -> bool {
+        self.peers.can_serve() && self.directory.routes().is_some()
+    }
+
+    async fn serve_request(&self, request: OpaqueRequest) -> HttpReply {
+        let arrived = Instant::now();
+        let request = Rc::new(request);
+        let routes = self.directory.routes().filter(|_| self.peers.can_serve());
+        let Some(routes) = routes else {
+            self.note_refusal(&request, "no_configuration");
+            return refusal(Some(RETRY_AFTER_START));
+        };
+        let Some(route) = routes.table.find(&request.authority, request.path()).cloned() else {
+            log::info!(
+                request = request.id.as_str(),
+                version = routes.configuration.version,
+                outcome = "no_route";
+                "{} {} has no route",
+                request.authority,
+                request.path()
+            );
+            self.metrics.record_refusal("no_route");
+            return HttpReply::empty(StatusCode::NOT_FOUND);
+        };
+        if request.body.len() > routes.configuration.limits.body_bytes {
+            self.note_refusal(&request, "body_too_long");
+            return HttpReply::empty(StatusCode::PAYLOAD_TOO_LARGE).closing();
+        }
+        self.run(&routes, &route, request, arrived).await
+    }
+
+    fn note_refusal(&self, request: &OpaqueRequest, reason: &'static str) {
+        self.metrics.record_refusal(reason);
+        log::info!(request = request.id.as_str(), outcome = reason; "a request is refused");
+    }
+}
+
+/// Running requests.
+impl RouteService {
+    async fn run(
+        &self,
+        routes: &RoutesInForce,
+        route: &Arc<RouteContract>,
+        request: Rc<OpaqueRequest>,
+        arrived: Instant,
+    ) -> HttpReply {
+        let plan = self.plan(routes, route, &request, arrived);
+        let reply = self.fanout.run(plan, QueryWork::forward(request.clone())).await;
+        let Some(FanoutReply { result, work }) = reply else {
+            log::error!(request = request.id.as_str(); "a request ended without a result");
+            return HttpReply::empty(StatusCode::BAD_GATEWAY);
+        };
+        let (parts, failure) = match work {
+            QueryWork::Forward { parts, failure, .. } => (parts, failure),
+            QueryWork::Search { .. } => (Vec::new(), None),
+        };
+        let RouteEnd { reply, outcome } =
+            answer(self.dialect.as_ref(), route, &result, parts, failure);
+        let latency = arrived.elapsed();
+        self.metrics.record_route(&route.name, outcome, latency, &result);
+        log::info!(
+            request = request.id.as_str(),
+            route = route.name.as_ref(),
+            version = routes.configuration.version,
+            status = reply.status().as_u16(),
+            outcome = outcome,
+            reason:? = result.reason,
+            ms = latency.as_millis() as u64,
+            shards = result.shards_answered,
+            of = result.shards_total,
+            calls = result.calls_sent,
+            extra = result.extra_calls;
+            "a request is answered"
+        );
+        reply
+    }
+
+    fn plan(
+        &self,
+        routes: &RoutesInForce,
+        route: &Arc<RouteContract>,
+        request: &OpaqueRequest,
+        arrived: Instant,
+    ) -> FanoutPlan {
+        let services = self.services(route);
+        let version = routes.configuration.version;
+        let pinned = self.manifests.get(route, version, &services);
+        let time_limit = request.patience.map_or(route.time_limit, |own| own.min(route.time_limit));
+        let floor_permille = match &route.targets {
+            // Rounded down, as the engine rounds the number of shards up again.
+            TargetSet::Shards(shards) => shards.floor * WHOLE_PERMILLE / shards.services.len(),
+            TargetSet::One(_) | TargetSet::Weighted(_) => WHOLE_PERMILLE,
+        };
+        FanoutPlan {
+            customer: ROUTE_CUSTOMER.into(),
+            class: route.name.clone(),
+            manifest: pinned.manifest,
+            deadline: arrived + time_limit,
+            coverage_floor_permille: u32::try_from(floor_permille).unwrap_or(u32::MAX),
+            preference: AnswerPreference::Coverage,
+            priority: ClassPriority::Interactive,
+            extra_load_permille: self.settings.extra_permille,
+            objective: Some(arrived + route.objective),
+            repeats: RepeatTerms {
+                is_idempotent: route.operation == OperationKind::Search,
+                attempts: u8::try_from(route.attempts).unwrap_or(u8::MAX),
+                budget: BudgetOwner::Services(pinned.services),
+            },
+        }
+    }
+
+    /// The services that one request is sent to, one a shard.
+    fn services<'a>(&self, route: &'a RouteContract) -> Vec<&'a ServiceId> {
+        match &route.targets {
+            TargetSet::One(_) | TargetSet::Shards(_) => route.targets.services(),
+            TargetSet::Weighted(shares) => {
+                let mut turns = self.turns.borrow_mut();
+                let turns = turns.entry(route.name.clone()).or_default();
+                let chosen = turns.next(shares).unwrap_or_default();
+                vec![&shares[chosen].service]
+            }
+        }
+    }
+}
+
+/// Bounds before routes say which.
+fn default_limits() -> HttpLimits {
+    HttpLimits { connections: CALLER_CONNECTIONS, ..HttpLimits::default() }
+}
+
+fn limits_of(limits: &CallerLimits) -> HttpLimits {
+    HttpLimits {
+        connections: CALLER_CONNECTIONS,
+        body_bytes: limits.body_bytes,
+        head_timeout: limits.header_time,
+        keep_alive: limits.idle_time,
+        ..HttpLimits::default()
+    }
+}
+
+/// Puts the limits of the routes in force on the callers' listener.
+async fn follow_limits(routes: Rc<RouteService>) {
+    let mut changes = routes.directory.target_changes();
+    while changes.changed().await.is_ok() {
+        let Some(in_force) = routes.directory.routes() else { continue };
+        if let Some(listener) = routes.listeners.borrow().first() {
+            listener.set_limits(limits_of(&in_force.configuration.limits));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/routes/view.rs
@@ -0,0 +1,1 @@
+//! The routing state that operators see.
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -20,6 +20,15 @@
 /// Longest time that any setting may give.
 const MAX_TIME_MS: u64 = 600_000;
 
+/// VMs beyond those in view that may spend a part of a shared budget, during a replacement.
+const SPARE_VMS: usize = 1;
+/// Kept of the time that a stop may take, for the last word to peers and the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Part of a stop in which requests are still taken.
+const NOTICE_PART: f64 = 0.75;
+/// A whole, in thousandths.
+const WHOLE_PERMILLE: f64 = 1_000.0;
+
 /// Everything that the daemon is told at its start.
 #[derive(Clone)]
 pub struct DaemonSettings {
@@ -53,6 +62,22 @@
     pub routing: RoutingPolicy,
     /// How long a query that may answer at its floor waits for the rest.
     pub floor_wait: FloorWait,
+    /// Answers only whether the VM is ready.
+    pub readiness_listen: Option<SocketAddr>,
+    /// Answers only which VMs to use.
+    pub address_listen: Option<SocketAddr>,
+    /// Extra calls to a service's targets, in thousandths of its requests.
+    pub extra_permille: u32,
+    /// Extra calls beyond that part that the whole fleet may make to a service at once.
+    pub extra_slack: u32,
+    /// Expected wait that a target in another failure domain has to save.
+    pub crossing_cost: Duration,
+    /// How long a target that is listed no more is kept as a last resort.
+    pub lapse_hold: Option<Duration>,
+    /// Time from SIGTERM to the end, in place of notice and patience.
+    pub stop_grace: Option<Duration>,
+    /// Longest pause between two calls to a platform that fails.
+    pub platform_retry: Duration,
     /// What is logged.
     pub log_level: LevelFilter,
     /// Seed of every random choice.
@@ -101,6 +126,27 @@
             hedge: hedge(&raw.hedge, &mut findings),
             routing: routing(&raw.routing, &mut findings),
             floor_wait: floor_wait(&raw.floor_wait, &mut findings),
+            readiness_listen: optional_address(
+                &raw.readiness_listen,
+                "--readiness-listen",
+                &mut findings,
+            ),
+            address_listen: optional_address(
+                &raw.address_listen,
+                "--address-listen",
+                &mut findings,
+            ),
+            extra_permille: permille(&raw.extra_ratio, "--extra-ratio", 0.1, &mut findings),
+            extra_slack: parsed(&raw.extra_slack, "--extra-slack", 40, &mut findings),
+            crossing_cost: time(&raw.crossing_cost_ms, "--crossing-cost-ms", 0, &mut findings),
+            lapse_hold: optional_time(&raw.lapse_hold_ms, "--lapse-hold-ms", &mut findings),
+            stop_grace: optional_time(&raw.stop_grace_ms, "--stop-grace-ms", &mut findings),
+            platform_retry: time(
+                &raw.platform_retry_ms,
+                "--platform-retry-ms",
+                10_000,
+                &mut findings,
+            ),
             log_level: parsed(&raw.log_level, "--log-level", LevelFilter::Info, &mut findings),
             seed: parsed(&raw.seed, "--seed", seed, &mut findings),
             vm: vm.into(),
@@ -129,11 +175,76 @@
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
         writeln!(f, "floor-wait={:?}", self.floor_wait)?;
+        writeln!(f, "readiness-listen={}", text_or_none(self.readiness_listen))?;
+        writeln!(f, "address-listen={}", text_or_none(self.address_listen))?;
+        writeln!(f, "extra-ratio={}", f64::from(self.extra_permille) / WHOLE_PERMILLE)?;
+        writeln!(f, "extra-slack={}", self.extra_slack)?;
+        writeln!(f, "crossing-cost-ms={}", self.crossing_cost.as_millis())?;
+        let lapse_hold = self.lapse_hold.map(|hold| hold.as_millis());
+        writeln!(f, "lapse-hold-ms={}", text_or_none(lapse_hold))?;
+        let stop_grace = self.stop_grace.map(|grace| grace.as_millis());
+        writeln!(f, "stop-grace-ms={}", text_or_none(stop_grace))?;
+        writeln!(f, "platform-retry-ms={}", self.platform_retry.as_millis())?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
 }
 
+impl DaemonSettings {
+    /// From the request to stop: how long to go on as before, and then to wait for what runs.
+    ///
+    /// Until every VM knows, callers still get this VM's address, and they use it as long as they
+    /// keep their answer. A given time is parted so that calls which began at the end of the first
+    /// part still have time, and the process ends before the whole is over.
+    pub fn stop_times(&self) -> (Duration, Duration) {
+        match self.stop_grace {
+            None => (self.leave_notice + self.address_keep, self.drain_patience),
+            Some(grace) => {
+                let usable = grace.saturating_sub(STOP_MARGIN);
+                let notice = usable.mul_f64(NOTICE_PART);
+                (notice, usable - notice)
+            }
+        }
+    }
+
+    /// Extra calls to a service that one VM of a fleet of `fleet` may save up.
+    ///
+    /// All VMs together stay below the slack while one VM more than in view spends its part too.
+    pub fn service_burst(&self, fleet: usize) -> u32 {
+        let sharers = u32::try_from(fleet + SPARE_VMS).unwrap_or(u32::MAX);
+        (self.extra_slack / sharers).max(1)
+    }
+}
+
+fn text_or_none<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "(none)".to_owned(), |value| value.to_string())
+}
+
+fn optional_address(
+    option: &Option<String>,
+    flag: &str,
+    findings: &mut FindingList,
+) -> Option<SocketAddr> {
+    option.as_ref().map(|_| address(option, flag, "", findings))
+}
+
+fn optional_time(
+    option: &Option<String>,
+    flag: &str,
+    findings: &mut FindingList,
+) -> Option<Duration> {
+    Some(time(option, flag, 0, findings)).filter(|time| !time.is_zero())
+}
+
+fn permille(option: &Option<String>, flag: &str, default: f64, findings: &mut FindingList) -> u32 {
+    let part: f64 = parsed(option, flag, default, findings);
+    if !(0.0..=1.0).contains(&part) {
+        findings.add(place(flag), format!("is {part}; give 0 to 1"));
+        return 0;
+    }
+    (part * WHOLE_PERMILLE) as u32
+}
+
 /// Names the flag and its environment variable, as findings place it.
 fn place(flag: &str) -> String {
     let variable = flag.trim_start_matches('-').replace('-', "_").to_uppercase();
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,7 @@
 //! Hears configuration from the platform, on the VMs that hold its watches.
 
+mod enrolment;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -24,6 +26,7 @@
 use crate::peers::PeerService;
 use crate::peers::configuration_object;
 use crate::platform::PlatformService;
+use crate::sync::enrolment::EnrolmentTask;
 
 /// How often a VM that holds no watch looks whether it should.
 const HOLDER_POLL: Duration = Duration::from_millis(250);
@@ -51,8 +54,15 @@
             peers: kernel.peers()?,
             directory: kernel.directory()?,
         };
-        let backoff = WatchBackoff::new(kernel.settings().seed, Instant::now());
+        let backoff = WatchBackoff::new(
+            kernel.settings().seed,
+            kernel.settings().platform_retry,
+            Instant::now(),
+        );
         let task = actix_rt::spawn(task.follow(backoff));
+        if kernel.platform()?.is_self_enrolled() {
+            actix_rt::spawn(EnrolmentTask::new(kernel)?.enrol());
+        }
         Ok(SyncService { task: RefCell::new(Some(task)) })
     }
 
@@ -115,13 +125,13 @@
     /// Where watches may start by what is held; nowhere before that is proven.
     fn held_revisions(&self) -> Option<KindRevisions> {
         let complete_to = self.peers.complete_to();
-        let kinds = ObjectKind::ALL.into_iter();
+        let kinds = self.platform.kinds().iter().copied();
         (complete_to > 0 && self.directory.is_configured())
             .then(|| kinds.map(|kind| (kind, complete_to)).collect())
     }
 
     async fn list_all(&self) -> Result<KindRevisions, PlatformError> {
-        let lists = ObjectKind::ALL.into_iter().map(async |kind| {
+        let lists = self.platform.kinds().iter().copied().map(async |kind| {
             let list = self.platform.list(edge_kind(kind)).await?;
             let revision = list.metadata.resource_version.parse().unwrap_or(0);
             let objects = list.items.iter().map(|object| configuration_object(kind, object));
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -4,11 +4,11 @@
 //! decides what travels on which connection and how many there are.
 
 mod deadline;
-mod lane;
 mod outcome;
 mod pool;
 mod service;
 
 pub(crate) use deadline::ExecuteDeadline;
 pub(crate) use outcome::CallOutcome;
+pub(crate) use service::ForwardOutcome;
 pub(crate) use service::TargetService;
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -8,16 +8,23 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use oleanderwind_http::HttpLane;
+use oleanderwind_http::LaneExchange;
+use oleanderwind_http::LaneSettings;
 use oleanderwind_policy::ConnectionShare;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use crate::targets::lane::Lane;
-use crate::targets::lane::LaneExchange;
-
 /// How long a target may go on counting a connection that has gone silent.
 const SILENT_COUNT_TIME: Duration = Duration::from_secs(35);
+/// A target that is up accepts within a few milliseconds; links take milliseconds.
+const LANE_SETTINGS: LaneSettings = LaneSettings {
+    connect_time: Duration::from_millis(250),
+    unacknowledged_time: Duration::from_millis(1_000),
+    probe_time: None,
+    body_bytes: 1_024 * 1_024,
+};
 /// Path that a probe gets.
 const PROBE_PATH: &str = "/v1/health";
 
@@ -30,11 +37,13 @@
     /// One permit a connection in use.
     working: Arc<Semaphore>,
     idle: RefCell<Vec<IdleLane>>,
+    /// Connections made so far, over all pools.
+    connects: Rc<Cell<u64>>,
 }
 
 /// A connected lane that waits for its next call.
 struct IdleLane {
-    lane: Lane,
+    lane: HttpLane,
     counted: OwnedSemaphorePermit,
     /// When it brought its last reply.
     proven_at: Instant,
@@ -43,14 +52,18 @@
 /// A lane taken out of its pool; it goes back only when its call went well.
 pub(crate) struct LaneLoan {
     pool: Rc<TargetPool>,
-    lane: Lane,
+    lane: HttpLane,
     counted: OwnedSemaphorePermit,
     _working: OwnedSemaphorePermit,
 }
 
 impl TargetPool {
     /// A pool without connections.
-    pub(crate) fn new(address: SocketAddr, share: ConnectionShare) -> Rc<TargetPool> {
+    pub(crate) fn new(
+        address: SocketAddr,
+        share: ConnectionShare,
+        connects: Rc<Cell<u64>>,
+    ) -> Rc<TargetPool> {
         let permits = |count: u32| Arc::new(Semaphore::new(count as usize));
         Rc::new(TargetPool {
             address,
@@ -58,6 +71,7 @@
             counted: permits(share.total),
             working: permits(share.working),
             idle: RefCell::new(Vec::new()),
+            connects,
         })
     }
 
@@ -84,11 +98,11 @@
     /// Takes a lane that is free right now.
     pub(crate) fn try_borrow(self: &Rc<Self>) -> Option<LaneLoan> {
         let working = self.working.clone().try_acquire_owned().ok()?;
-        if let Some(idle) = self.idle.borrow_mut().pop() {
+        if let Some(idle) = self.pop_idle() {
             return Some(self.loan(idle.lane, idle.counted, working));
         }
         let counted = self.counted.clone().try_acquire_owned().ok()?;
-        Some(self.loan(Lane::new(self.address), counted, working))
+        Some(self.loan(self.new_lane(), counted, working))
     }
 
     /// Probes the lanes that have brought no reply since `since`; silent ones are not used again.
@@ -104,13 +118,18 @@
         }
     }
 
+    /// Closes the lanes that have brought no reply since `since`.
+    pub(crate) fn close_idle(&self, since: Instant) {
+        self.idle.borrow_mut().retain(|idle| idle.proven_at >= since);
+    }
+
     /// Takes a lane back once its reply has come.
     ///
     /// Until then, and for as long as the target may count a silent connection, the lane counts.
     async fn await_late(
         self: Rc<Self>,
         exchange: LaneExchange,
-        lane: Lane,
+        lane: HttpLane,
         counted: OwnedSemaphorePermit,
     ) {
         if let Ok(Ok(_)) = timeout(SILENT_COUNT_TIME, exchange).await {
@@ -118,22 +137,37 @@
         }
     }
 
-    fn put_back(&self, lane: Lane, counted: OwnedSemaphorePermit) {
+    fn put_back(&self, lane: HttpLane, counted: OwnedSemaphorePermit) {
         self.idle.borrow_mut().push(IdleLane { lane, counted, proven_at: Instant::now() });
     }
 
     async fn borrow_next(self: &Rc<Self>) -> Option<LaneLoan> {
         let working = self.working.clone().acquire_owned().await.ok()?;
-        if let Some(idle) = self.idle.borrow_mut().pop() {
+        if let Some(idle) = self.pop_idle() {
             return Some(self.loan(idle.lane, idle.counted, working));
         }
         let counted = self.counted.clone().acquire_owned().await.ok()?;
-        Some(self.loan(Lane::new(self.address), counted, working))
+        Some(self.loan(self.new_lane(), counted, working))
+    }
+
+    /// The idle lane that was used last and is still open; closed ones are dropped on the way.
+    fn pop_idle(&self) -> Option<IdleLane> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(last) = idle.pop() {
+            if last.lane.is_open() {
+                return Some(last);
+            }
+        }
+        None
+    }
+
+    fn new_lane(&self) -> HttpLane {
+        HttpLane::new(self.address, LANE_SETTINGS, self.connects.clone())
     }
 
     fn loan(
         self: &Rc<Self>,
-        lane: Lane,
+        lane: HttpLane,
         counted: OwnedSemaphorePermit,
         working: OwnedSemaphorePermit,
     ) -> LaneLoan {
@@ -143,7 +177,7 @@
 
 impl LaneLoan {
     /// The lane.
-    pub(crate) fn lane(&self) -> &Lane {
+    pub(crate) fn lane(&self) -> &HttpLane {
         &self.lane
     }
 
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -7,7 +7,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use awc::http::StatusCode;
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use oleanderwind_http::LaneError;
+use oleanderwind_http::LaneExchange;
+use oleanderwind_http::LaneReply;
 use oleanderwind_policy::CallId;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
@@ -24,9 +30,6 @@
 
 use crate::targets::CallOutcome;
 use crate::targets::ExecuteDeadline;
-use crate::targets::lane::LaneError;
-use crate::targets::lane::LaneExchange;
-use crate::targets::lane::LaneReply;
 use crate::targets::pool::LaneLoan;
 use crate::targets::pool::TargetPool;
 
@@ -34,18 +37,43 @@
 const CANCEL_TIME: Duration = Duration::from_millis(50);
 /// Longest time to prove a connection live.
 const PROBE_TIME: Duration = Duration::from_millis(50);
+/// A connection that brought a reply this recently is taken for live.
+const PROVEN_TIME: Duration = Duration::from_millis(500);
 /// Least time between two probes of all idle connections.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pools of every target that has been called.
 #[derive(Default)]
 pub(crate) struct TargetService {
-    pools: RefCell<HashMap<TargetId, Rc<TargetPool>>>,
+    pools: RefCell<HashMap<TargetId, ProcessPool>>,
+    connects: Rc<Cell<u64>>,
     /// When idle lanes were last probed.
     probed_at: Cell<Option<Instant>>,
 }
 
+/// The pool of one process of a target.
+struct ProcessPool {
+    incarnation: u64,
+    pool: Rc<TargetPool>,
+}
+
+/// What came of passing a request on.
+#[derive(Debug)]
+pub(crate) enum ForwardOutcome {
+    /// Nothing was sent.
+    Unsent,
+    /// A whole reply to this request.
+    Replied(LaneReply),
+    /// No reply, or one that belongs to another request.
+    Failed,
+}
+
 impl TargetService {
+    /// Connections to targets made so far.
+    pub(crate) fn connects(&self) -> u64 {
+        self.connects.get()
+    }
+
     /// Makes pools for new and moved targets and drops those of targets that are gone.
     pub(crate) fn apply_targets(
         &self,
@@ -55,14 +83,17 @@
         let mut pools = self.pools.borrow_mut();
         let mut kept = HashMap::with_capacity(specs.len());
         for spec in specs {
-            let pool = match pools.remove(&spec.target) {
-                Some(pool) if pool.address() == spec.address => {
-                    pool.set_share(share(spec));
-                    pool
+            let held = pools.remove(&spec.target).filter(|held| {
+                held.incarnation == spec.incarnation && held.pool.address() == spec.address
+            });
+            let pool = match held {
+                Some(held) => {
+                    held.pool.set_share(share(spec));
+                    held.pool
                 }
-                _ => TargetPool::new(spec.address, share(spec)),
+                None => TargetPool::new(spec.address, share(spec), self.connects.clone()),
             };
-            kept.insert(spec.target.clone(), pool);
+            kept.insert(spec.target.clone(), ProcessPool { incarnation: spec.incarnation, pool });
         }
         *pools = kept;
     }
@@ -118,9 +149,48 @@
         self.settle(loan, reply, call.call_id, is_own)
     }
 
+    /// Passes a request on; its connection is kept only when the reply is `is_own`.
+    ///
+    /// One that may not be repeated goes over a connection that has answered lately or is new.
+    /// Dropping the future closes the connection, which tells the target to drop the request.
+    pub(crate) async fn forward(
+        &self,
+        target: &TargetId,
+        request: Request<Full<Bytes>>,
+        may_repeat: bool,
+        deadline: Instant,
+        is_own: impl Fn(&LaneReply) -> bool,
+    ) -> ForwardOutcome {
+        let Some(pool) = self.pool(target) else { return ForwardOutcome::Unsent };
+        if !may_repeat && let Some(since) = Instant::now().checked_sub(PROVEN_TIME) {
+            pool.close_idle(since);
+        }
+        let Some(loan) = pool.borrow(time_until(deadline)).await else {
+            return ForwardOutcome::Unsent;
+        };
+        let sent_at = Instant::now();
+        match timeout(time_until(deadline), loan.lane().send(request)).await {
+            Ok(Ok(reply)) if is_own(&reply) => {
+                loan.give_back();
+                ForwardOutcome::Replied(reply)
+            }
+            Ok(Err(LaneError::NotConnected)) => ForwardOutcome::Unsent,
+            Ok(Ok(_)) => {
+                log::warn!(target = target.as_ref(); "a reply belongs to another request");
+                ForwardOutcome::Failed
+            }
+            Ok(Err(LaneError::Broken)) => ForwardOutcome::Failed,
+            Err(_) => {
+                // What made this connection silent has often made others silent.
+                pool.close_idle(sent_at);
+                ForwardOutcome::Failed
+            }
+        }
+    }
+
     /// Asks a target to drop a call, if a lane is free right now.
     pub(crate) async fn cancel(&self, target: &TargetId, call: CallId) {
-        let pool = self.pools.borrow().get(target).cloned();
+        let pool = self.pool(target);
         let Some(loan) = pool.and_then(|pool| pool.try_borrow()) else { return };
         let exchange = loan.lane().post("/v1/cancel", &CancelCall { call_id: call });
         if let Some((loan, Ok(_))) = self.finish(loan, exchange, CANCEL_TIME).await {
@@ -156,14 +226,18 @@
             return;
         }
         self.probed_at.set(Some(now));
-        self.pools.borrow().values().for_each(|pool| pool.probe_idle(since));
+        self.pools.borrow().values().for_each(|held| held.pool.probe_idle(since));
     }
 
     async fn borrow(&self, target: &TargetId, deadline: Instant) -> Option<LaneLoan> {
-        let pool = self.pools.borrow().get(target).cloned()?;
+        let pool = self.pool(target)?;
         pool.borrow(time_until(deadline)).await
     }
 
+    fn pool(&self, target: &TargetId) -> Option<Rc<TargetPool>> {
+        self.pools.borrow().get(target).map(|held| held.pool.clone())
+    }
+
     /// Reads a reply; a lane that brought anything but the call's own reply is closed.
     fn settle<A: DeserializeOwned + Serialize>(
         &self,
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -1,6 +1,7 @@
 //! Accepting connections.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,6 +32,7 @@
 struct ListenerState {
     open: Cell<usize>,
     refused: Cell<u64>,
+    limits: RefCell<Rc<HttpLimits>>,
     phase: watch::Sender<DrainPhase>,
     is_accepting: Cell<bool>,
 }
@@ -51,10 +53,11 @@
         let state = Rc::new(ListenerState {
             open: Cell::new(0),
             refused: Cell::new(0),
+            limits: RefCell::new(Rc::new(limits)),
             phase: watch::Sender::new(DrainPhase::Serving),
             is_accepting: Cell::new(true),
         });
-        actix_rt::spawn(accept(listener, Rc::new(limits), handler, state.clone()));
+        actix_rt::spawn(accept(listener, handler, state.clone()));
         Ok(HttpListener { address, state })
     }
 
@@ -63,6 +66,11 @@
         self.address
     }
 
+    /// Changes the bounds of connections that are accepted from now on.
+    pub fn set_limits(&self, limits: HttpLimits) {
+        self.state.limits.replace(Rc::new(limits));
+    }
+
     /// Connections that are open.
     pub fn open_connections(&self) -> usize {
         self.state.open.get()
@@ -93,12 +101,7 @@
 }
 
 /// Accepts until the listener ends.
-async fn accept(
-    listener: TcpListener,
-    limits: Rc<HttpLimits>,
-    handler: HttpHandler,
-    state: Rc<ListenerState>,
-) {
+async fn accept(listener: TcpListener, handler: HttpHandler, state: Rc<ListenerState>) {
     let mut phase = state.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -106,7 +109,7 @@
             _ = phase.wait_for(|phase| *phase == DrainPhase::Ending) => return,
         };
         match accepted {
-            Ok((stream, peer)) => admit(stream, peer, &limits, &handler, &state),
+            Ok((stream, peer)) => admit(stream, peer, &handler, &state),
             Err(error) => {
                 log::warn!("accepting a connection failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -116,13 +119,8 @@
 }
 
 /// Serves one connection, or closes it when too many are open.
-fn admit(
-    stream: TcpStream,
-    peer: SocketAddr,
-    limits: &Rc<HttpLimits>,
-    handler: &HttpHandler,
-    state: &Rc<ListenerState>,
-) {
+fn admit(stream: TcpStream, peer: SocketAddr, handler: &HttpHandler, state: &Rc<ListenerState>) {
+    let limits = state.limits.borrow().clone();
     if state.open.get() >= limits.connections {
         state.refused.set(state.refused.get() + 1);
         return;
@@ -131,7 +129,6 @@
         log::debug!("TCP_NODELAY could not be set: {error}");
     }
     let guard = OpenConnection::new(state.clone());
-    let limits = limits.clone();
     let handler = handler.clone();
     let phase = state.phase.subscribe();
     actix_rt::spawn(async move {
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -15,6 +15,9 @@
 }
 
 impl HttpReply {
+    /// The status of a call that went well.
+    pub const OK: StatusCode = StatusCode::OK;
+
     /// An empty reply.
     pub fn empty(status: StatusCode) -> HttpReply {
         HttpReply { response: Response::with_body(status, BoxBody::new(())) }
@@ -51,6 +54,27 @@
         HttpReply::empty(status).with_body(BoxBody::new(BodyStream::new(chunks)))
     }
 
+    /// A reply of bytes without a content type.
+    pub fn raw(status: StatusCode, body: Bytes) -> HttpReply {
+        HttpReply::empty(status).with_body(BoxBody::new(body))
+    }
+
+    /// Adds a header given as bytes, beside others of its name.
+    pub fn add_header(&mut self, name: &[u8], value: &[u8]) {
+        let name = actix_http::header::HeaderName::from_bytes(name);
+        let value = actix_http::header::HeaderValue::from_bytes(value);
+        match (name, value) {
+            (Ok(name), Ok(value)) => self.response.headers_mut().append(name, value),
+            _ => log::warn!("a header of a reply is left out, as it is not valid"),
+        }
+    }
+
+    /// Makes the reply close its connection.
+    pub fn closing(mut self) -> HttpReply {
+        self.response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        self
+    }
+
     /// Adds a header; an invalid value is left out.
     pub fn with_header(mut self, name: &'static str, value: &str) -> HttpReply {
         if let Ok(value) = value.parse() {
--- a/crates/policy/benches/large_fleet/mod.rs
+++ b/crates/policy/benches/large_fleet/mod.rs
@@ -14,6 +14,7 @@
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::LoadReport;
 use oleanderwind_policy::QueryId;
+use oleanderwind_policy::RepeatTerms;
 use oleanderwind_policy::ShardEntry;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_policy::TargetId;
@@ -115,6 +116,8 @@
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
             extra_load_permille: 100,
+            objective: None,
+            repeats: RepeatTerms::default(),
         }
     }
 
@@ -142,6 +145,7 @@
                 failure_domain: "a".into(),
                 slots: 2,
                 connection_limit: 25,
+                incarnation: 0,
                 phase: TargetPhase::Ready,
             });
         }
--- a/crates/policy/src/budget/extra_load.rs
+++ b/crates/policy/src/budget/extra_load.rs
@@ -37,6 +37,22 @@
         true
     }
 
+    /// Takes back what a primary call earned that was never sent.
+    pub(crate) fn unearn(&mut self, extra_load_permille: u32) {
+        self.credit = self.credit.saturating_sub(u64::from(extra_load_permille));
+    }
+
+    /// Gives back an extra call that was never sent.
+    pub(crate) fn refund(&mut self) {
+        self.credit = (self.credit + CALL_CREDIT).min(self.cap);
+    }
+
+    /// Changes how many calls are kept for later.
+    pub(crate) fn set_burst(&mut self, burst_calls: u32) {
+        self.cap = u64::from(burst_calls) * CALL_CREDIT;
+        self.credit = self.credit.min(self.cap);
+    }
+
     /// Whether a hedge would leave enough for retries.
     pub(crate) fn has_hedge_credit(&self) -> bool {
         self.credit >= self.cap / RETRY_RESERVE_DIVISOR + CALL_CREDIT
--- a/crates/policy/src/budget/table.rs
+++ b/crates/policy/src/budget/table.rs
@@ -1,39 +1,70 @@
-//! Budgets of all customers, by index.
+//! Budgets by who they belong to.
 
 use std::collections::HashMap;
 
 use crate::CustomerId;
+use crate::ServiceId;
 use crate::budget::ExtraLoadBudget;
 
-/// Index of a customer's budget in a [`BudgetTable`].
+/// Index of a budget in a [`BudgetTable`].
 pub(crate) type BudgetIndex = u32;
 
-/// The budget of every customer that has sent a query.
+/// The budget of every customer and every service that a query was sent for.
 pub(crate) struct BudgetTable {
-    burst_calls: u32,
+    customer_burst: u32,
+    service_burst: u32,
     by_customer: HashMap<CustomerId, BudgetIndex>,
+    by_service: HashMap<ServiceId, BudgetIndex>,
     budgets: Vec<ExtraLoadBudget>,
 }
 
 impl BudgetTable {
-    /// No budget yet; each will keep at most `burst_calls`.
-    pub(crate) fn new(burst_calls: u32) -> BudgetTable {
-        BudgetTable { burst_calls, by_customer: HashMap::new(), budgets: Vec::new() }
+    /// No budget yet; each will keep at most its kind's burst of calls.
+    pub(crate) fn new(customer_burst: u32, service_burst: u32) -> BudgetTable {
+        BudgetTable {
+            customer_burst,
+            service_burst,
+            by_customer: HashMap::new(),
+            by_service: HashMap::new(),
+            budgets: Vec::new(),
+        }
     }
 
     /// The index of a customer's budget, made on first use.
-    pub(crate) fn intern(&mut self, customer: &CustomerId) -> BudgetIndex {
+    pub(crate) fn of_customer(&mut self, customer: &CustomerId) -> BudgetIndex {
         if let Some(index) = self.by_customer.get(customer) {
             return *index;
         }
-        let index = u32::try_from(self.budgets.len()).unwrap_or(u32::MAX);
-        self.budgets.push(ExtraLoadBudget::new(self.burst_calls));
+        let index = self.add(self.customer_burst);
         self.by_customer.insert(customer.clone(), index);
         index
     }
 
-    /// A customer's budget.
+    /// The index of a service's budget, made on first use.
+    pub(crate) fn of_service(&mut self, service: &ServiceId) -> BudgetIndex {
+        if let Some(index) = self.by_service.get(service) {
+            return *index;
+        }
+        let index = self.add(self.service_burst);
+        self.by_service.insert(service.clone(), index);
+        index
+    }
+
+    /// A budget.
     pub(crate) fn budget_mut(&mut self, index: BudgetIndex) -> &mut ExtraLoadBudget {
         &mut self.budgets[index as usize]
     }
+
+    /// Changes what each service's budget keeps at most.
+    pub(crate) fn set_service_burst(&mut self, calls: u32) {
+        self.service_burst = calls;
+        for index in self.by_service.values() {
+            self.budgets[*index as usize].set_burst(calls);
+        }
+    }
+
+    fn add(&mut self, burst_calls: u32) -> BudgetIndex {
+        self.budgets.push(ExtraLoadBudget::new(burst_calls));
+        u32::try_from(self.budgets.len() - 1).unwrap_or(u32::MAX)
+    }
 }
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::QueryId;
 use crate::RefusalCause;
 use crate::fanout::engine::OpenCall;
+use crate::fanout::plan::MAX_SENDS;
 use crate::fanout::query::LossCause;
 use crate::fanout::query::RunningQuery;
 use crate::fanout::query::ShardState;
@@ -16,8 +17,6 @@
 use crate::routing::TargetChoice;
 use crate::routing::TargetIndex;
 
-/// Most calls for one shard of a query.
-const MAX_SENDS: u8 = 4;
 /// Pause before a replica that refused or failed is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
@@ -36,7 +35,8 @@
         }
         let shard = &running.shards[position];
         let is_extra = shard.sends > 0;
-        if is_extra && !(shard.sends < MAX_SENDS && self.has_extra_credit(running)) {
+        let may_repeat = may_repeat(running, position);
+        if is_extra && !(may_repeat && self.has_extra_credit(running, position)) {
             let cause = unpaid_cause(running, position);
             return running.lose(position, cause);
         }
@@ -64,7 +64,8 @@
         let is_shedding =
             replicas.iter().any(|target| self.targets.state(*target).is_shedding(now));
         let is_late = self.latest_start(running, position) < now;
-        if is_shedding || is_late || !self.has_hedge_credit(running) {
+        let may_hedge = running.plan.repeats.is_idempotent && may_repeat(running, position);
+        if is_shedding || is_late || !may_hedge || !self.has_hedge_credit(running, position) {
             return;
         }
         let skipped = running.shards[position].tried | running.shards[position].excluded;
@@ -118,8 +119,9 @@
         shard.open[free] = Some(call);
         shard.tried |= replica_bit(replica);
         shard.sends += 1;
+        shard.attempts += 1;
         shard.enter(ShardState::Open);
-        if !is_hedge && replicas.len() > 1 {
+        if !is_hedge && replicas.len() > 1 && running.plan.repeats.is_idempotent {
             self.plan_hedge(query, running, position, now);
         }
     }
@@ -139,6 +141,8 @@
             RefusalCause::SnapshotUnknown => (LossCause::SnapshotUnknown, true),
             RefusalCause::Draining | RefusalCause::Malformed => (LossCause::NoTarget, true),
         };
+        let shard = &mut running.shards[open.position as usize];
+        shard.attempts = shard.attempts.saturating_sub(1);
         if is_final {
             running.shards[open.position as usize].excluded |= replica_bit(open.replica as usize);
         }
@@ -153,6 +157,33 @@
         now: Instant,
         actions: &mut Vec<FanoutAction>,
     ) {
+        if !running.plan.repeats.is_idempotent {
+            return running.lose(open.position as usize, LossCause::NoTarget);
+        }
+        self.retry(running, open, LossCause::NoTarget, now, actions);
+    }
+
+    /// Acts on a call of which nothing left this VM: it counts as never sent.
+    pub(crate) fn retry_unsent(
+        &mut self,
+        running: &mut RunningQuery,
+        open: &OpenCall,
+        now: Instant,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let position = open.position as usize;
+        let shard = &mut running.shards[position];
+        shard.attempts = shard.attempts.saturating_sub(1);
+        shard.sends = shard.sends.saturating_sub(1);
+        running.calls_sent = running.calls_sent.saturating_sub(1);
+        let budget = self.budgets.budget_mut(running.budget(position));
+        match running.shards[position].sends {
+            0 => budget.unearn(running.plan.extra_load_permille),
+            _ => {
+                budget.refund();
+                running.extra_calls = running.extra_calls.saturating_sub(1);
+            }
+        }
         self.retry(running, open, LossCause::NoTarget, now, actions);
     }
 
@@ -232,19 +263,19 @@
         }
     }
 
-    fn has_extra_credit(&mut self, running: &RunningQuery) -> bool {
+    fn has_extra_credit(&mut self, running: &RunningQuery, position: usize) -> bool {
         let is_allowed = running.plan.extra_load_permille > 0;
-        is_allowed && self.budgets.budget_mut(running.budget).has_credit()
+        is_allowed && self.budgets.budget_mut(running.budget(position)).has_credit()
     }
 
-    fn has_hedge_credit(&mut self, running: &RunningQuery) -> bool {
+    fn has_hedge_credit(&mut self, running: &RunningQuery, position: usize) -> bool {
         let is_allowed = running.plan.extra_load_permille > 0;
-        is_allowed && self.budgets.budget_mut(running.budget).has_hedge_credit()
+        is_allowed && self.budgets.budget_mut(running.budget(position)).has_hedge_credit()
     }
 
     /// Books a call: a shard's first earns budget, each further one spends it.
     fn pay(&mut self, running: &mut RunningQuery, position: usize) -> bool {
-        let budget = self.budgets.budget_mut(running.budget);
+        let budget = self.budgets.budget_mut(running.budget(position));
         if running.shards[position].sends > 0 {
             if !budget.try_spend() {
                 return false;
@@ -258,6 +289,12 @@
     }
 }
 
+/// Whether another target may run a shard's call.
+fn may_repeat(running: &RunningQuery, position: usize) -> bool {
+    let shard = &running.shards[position];
+    shard.sends < MAX_SENDS && shard.attempts < running.plan.repeats.attempts
+}
+
 /// Why a shard is lost that may send no further call: a snapshot counts as unknown only once no
 /// replica is left that may hold it.
 fn unpaid_cause(running: &RunningQuery, position: usize) -> LossCause {
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::BudgetOwner;
 use crate::CallId;
 use crate::FanoutAction;
 use crate::FanoutEvent;
@@ -67,6 +68,8 @@
 ///     preference: AnswerPreference::Coverage,
 ///     priority: ClassPriority::Interactive,
 ///     extra_load_permille: 100,
+///     objective: None,
+///     repeats: RepeatTerms::default(),
 /// };
 /// let mut actions = Vec::new();
 /// engine.submit(1, plan, now, &mut actions);
@@ -108,9 +111,9 @@
     pub fn new(settings: FanoutSettings) -> FanoutEngine {
         FanoutEngine {
             generator: Pcg64Mcg::seed_from_u64(settings.seed),
-            targets: TargetTable::default(),
+            targets: TargetTable::new(settings.own_domain.clone(), settings.crossing_cost),
             latencies: LatencyTable::new(settings.hedge.permille(), settings.cold_latency),
-            budgets: BudgetTable::new(settings.extra_load_burst),
+            budgets: BudgetTable::new(settings.extra_load_burst, settings.service_burst),
             queries: HashMap::new(),
             calls: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -141,6 +144,9 @@
         let mut reason = running.verdict(now);
         if reason.is_none() {
             self.push_timer(query, 0, 0, running.answer_by, TimerKind::Answer);
+            if let Some(at) = running.objective_at {
+                self.push_timer(query, 0, 0, at, TimerKind::Answer);
+            }
             for position in 0..running.shards.len() {
                 if running.shards[position].is_pending() {
                     self.dispatch(query, &mut running, position, now, actions);
@@ -179,6 +185,7 @@
                 running.calls_refused += u32::from(is_proof_of_no_run(cause));
                 self.retry_refused(&mut running, &open, cause, now, actions);
             }
+            FanoutEvent::Unsent { .. } => self.retry_unsent(&mut running, &open, now, actions),
             FanoutEvent::Failed { .. } => self.retry_failed(&mut running, &open, now, actions),
         }
         let reason = running.verdict(now);
@@ -246,8 +253,14 @@
         let shards = shards.map(|shard| ShardProgress::new(late_at(shard.latency))).collect();
         let margin = self.settings.answer_margin.min(left / MARGIN_DIVISOR);
         let answer_by = plan.deadline.checked_sub(margin).unwrap_or(plan.deadline);
-        let budget = self.budgets.intern(&plan.customer);
-        Box::new(RunningQuery::new(plan, resolved, shards, budget, answer_by))
+        let objective_at = plan.objective.map(|at| at.checked_sub(margin).unwrap_or(at));
+        let budgets = match &plan.repeats.budget {
+            BudgetOwner::Customer => vec![self.budgets.of_customer(&plan.customer)],
+            BudgetOwner::Services(services) => {
+                services.iter().map(|service| self.budgets.of_service(service)).collect()
+            }
+        };
+        Box::new(RunningQuery::new(plan, resolved, shards, budgets, answer_by, objective_at))
     }
 
     /// Time from a query's start until a missing shard is not waited for any longer.
--- a/crates/policy/src/fanout/event.rs
+++ b/crates/policy/src/fanout/event.rs
@@ -29,6 +29,11 @@
         /// Whether the target says it is leaving.
         draining: bool,
     },
+    /// Nothing of the call left this VM.
+    Unsent {
+        /// The call.
+        call: CallId,
+    },
     /// No answer will come: the connection broke, went silent or carried another call's answer.
     Failed {
         /// The call.
@@ -42,6 +47,7 @@
         match self {
             FanoutEvent::Answered { call, .. }
             | FanoutEvent::Refused { call, .. }
+            | FanoutEvent::Unsent { call }
             | FanoutEvent::Failed { call } => *call,
         }
     }
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -41,6 +41,11 @@
         self.serve_later(index);
     }
 
+    /// Sets how many extra calls this VM may save up for each service.
+    pub fn set_service_burst(&mut self, calls: u32) {
+        self.budgets.set_service_burst(calls);
+    }
+
     /// Takes in what an event says of its target, and closes the call there.
     pub(crate) fn note_event(&mut self, event: &FanoutEvent, open: &OpenCall, now: Instant) {
         let elapsed = now.saturating_duration_since(open.sent_at);
@@ -55,7 +60,7 @@
                 state.note_refusal(*cause, *load, now);
                 state.drain_if(*draining || *cause == RefusalCause::Draining);
             }
-            FanoutEvent::Failed { .. } => state.note_failure(now),
+            FanoutEvent::Unsent { .. } | FanoutEvent::Failed { .. } => state.note_failure(now),
         }
         self.targets.state_mut(open.target).window.release();
         self.freed.push(open.target);
--- a/crates/policy/src/fanout/plan.rs
+++ b/crates/policy/src/fanout/plan.rs
@@ -7,8 +7,12 @@
 use crate::ClassId;
 use crate::ClassPriority;
 use crate::CustomerId;
+use crate::ServiceId;
 use crate::SnapshotManifest;
 
+/// Most calls for one shard of a query, whatever its terms allow.
+pub(crate) const MAX_SENDS: u8 = 4;
+
 /// A running query of one VM.
 pub type QueryId = u64;
 
@@ -31,4 +35,34 @@
     pub priority: ClassPriority,
     /// Bound of hedges, retries and refills, in thousandths of the primary calls.
     pub extra_load_permille: u32,
+    /// When an answer loses most of its worth: from then on one at the floor goes out.
+    pub objective: Option<Instant>,
+    /// What may be sent more than once.
+    pub repeats: RepeatTerms,
+}
+
+/// How often a shard's call may be sent, and who pays for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RepeatTerms {
+    /// Whether a call that may have run may be sent again.
+    pub is_idempotent: bool,
+    /// Most targets that may run the call of one shard.
+    pub attempts: u8,
+    /// Whose budget extra calls are taken from.
+    pub budget: BudgetOwner,
+}
+
+impl Default for RepeatTerms {
+    fn default() -> RepeatTerms {
+        RepeatTerms { is_idempotent: true, attempts: MAX_SENDS, budget: BudgetOwner::Customer }
+    }
+}
+
+/// Whose budget pays for a query's extra calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BudgetOwner {
+    /// The customer's, over all shards.
+    Customer,
+    /// That of each shard's own service, in the order of the manifest's shards.
+    Services(Arc<[ServiceId]>),
 }
--- a/crates/policy/src/fanout/query.rs
+++ b/crates/policy/src/fanout/query.rs
@@ -57,6 +57,8 @@
     pub(crate) excluded: u64,
     /// Calls sent so far.
     pub(crate) sends: u8,
+    /// Of these, calls that a target may have run.
+    pub(crate) attempts: u8,
     /// Grows with each change; timers and waiting copies of an earlier step are stale.
     pub(crate) step: u32,
     /// From here on the shard is late by its own expected latency.
@@ -74,6 +76,7 @@
             tried: 0,
             excluded: 0,
             sends: 0,
+            attempts: 0,
             step: 0,
             late_at,
             last_cause: LossCause::NoTarget,
@@ -117,9 +120,12 @@
     pub(crate) plan: FanoutPlan,
     pub(crate) resolved: Arc<ResolvedManifest>,
     pub(crate) shards: Vec<ShardProgress>,
-    pub(crate) budget: BudgetIndex,
+    /// One budget for all shards, or one a shard.
+    budgets: Vec<BudgetIndex>,
     /// The deadline less the margin.
     pub(crate) answer_by: Instant,
+    /// The objective less the margin.
+    pub(crate) objective_at: Option<Instant>,
     pub(crate) calls_sent: u32,
     pub(crate) extra_calls: u32,
     pub(crate) calls_refused: u32,
@@ -139,8 +145,9 @@
         plan: FanoutPlan,
         resolved: Arc<ResolvedManifest>,
         shards: Vec<ShardProgress>,
-        budget: BudgetIndex,
+        budgets: Vec<BudgetIndex>,
         answer_by: Instant,
+        objective_at: Option<Instant>,
     ) -> RunningQuery {
         let documents = resolved.documents;
         let permille = u64::from(plan.coverage_floor_permille);
@@ -154,8 +161,9 @@
             plan,
             resolved,
             shards,
-            budget,
+            budgets,
             answer_by,
+            objective_at,
             calls_sent: 0,
             extra_calls: 0,
             calls_refused: 0,
@@ -163,6 +171,11 @@
         }
     }
 
+    /// The budget that pays for a shard's extra calls.
+    pub(crate) fn budget(&self, position: usize) -> BudgetIndex {
+        *self.budgets.get(position).unwrap_or(&self.budgets[0])
+    }
+
     /// Counts a shard's answer, at most the shard's own documents.
     pub(crate) fn count_answer(&mut self, position: usize, documents: u64) {
         let weight = self.settle(position, ShardState::Answered);
@@ -193,7 +206,9 @@
         if now >= self.answer_by {
             return Some(FinishReason::DeadlineNear);
         }
-        self.is_rest_late(now).then_some(FinishReason::FloorMet)
+        let is_objective_past = self.objective_at.is_some_and(|at| now >= at);
+        let is_due = is_objective_past && self.is_floor_met();
+        (is_due || self.is_rest_late(now)).then_some(FinishReason::FloorMet)
     }
 
     /// The answer when the query ends for `reason`.
@@ -234,11 +249,13 @@
         }
     }
 
+    fn is_floor_met(&self) -> bool {
+        self.shards_answered > 0 && self.documents_covered >= self.documents_floor
+    }
+
     /// Whether the contract prefers time, the floor is met and every missing shard is late.
     fn is_rest_late(&mut self, now: Instant) -> bool {
-        let is_floor_met =
-            self.shards_answered > 0 && self.documents_covered >= self.documents_floor;
-        if self.plan.preference != AnswerPreference::Latency || !is_floor_met {
+        if self.plan.preference != AnswerPreference::Latency || !self.is_floor_met() {
             return false;
         }
         let pending = self.shards.iter().filter(|shard| shard.is_pending());
--- a/crates/policy/src/fanout/settings.rs
+++ b/crates/policy/src/fanout/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::FailureDomainId;
 use crate::RoutingPolicy;
 
 /// Quantile of a shard's own latency after which it is hedged, in thousandths.
@@ -59,6 +60,12 @@
     pub answer_margin: Duration,
     /// Extra calls that a customer may save up.
     pub extra_load_burst: u32,
+    /// Extra calls that may be saved up for a service, where services pay for them.
+    pub service_burst: u32,
+    /// Where this VM stands; none treats all targets as equally near.
+    pub own_domain: Option<FailureDomainId>,
+    /// Expected wait that a target in another failure domain has to save.
+    pub crossing_cost: Duration,
     /// Shard calls that may wait for one target; deferrable ones fill at most half.
     pub queue_limit: usize,
 }
@@ -74,6 +81,9 @@
             cold_latency: Duration::from_millis(50),
             answer_margin: Duration::from_millis(5),
             extra_load_burst: 100,
+            service_burst: 6,
+            own_domain: None,
+            crossing_cost: Duration::ZERO,
             queue_limit: 64,
         }
     }
--- a/crates/policy/src/objects/object.rs
+++ b/crates/policy/src/objects/object.rs
@@ -21,12 +21,19 @@
     Targets,
     /// The platform's list of VMs.
     Vms,
+    /// Routes of opaque requests.
+    Routes,
 }
 
 impl ObjectKind {
     /// Every kind.
-    pub const ALL: [ObjectKind; 4] =
-        [ObjectKind::Contracts, ObjectKind::Snapshots, ObjectKind::Targets, ObjectKind::Vms];
+    pub const ALL: [ObjectKind; 5] = [
+        ObjectKind::Contracts,
+        ObjectKind::Snapshots,
+        ObjectKind::Targets,
+        ObjectKind::Vms,
+        ObjectKind::Routes,
+    ];
 
     /// The kind as the Object API spells it.
     pub fn as_str(self) -> &'static str {
@@ -35,6 +42,7 @@
             ObjectKind::Snapshots => "snapshots",
             ObjectKind::Targets => "targets",
             ObjectKind::Vms => "vms",
+            ObjectKind::Routes => "routes",
         }
     }
 }
--- a/crates/policy/src/objects/watch.rs
+++ b/crates/policy/src/objects/watch.rs
@@ -19,8 +19,6 @@
 const LONGEST_WATCH: Duration = Duration::from_secs(60);
 /// Bound of the first wait after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
-/// Bound of every later wait.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(10);
 
 /// The VMs of one failure domain that hold watches, by the view of the VM that asks.
 ///
@@ -41,16 +39,18 @@
 #[derive(Clone, Debug)]
 pub struct WatchBackoff {
     failures: u32,
+    longest: Duration,
     next_call: Instant,
     generator: Pcg64Mcg,
 }
 
 impl WatchBackoff {
-    /// The first call is due within a second, as many VMs may start together.
-    pub fn new(seed: u64, now: Instant) -> WatchBackoff {
-        let mut backoff =
-            WatchBackoff { failures: 0, next_call: now, generator: Pcg64Mcg::seed_from_u64(seed) };
-        backoff.wait(FIRST_BACKOFF, now);
+    /// The first call is due within a second, as many VMs may start together; no wait is longer
+    /// than `longest`.
+    pub fn new(seed: u64, longest: Duration, now: Instant) -> WatchBackoff {
+        let generator = Pcg64Mcg::seed_from_u64(seed);
+        let mut backoff = WatchBackoff { failures: 0, longest, next_call: now, generator };
+        backoff.wait(FIRST_BACKOFF.min(longest), now);
         backoff
     }
 
@@ -74,7 +74,7 @@
 
     /// The call failed.
     pub fn failed(&mut self, now: Instant) {
-        let bound = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(10)).min(LONGEST_BACKOFF);
+        let bound = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(10)).min(self.longest);
         self.failures = self.failures.saturating_add(1);
         self.wait(bound, now);
     }
--- /dev/null
+++ b/crates/policy/src/route/merge.rs
@@ -0,0 +1,34 @@
+//! Merging shards' records.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Length of one record.
+pub const RECORD_BYTES: usize = 16;
+
+/// The greatest `top` records of all parts, greatest first, compared byte by byte.
+///
+/// Equal records all count; a remainder shorter than a record is none.
+///
+/// # Examples
+///
+/// ```
+/// use bytes::Bytes;
+/// use oleanderwind_policy::merge_records;
+///
+/// let part = Bytes::from_static(b"aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbbrest");
+/// assert_eq!(merge_records(&[part], 1), "bbbbbbbbbbbbbbbb");
+/// ```
+pub fn merge_records(parts: &[Bytes], top: usize) -> Bytes {
+    let records = parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES));
+    let mut records: Vec<&[u8]> = records.collect();
+    let kept = top.min(records.len());
+    if kept > 0 && kept < records.len() {
+        records.select_nth_unstable_by(kept - 1, |left, right| right.cmp(left));
+        records.truncate(kept);
+    }
+    records.sort_unstable_by(|left, right| right.cmp(left));
+    let mut merged = BytesMut::with_capacity(records.len() * RECORD_BYTES);
+    records.into_iter().for_each(|record| merged.extend_from_slice(record));
+    merged.freeze()
+}
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -52,7 +52,10 @@
         now: Instant,
     ) -> TargetChoice {
         let usable = candidates.filter(|index| table.state(*index).is_usable());
-        let healthy = usable.clone().filter(|index| !table.state(*index).backoff.is_failing());
+        let healthy = usable.clone().filter(|index| {
+            let state = table.state(*index);
+            !state.backoff.is_failing() && !state.is_lapsed()
+        });
         let has_room = |index: &TargetIndex| table.state(*index).window.has_room();
         let is_probe_due = |index: &TargetIndex| table.state(*index).backoff.is_probe_due(now);
         let probe = usable.clone().filter(is_probe_due).find(has_room);
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -1,5 +1,6 @@
 //! What is known of one target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +34,13 @@
     PastDeadline,
 }
 
+/// One process of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct TargetProcess {
+    incarnation: u64,
+    address: SocketAddr,
+}
+
 /// One target: what the platform says, what it says itself and what was seen.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -45,6 +53,10 @@
     pub(crate) picks: u64,
     /// When the platform stopped listing it.
     pub(crate) unlisted_at: Option<Instant>,
+    /// Expected wait added for its distance, in seconds.
+    pub(crate) crossing_cost: f64,
+    /// Which process this is of; none before it is listed.
+    process: Option<TargetProcess>,
     listed_phase: Option<TargetPhase>,
     is_draining: bool,
     others_open: u32,
@@ -63,6 +75,8 @@
             backoff: FailureBackoff::default(),
             picks: 0,
             unlisted_at: None,
+            crossing_cost: 0.0,
+            process: None,
             listed_phase: None,
             is_draining: false,
             others_open: 0,
@@ -73,6 +87,10 @@
 
     /// Takes over what the platform lists.
     pub(crate) fn list(&mut self, spec: &TargetSpec) {
+        let process = TargetProcess { incarnation: spec.incarnation, address: spec.address };
+        if self.process.replace(process).is_some_and(|before| before != process) {
+            self.forget();
+        }
         if self.listed_phase.is_none() {
             self.window.set_initial(spec.slots);
         }
@@ -86,6 +104,16 @@
         self.unlisted_at = None;
     }
 
+    /// Drops what was seen of an earlier process; its open calls stay counted.
+    fn forget(&mut self) {
+        self.latency = LatencyMean::default();
+        self.backoff = FailureBackoff::default();
+        self.listed_phase = None;
+        self.is_draining = false;
+        self.reported_at = None;
+        self.shed_at = None;
+    }
+
     /// Notes that the platform lists it no more.
     pub(crate) fn unlist(&mut self, now: Instant) {
         if self.listed_phase.take().is_some() {
@@ -109,6 +137,11 @@
         self.listed_phase.is_some() && !self.is_draining && self.window.has_connections()
     }
 
+    /// Whether it is used only where nothing else is left.
+    pub(crate) fn is_lapsed(&self) -> bool {
+        self.listed_phase == Some(TargetPhase::Lapsed)
+    }
+
     /// Whether it shed a call lately.
     pub(crate) fn is_shedding(&self, now: Instant) -> bool {
         self.shed_at.is_some_and(|at| now.saturating_duration_since(at) < SHED_HOLD)
@@ -164,7 +197,7 @@
             self.reported_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_LIFETIME);
         let others = if is_fresh { self.others_open } else { 0 };
         let ahead = f64::from(self.window.open() + others);
-        latency * (1.0 + ahead / f64::from(self.window.slots()))
+        latency * (1.0 + ahead / f64::from(self.window.slots())) + self.crossing_cost
     }
 
     fn note_load(&mut self, load: LoadReport, now: Instant) {
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::FailureDomainId;
 use crate::ProviderId;
 use crate::ServiceId;
 use crate::TargetId;
@@ -18,8 +19,9 @@
 const UNLISTED_HOLD: Duration = Duration::from_secs(120);
 
 /// Targets by index, with their ids and services.
-#[derive(Default)]
 pub(crate) struct TargetTable {
+    own_domain: Option<FailureDomainId>,
+    crossing_cost: f64,
     states: Vec<TargetState>,
     by_id: HashMap<TargetId, TargetIndex>,
     by_service: HashMap<(ServiceId, ProviderId), Vec<TargetIndex>>,
@@ -28,6 +30,19 @@
 }
 
 impl TargetTable {
+    /// An empty table for a VM in `own_domain`; a target elsewhere has to save `crossing_cost`.
+    pub(crate) fn new(own_domain: Option<FailureDomainId>, crossing_cost: Duration) -> TargetTable {
+        TargetTable {
+            own_domain,
+            crossing_cost: crossing_cost.as_secs_f64(),
+            states: Vec::new(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            free: Vec::new(),
+            generation: 0,
+        }
+    }
+
     /// The target at an index.
     pub(crate) fn state(&self, index: TargetIndex) -> &TargetState {
         &self.states[index as usize]
@@ -95,7 +110,12 @@
         let mut listed = HashSet::with_capacity(specs.len());
         for spec in specs {
             let index = self.intern(&spec.target);
-            self.state_mut(index).list(spec);
+            let is_near =
+                self.own_domain.as_ref().is_none_or(|domain| *domain == spec.failure_domain);
+            let cost = if is_near { 0.0 } else { self.crossing_cost };
+            let state = self.state_mut(index);
+            state.list(spec);
+            state.crossing_cost = cost;
             listed.insert(index);
             let key = (spec.service.clone(), spec.provider.clone());
             self.by_service.entry(key).or_default().push(index);
--- a/crates/policy/src/snapshot/target.rs
+++ b/crates/policy/src/snapshot/target.rs
@@ -18,6 +18,8 @@
     Ready,
     /// Leaving: finishes what runs and takes nothing new.
     Draining,
+    /// No longer listed, though it never said that it leaves: used only where nothing else is left.
+    Lapsed,
 }
 
 /// A target's object of kind `targets`, named by its id.
@@ -37,6 +39,9 @@
     pub slots: u32,
     /// Connections that it accepts.
     pub connection_limit: u32,
+    /// Which start of the target this is; another start knows nothing of the one before.
+    #[serde(default)]
+    pub incarnation: u64,
     /// What the platform says of it.
     pub phase: TargetPhase,
 }
--- a/crates/policy/src/subset/mod.rs
+++ b/crates/policy/src/subset/mod.rs
@@ -5,11 +5,13 @@
 
 mod address;
 mod budget;
+mod callers;
 mod holders;
 mod rendezvous;
 
 pub use address::address_plan;
 pub use budget::ConnectionBudget;
+pub use callers::caller_plan;
 pub use holders::HeldService;
 pub use holders::holders_by_service;
 pub use holders::service_holders;
--- a/crates/policy/tests/fanout/fake_fleet.rs
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -20,6 +20,7 @@
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::RepeatTerms;
 use oleanderwind_policy::ShardEntry;
 use oleanderwind_policy::ShardId;
 use oleanderwind_policy::SnapshotManifest;
@@ -92,6 +93,7 @@
                     failure_domain: "a".into(),
                     slots: 2,
                     connection_limit: 8,
+                    incarnation: 0,
                     phase: TargetPhase::Ready,
                 });
             }
@@ -142,6 +144,8 @@
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
             extra_load_permille: self.extra_permille,
+            objective: None,
+            repeats: RepeatTerms::default(),
         }
     }
 
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -155,7 +155,7 @@
             alive: true,
             bytes: 0,
             life,
-            backoff: WatchBackoff::new(seed, self.now),
+            backoff: WatchBackoff::new(seed, Duration::from_secs(10), self.now),
             watching_until: None,
             next_look: self.now,
         }
--- a/crates/standin/src/server/standin.rs
+++ b/crates/standin/src/server/standin.rs
@@ -224,6 +224,7 @@
         failure_domain: deployment.failure_domain(plan, index).into(),
         slots: plan.slots,
         connection_limit: plan.connection_limit,
+        incarnation: 0,
         phase: TargetPhase::Ready,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,4 +12,6 @@
 pub use oleanderwind_daemon::DaemonSettings;
 pub use oleanderwind_daemon::RawSettings;
 pub use oleanderwind_daemon::RefusalKind;
+pub use oleanderwind_daemon::product_edges;
+pub use oleanderwind_daemon::run_daemon;
 pub use oleanderwind_daemon::start_logging;
