feat(logging): structured lines on standard output, bounded and never blocking

Cause: lines went to standard error, had no fields and could block the thread. Change: fields of a record become JSON fields; a thread of its own writes from a bounded queue; a quota of 100 lines/s counts what it leaves out; metrics are served on the admin address too.

--- a/crates/daemon/src/admin/service.rs
+++ b/crates/daemon/src/admin/service.rs
@@ -32,6 +32,7 @@
 use crate::edge::ObjectKind;
 use crate::edge::PlatformError;
 use crate::kernel::Kernel;
+use crate::metrics::MetricsService;
 use crate::outcomes::OutcomeService;
 use crate::peers::PeerService;
 use crate::platform::PlatformService;
@@ -51,6 +52,7 @@
     peers: Rc<PeerService>,
     platform: Rc<PlatformService>,
     outcomes: Rc<OutcomeService>,
+    metrics: Rc<MetricsService>,
     edits: Cell<u64>,
 }
 
@@ -67,6 +69,7 @@
             peers: kernel.peers()?,
             platform: kernel.platform()?,
             outcomes: kernel.outcomes()?,
+            metrics: kernel.metrics()?,
             edits: Cell::new(0),
         });
         let handler = Rc::new(move |call| serve(state.clone(), call).boxed_local());
@@ -103,6 +106,7 @@
         }
         (&Method::GET, ["v1", "explain"]) => state.explain(&call),
         (&Method::POST, ["v1", "drain"]) => state.drain(),
+        (&Method::GET, ["metrics"]) => state.metrics.reply(),
         _ => not_found(&format!("{} {} is not served here", call.method, call.path)),
     }
 }
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -108,12 +108,16 @@
     /// Leaves the fleet: callers are sent elsewhere, open requests are finished.
     pub async fn drain(&self) {
         let settings = self.kernel.settings();
-        log::info!("drain starts");
-        self.kernel.announce_leaving();
         let (notice, patience) = settings.stop_times();
+        log::info!(
+            notice_ms = notice.as_millis() as u64,
+            patience_ms = patience.as_millis() as u64;
+            "the VM begins to stop"
+        );
+        self.kernel.announce_leaving();
         tokio::time::sleep(notice).await;
         self.kernel.drain(patience).await;
-        log::info!("drain ends");
+        log::info!("the VM has stopped");
     }
 }
 
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -132,7 +132,7 @@
             (&Method::GET, ["v1", "addresses"]) => self.serve_addresses(&call),
             (&Method::GET, ["healthz"]) => HttpReply::text(StatusCode::OK, "live\n"),
             (&Method::GET, ["readyz"]) => self.serve_readiness(),
-            (&Method::GET, ["metrics"]) => self.serve_metrics(),
+            (&Method::GET, ["metrics"]) => self.metrics.reply(),
             _ => {
                 let mut findings = FindingList::default();
                 findings.add("path", format!("{} {} is not served here", call.method, call.path));
@@ -158,16 +158,6 @@
             (true, true) => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
         }
     }
-
-    fn serve_metrics(&self) -> HttpReply {
-        match self.metrics.render() {
-            Ok(text) => HttpReply::text(StatusCode::OK, text),
-            Err(error) => {
-                log::error!("metrics could not be written: {error}");
-                HttpReply::empty(StatusCode::INTERNAL_SERVER_ERROR)
-            }
-        }
-    }
 }
 
 /// Serving requests.
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -44,7 +44,7 @@
 
     /// Adds a started service.
     pub(crate) fn register(&self, service: Service) {
-        log::info!("service {:?} started", service.name());
+        log::debug!("service {:?} started", service.name());
         self.services.borrow_mut().push(service);
     }
 
@@ -103,7 +103,7 @@
     pub(crate) async fn drain(&self, patience: Duration) {
         let services: Vec<Service> = self.services.borrow().iter().rev().cloned().collect();
         for service in services {
-            log::info!("service {:?} drains", service.name());
+            log::debug!("service {:?} drains", service.name());
             service.drain(patience).await;
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 pub use edge::TargetMarks;
 pub use edge::WatchStream;
 pub use front::RefusalKind;
+pub use logging::HeldLines;
 pub use logging::start_logging;
 pub use platform::product_edges;
 pub use process::run_daemon;
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -1,49 +1,53 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard output.
+//!
+//! A line is one decision: its fields are the inputs that decided, with their age or version, and
+//! the outcome. Writing never blocks the thread that logs: a thread of its own writes what fits a
+//! bounded queue, and what is left out is counted in a line of its own.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
+mod line;
+mod quota;
+mod writer;
+
+use std::sync::Mutex;
+use std::time::Instant;
 
 use log::LevelFilter;
-use log::Record;
-use serde::Serialize;
 
-/// One line of the log.
-#[derive(Serialize)]
-struct LogLine<'a> {
-    /// Milliseconds since the epoch.
-    at_ms: u128,
-    level: &'a str,
-    module: &'a str,
-    vm: &'a str,
-    message: String,
-}
+use crate::logging::line::json_line;
+use crate::logging::quota::LineQuota;
+use crate::logging::writer::LineWriter;
+
+pub use crate::logging::writer::HeldLines;
 
-/// Starts logging for the whole process.
+/// Lines a second that a VM may write on average: about twice what its requests need on the
+/// heaviest day seen, 20 requests/s a VM.
+const LINES_PER_SECOND: u32 = 100;
+/// Lines that may come at once, so that a burst of changes is still told whole.
+const BURST_LINES: u32 = 400;
+
+/// Starts logging for the whole process; lines are held until they are released.
 ///
 /// # Errors
 ///
 /// When a logger was started before.
-pub fn start_logging(vm: &str, level: LevelFilter) -> Result<(), log::SetLoggerError> {
+pub fn start_logging(vm: &str, level: LevelFilter) -> eyre::Result<HeldLines> {
     let vm = vm.to_owned();
+    let (writer, held) = LineWriter::new();
+    let quota = Mutex::new(LineQuota::new(LINES_PER_SECOND, BURST_LINES, Instant::now()));
+    let output = fern::Output::call(move |record| {
+        let left_out = match quota.lock() {
+            Ok(mut quota) => quota.admit(Instant::now()),
+            Err(_) => return,
+        };
+        let Some(left_out) = left_out else { return };
+        writer.write(json_line(&vm, record, left_out));
+    });
     fern::Dispatch::new()
-        .level(level.min(LevelFilter::Info))
+        .level(level.min(LevelFilter::Warn))
         .level_for("oleanderwind_daemon", level)
         .level_for("oleanderwind_http", level)
-        .format(move |out, message, record| {
-            out.finish(format_args!("{}", log_line(&vm, &message.to_string(), record)));
-        })
-        .chain(std::io::stderr())
-        .apply()
-}
-
-fn log_line(vm: &str, message: &str, record: &Record<'_>) -> String {
-    let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-    let line = LogLine {
-        at_ms,
-        level: record.level().as_str(),
-        module: record.target(),
-        vm,
-        message: message.to_owned(),
-    };
-    serde_json::to_string(&line).unwrap_or_default()
+        .level_for("oleanderwind_platform", level)
+        .chain(output)
+        .apply()?;
+    Ok(held)
 }
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_http::StatusCode;
+use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::RequestOutcome;
 use opentelemetry::KeyValue;
@@ -137,12 +139,19 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// The reply to a call for every metric.
+    pub(crate) fn reply(&self) -> HttpReply {
+        match self.render() {
+            Ok(text) => HttpReply::text(StatusCode::OK, text),
+            Err(error) => {
+                log::error!("metrics could not be written: {error}");
+                HttpReply::empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+
     /// Every metric in Prometheus' text format.
-    ///
-    /// # Errors
-    ///
-    /// When the metrics can't be encoded.
-    pub(crate) fn render(&self) -> eyre::Result<String> {
+    fn render(&self) -> eyre::Result<String> {
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8(buffer)?)
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -46,12 +46,20 @@
 
 /// Serves until a signal or an operator ends it.
 fn serve(settings: DaemonSettings, edges: DaemonEdges) -> eyre::Result<()> {
-    start_logging(&settings.vm, settings.log_level)?;
+    let held = start_logging(&settings.vm, settings.log_level)?;
     actix_rt::System::new().block_on(async move {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
+        log::info!(
+            release = env!("CARGO_PKG_VERSION"),
+            failure_domain = &*settings.failure_domain,
+            platform:% = settings.platform;
+            "the VM starts"
+        );
         let daemon = Daemon::start_on(settings, edges).await?;
+        // Whoever started the process reads the addresses first.
         println!("{}", serde_json::to_string(daemon.addresses())?);
+        held.release()?;
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
