--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -22,6 +22,7 @@
 use crate::platform::product_edges;
 use crate::routes::RouteService;
 use crate::settings::DaemonSettings;
+use crate::settings::SettingsChange;
 use crate::sync::SyncService;
 use crate::targets::TargetService;
 
@@ -95,6 +96,13 @@
         Ok(Daemon { kernel, addresses })
     }
 
+    /// Puts changed settings in force, as far as that goes without a restart.
+    pub(crate) fn change_settings(&self, wanted: &DaemonSettings) -> SettingsChange {
+        let change = self.kernel.live_settings().change(wanted);
+        log::set_max_level(self.kernel.live_settings().get().log_level);
+        change
+    }
+
     /// Where it listens.
     pub fn addresses(&self) -> &DaemonAddresses {
         &self.addresses
@@ -107,7 +115,7 @@
 
     /// Leaves the fleet: callers are sent elsewhere, open requests are finished.
     pub async fn drain(&self) {
-        let settings = self.kernel.settings();
+        let settings = self.kernel.live_settings().get();
         let (notice, patience) = settings.stop_times();
         log::info!(
             notice_ms = notice.as_millis() as u64,
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -45,9 +45,8 @@
     }
 }
 
-/// Routes with the revision that they are in force at.
+/// Routes in force.
 pub(crate) struct RoutesInForce {
-    pub(crate) revision: Revision,
     pub(crate) configuration: RouteConfiguration,
     pub(crate) table: RouteTable,
 }
@@ -202,8 +201,7 @@
             "routes in force"
         );
         let table = RouteTable::new(&configuration);
-        let revision = object.revision();
-        self.routes = Some(Rc::new(RoutesInForce { revision, configuration, table }));
+        self.routes = Some(Rc::new(RoutesInForce { configuration, table }));
     }
 }
 
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -32,6 +32,7 @@
 use crate::kernel::KernelError;
 use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
+use crate::settings::LiveSettings;
 use crate::targets::TargetService;
 
 /// How often a drain looks for running queries.
@@ -58,7 +59,7 @@
     pub(crate) targets: Rc<TargetService>,
     pub(crate) peers: Rc<PeerService>,
     pub(crate) timer_changes: Notify,
-    settings: DaemonSettings,
+    settings: LiveSettings,
     next_query: Cell<QueryId>,
 }
 
@@ -78,7 +79,7 @@
             targets: kernel.targets()?,
             peers: kernel.peers()?,
             timer_changes: Notify::new(),
-            settings: kernel.settings().clone(),
+            settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
         });
         actix_rt::spawn(follow_targets(fanout.clone(), directory));
@@ -112,7 +113,7 @@
             let share = connection_share(spec.connection_limit, fleet);
             engine.set_connection_budget(&spec.target, share.working);
         }
-        engine.set_service_burst(self.settings.service_burst(fleet));
+        engine.set_service_burst(self.settings.get().service_burst(fleet));
         engine.apply_targets(specs, Instant::now());
         self.timer_changes.notify_one();
     }
--- a/crates/daemon/src/front/addresses.rs
+++ b/crates/daemon/src/front/addresses.rs
@@ -18,6 +18,6 @@
         if addresses.is_empty() {
             addresses.push(self.address().to_string());
         }
-        AddressAnswer { customer, addresses, keep_ms: milliseconds(self.settings.address_keep) }
+        AddressAnswer { customer, addresses, keep_ms: milliseconds(self.live.get().address_keep) }
     }
 }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -37,6 +37,7 @@
 use crate::outcomes::OutcomeService;
 use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
+use crate::settings::LiveSettings;
 
 /// What one request came to.
 pub(crate) struct RequestEnd {
@@ -55,6 +56,7 @@
 /// Serves callers.
 pub(crate) struct FrontService {
     pub(crate) settings: DaemonSettings,
+    pub(crate) live: LiveSettings,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
     pub(crate) peers: Rc<PeerService>,
@@ -87,6 +89,7 @@
             listener: OnceCell::new(),
             next_request: Cell::new(settings.seed),
             next_turn: Cell::new(settings.seed),
+            live: kernel.live_settings().clone(),
             settings,
         });
         let handler = {
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -18,11 +18,13 @@
 use crate::peers::PeerService;
 use crate::platform::PlatformService;
 use crate::settings::DaemonSettings;
+use crate::settings::LiveSettings;
 use crate::targets::TargetService;
 
 /// Services in the order they were started.
 pub(crate) struct Kernel {
     settings: DaemonSettings,
+    live: LiveSettings,
     services: RefCell<Vec<Service>>,
     drain_requests: Notify,
 }
@@ -31,13 +33,19 @@
     /// A kernel without services.
     pub(crate) fn new(settings: DaemonSettings) -> Rc<Kernel> {
         Rc::new(Kernel {
+            live: LiveSettings::new(settings.clone()),
             settings,
             services: RefCell::new(Vec::new()),
             drain_requests: Notify::new(),
         })
     }
 
-    /// The daemon's settings.
+    /// The settings in force, some of which may change.
+    pub(crate) fn live_settings(&self) -> &LiveSettings {
+        &self.live
+    }
+
+    /// The settings that the daemon started with.
     pub(crate) fn settings(&self) -> &DaemonSettings {
         &self.settings
     }
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -44,10 +44,12 @@
     });
     fern::Dispatch::new()
         .level(level.min(LevelFilter::Warn))
-        .level_for("oleanderwind_daemon", level)
-        .level_for("oleanderwind_http", level)
-        .level_for("oleanderwind_platform", level)
+        .level_for("oleanderwind_daemon", LevelFilter::Trace)
+        .level_for("oleanderwind_http", LevelFilter::Trace)
+        .level_for("oleanderwind_platform", LevelFilter::Trace)
         .chain(output)
         .apply()?;
+    // The level may change while the process runs.
+    log::set_max_level(level);
     Ok(held)
 }
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -1,6 +1,9 @@
 //! A daemon as a process: settings, logs, signals and exit codes.
 
+mod reload;
+
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -9,6 +12,7 @@
 use crate::DaemonEdges;
 use crate::DaemonSettings;
 use crate::RawSettings;
+use crate::process::reload::follow_settings;
 use crate::start_logging;
 
 /// Exit code for bad settings.
@@ -35,7 +39,7 @@
         return ExitCode::SUCCESS;
     }
     let edges = edges(&settings);
-    match serve(settings, edges) {
+    match serve(raw, settings, edges) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("the daemon could not run: {error:#}");
@@ -45,7 +49,7 @@
 }
 
 /// Serves until a signal or an operator ends it.
-fn serve(settings: DaemonSettings, edges: DaemonEdges) -> eyre::Result<()> {
+fn serve(raw: RawSettings, settings: DaemonSettings, edges: DaemonEdges) -> eyre::Result<()> {
     let held = start_logging(&settings.vm, settings.log_level)?;
     actix_rt::System::new().block_on(async move {
         let mut terminate = signal(SignalKind::terminate())?;
@@ -56,16 +60,18 @@
             platform:% = settings.platform;
             "the VM starts"
         );
-        let daemon = Daemon::start_on(settings, edges).await?;
+        let daemon = Rc::new(Daemon::start_on(settings, edges).await?);
         // Whoever started the process reads the addresses first.
         println!("{}", serde_json::to_string(daemon.addresses())?);
         held.release()?;
+        let following = actix_rt::spawn(follow_settings(raw, daemon.clone()));
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
             () = daemon.drain_requested() => {}
         }
         daemon.drain().await;
+        following.abort();
         Ok(())
     })
 }
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -42,6 +42,7 @@
 use crate::routes::answer::refusal;
 use crate::routes::manifests::ManifestBook;
 use crate::settings::DaemonSettings;
+use crate::settings::LiveSettings;
 
 /// When to come back to a VM that has no configuration yet; it lists the platform in a second.
 const RETRY_AFTER_START: Duration = Duration::from_millis(500);
@@ -55,6 +56,7 @@
 /// Serves callers whose requests are passed on unread.
 pub(crate) struct RouteService {
     settings: DaemonSettings,
+    live: LiveSettings,
     dialect: Rc<dyn CallerDialect>,
     directory: Rc<DirectoryService>,
     fanout: Rc<FanoutService>,
@@ -76,6 +78,7 @@
         dialect: Rc<dyn CallerDialect>,
     ) -> eyre::Result<Rc<RouteService>> {
         let settings = kernel.settings().clone();
+        let live = kernel.live_settings().clone();
         let directory = kernel.directory()?;
         let routes = Rc::new(RouteService {
             dialect,
@@ -87,6 +90,7 @@
             turns: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
             settings,
+            live,
         });
         let addresses = [
             Some(routes.settings.caller_listen),
@@ -138,7 +142,7 @@
             CallerQuestion::Addresses { failure_domain } => {
                 let places = self.manifests.places();
                 let addresses = self.peers.caller_addresses(failure_domain.as_deref(), &places);
-                self.dialect.address_reply(&addresses, self.settings.address_keep)
+                self.dialect.address_reply(&addresses, self.live.get().address_keep)
             }
             CallerQuestion::Malformed(findings) => {
                 log::warn!("a request is malformed: {findings}");
@@ -259,7 +263,7 @@
             coverage_floor_permille: u32::try_from(floor_permille).unwrap_or(u32::MAX),
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
-            extra_load_permille: self.settings.extra_permille,
+            extra_load_permille: self.live.get().extra_permille,
             objective: Some(arrived + route.objective),
             repeats: RepeatTerms {
                 is_idempotent: route.operation == OperationKind::Search,
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,6 +1,5 @@
 //! Serving one connection.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,6 +31,7 @@
 use crate::body::BodyError;
 use crate::body::read_body;
 use crate::is_first_try;
+use crate::registry::ConnectionCalls;
 
 /// How often a connection that is to end looks whether it is idle.
 const IDLE_POLL: Duration = Duration::from_millis(5);
@@ -50,12 +50,6 @@
     Ending,
 }
 
-/// Counts the calls that one connection has open.
-#[derive(Default)]
-struct OpenCalls {
-    open: Cell<usize>,
-}
-
 /// JSON of a call that could not be read.
 #[derive(Serialize)]
 struct UnreadableCall {
@@ -83,9 +77,9 @@
     peer: SocketAddr,
     limits: Rc<HttpLimits>,
     handler: HttpHandler,
+    calls: Rc<ConnectionCalls>,
     mut phase: watch::Receiver<DrainPhase>,
 ) {
-    let calls = Rc::new(OpenCalls::default());
     let factory = {
         let calls = calls.clone();
         let limits = limits.clone();
@@ -105,13 +99,19 @@
     };
     let Ok(service) = factory.new_service(()).await else { return };
     let serving = service.call((stream, Some(peer))).boxed_local();
-    let ending = wait_until_idle(&mut phase, &calls).boxed_local();
+    let ending = async {
+        tokio::select! {
+            () = wait_until_idle(&mut phase, &calls) => {}
+            () = calls.eviction.notified() => {}
+        }
+    };
+    let ending = ending.boxed_local();
     // Dropping the connection's future closes the connection.
     select(serving, ending).await;
 }
 
 /// Returns once the listener ends and no call has been open for [`FLUSH_TIME`].
-async fn wait_until_idle(phase: &mut watch::Receiver<DrainPhase>, calls: &OpenCalls) {
+async fn wait_until_idle(phase: &mut watch::Receiver<DrainPhase>, calls: &ConnectionCalls) {
     let has_listener = phase.wait_for(|phase| *phase == DrainPhase::Ending).await.is_ok();
     if !has_listener {
         futures_util::future::pending::<()>().await;
@@ -119,7 +119,7 @@
     let mut idle_since = Instant::now();
     while idle_since.elapsed() < FLUSH_TIME {
         tokio::time::sleep(IDLE_POLL).await;
-        if calls.open.get() > 0 {
+        if calls.open() > 0 {
             idle_since = Instant::now();
         }
     }
@@ -131,7 +131,7 @@
     peer: SocketAddr,
     limits: Rc<HttpLimits>,
     handler: HttpHandler,
-    calls: Rc<OpenCalls>,
+    calls: Rc<ConnectionCalls>,
     phase: watch::Receiver<DrainPhase>,
 ) -> Result<Response<BoxBody>, Infallible> {
     let _guard = CallGuard::new(calls);
@@ -181,18 +181,18 @@
 
 /// Counts a call as open until the reply is framed or the caller goes away.
 struct CallGuard {
-    calls: Rc<OpenCalls>,
+    calls: Rc<ConnectionCalls>,
 }
 
 impl CallGuard {
-    fn new(calls: Rc<OpenCalls>) -> CallGuard {
-        calls.open.set(calls.open.get() + 1);
+    fn new(calls: Rc<ConnectionCalls>) -> CallGuard {
+        calls.begin();
         CallGuard { calls }
     }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
-        self.calls.open.set(self.calls.open.get() - 1);
+        self.calls.end();
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod lane;
 mod limits;
 mod listener;
+mod registry;
 mod reply;
 mod retry;
 mod sending;
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -16,6 +16,8 @@
 use crate::HttpLimits;
 use crate::connection::DrainPhase;
 use crate::connection::serve_connection;
+use crate::registry::ConnectionCalls;
+use crate::registry::ConnectionRegistry;
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -30,7 +32,7 @@
 }
 
 struct ListenerState {
-    open: Cell<usize>,
+    connections: ConnectionRegistry,
     refused: Cell<u64>,
     limits: RefCell<Rc<HttpLimits>>,
     phase: watch::Sender<DrainPhase>,
@@ -51,7 +53,7 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Rc::new(ListenerState {
-            open: Cell::new(0),
+            connections: ConnectionRegistry::default(),
             refused: Cell::new(0),
             limits: RefCell::new(Rc::new(limits)),
             phase: watch::Sender::new(DrainPhase::Serving),
@@ -73,10 +75,10 @@
 
     /// Connections that are open.
     pub fn open_connections(&self) -> usize {
-        self.state.open.get()
+        self.state.connections.len()
     }
 
-    /// Connections that were closed at once because too many were open.
+    /// Connections that found too many open, so that one was closed.
     pub fn refused_connections(&self) -> u64 {
         self.state.refused.get()
     }
@@ -93,10 +95,10 @@
         self.state.is_accepting.set(false);
         self.state.phase.send_replace(DrainPhase::Ending);
         let end = Instant::now() + patience;
-        while self.state.open.get() > 0 && Instant::now() < end {
+        while self.state.connections.len() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL).await;
         }
-        self.state.open.get()
+        self.state.connections.len()
     }
 }
 
@@ -118,12 +120,14 @@
     }
 }
 
-/// Serves one connection, or closes it when too many are open.
+/// Serves one connection; when too many are open another gives way, or it is closed.
 fn admit(stream: TcpStream, peer: SocketAddr, handler: &HttpHandler, state: &Rc<ListenerState>) {
     let limits = state.limits.borrow().clone();
-    if state.open.get() >= limits.connections {
+    if state.connections.len() >= limits.connections {
         state.refused.set(state.refused.get() + 1);
-        return;
+        if !state.connections.evict() {
+            return;
+        }
     }
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY could not be set: {error}");
@@ -132,25 +136,28 @@
     let handler = handler.clone();
     let phase = state.phase.subscribe();
     actix_rt::spawn(async move {
-        let _guard = guard;
-        serve_connection(stream, peer, limits, handler, phase).await;
+        let calls = guard.calls.clone();
+        serve_connection(stream, peer, limits, handler, calls, phase).await;
+        drop(guard);
     });
 }
 
-/// Counts a connection as open.
+/// Keeps a connection in the listener's registry.
 struct OpenConnection {
     state: Rc<ListenerState>,
+    id: u64,
+    calls: Rc<ConnectionCalls>,
 }
 
 impl OpenConnection {
     fn new(state: Rc<ListenerState>) -> OpenConnection {
-        state.open.set(state.open.get() + 1);
-        OpenConnection { state }
+        let (id, calls) = state.connections.enter();
+        OpenConnection { state, id, calls }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.state.open.set(self.state.open.get() - 1);
+        self.state.connections.leave(self.id);
     }
 }
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -161,3 +161,20 @@
     drop(streams);
     expect_free(&listener).await;
 }
+
+/// Pattern: a flood of callers that send half a head and stop, beside callers that speak.
+#[actix_rt::test]
+async fn serve_lets_half_heads_give_way_to_callers_that_speak() {
+    let listener = bind().await;
+    let mut silent = Vec::new();
+    for _ in 0..4 * CONNECTIONS {
+        let mut stream = TcpStream::connect(listener.address()).await.unwrap();
+        stream.write_all(b"POST /echo HTTP/1.1\r\nhost").await.unwrap();
+        silent.push(stream);
+        let reply = exchange(&listener, GOOD.as_bytes()).await;
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        assert!(listener.open_connections() <= CONNECTIONS);
+    }
+    drop(silent);
+    expect_free(&listener).await;
+}
--- a/crates/policy/src/route/merge.rs
+++ b/crates/policy/src/route/merge.rs
@@ -23,8 +23,8 @@
     let records = parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES));
     let mut records: Vec<&[u8]> = records.collect();
     let kept = top.min(records.len());
-    if kept > 0 && kept < records.len() {
-        records.select_nth_unstable_by(kept - 1, |left, right| right.cmp(left));
+    if kept < records.len() {
+        records.select_nth_unstable_by(kept, |left, right| right.cmp(left));
         records.truncate(kept);
     }
     records.sort_unstable_by(|left, right| right.cmp(left));
--- /dev/null
+++ b/crates/policy/tests/route.rs
@@ -0,0 +1,138 @@
+//! Routes: checks, look-up, weighted turns and merging.
+#![allow(clippy::unwrap_used)]
+
+use bytes::Bytes;
+use expect_test::expect;
+use oleanderwind_policy::OperationKind;
+use oleanderwind_policy::RawCallerLimits;
+use oleanderwind_policy::RawRoute;
+use oleanderwind_policy::RawRouteConfiguration;
+use oleanderwind_policy::RawServiceShare;
+use oleanderwind_policy::RawShardSet;
+use oleanderwind_policy::RouteConfiguration;
+use oleanderwind_policy::RouteTable;
+use oleanderwind_policy::ServiceShare;
+use oleanderwind_policy::ShareTurns;
+use oleanderwind_policy::TargetSet;
+use oleanderwind_policy::merge_records;
+use proptest::prelude::*;
+
+fn route(name: &str, host: &str, path_prefix: &str) -> RawRoute {
+    RawRoute {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        operation: OperationKind::Search,
+        objective_ms: 80,
+        time_limit_ms: 800,
+        attempts: 2,
+        rank: 1,
+        service: Some("records".to_owned()),
+        shares: None,
+        shards: None,
+    }
+}
+
+fn configuration(routes: Vec<RawRoute>) -> RawRouteConfiguration {
+    RawRouteConfiguration {
+        version: 7,
+        routes,
+        services: Vec::new(),
+        limits: RawCallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 262_144,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        },
+    }
+}
+
+fn shard_set(count: usize, floor: f64) -> RawShardSet {
+    let services = (0..count).map(|shard| format!("shard-{shard}")).collect();
+    RawShardSet { services, top: 20, floor }
+}
+
+#[test]
+fn try_from_reports_every_finding_with_its_place() {
+    let mut first = route("first", "a.example", "no-slash");
+    first.attempts = 0;
+    let mut second = route("second", "a.example", "/b/");
+    second.shards = Some(shard_set(2, 0.5));
+    let mut third = route("third", "a.example", "/c/");
+    third.service = None;
+    third.shards = Some(shard_set(2, 1.5));
+    let mut fourth = route("fourth", "a.example", "/d/");
+    fourth.service = None;
+    fourth.shares = Some(vec![RawServiceShare { service: "x".to_owned(), weight: 0 }]);
+    let raw = configuration(vec![first, second, third, fourth]);
+    let findings = RouteConfiguration::try_from(&raw).unwrap_err();
+    expect![[r#"
+        routes[0].path_prefix: is "no-slash"; begin and end it with a slash
+        routes[0].attempts: is 0; give at least 1
+        routes[1]: needs exactly one of service, shares and shards
+        routes[2].shards.floor: is 1.5; give 0 to 1
+        routes[3].shares: have no weight; give one of them at least 1"#]]
+    .assert_eq(&findings.to_string());
+}
+
+#[test]
+fn try_from_rounds_a_floor_up_to_whole_shards() {
+    for (count, floor, wanted) in [(20, 0.89, 18), (20, 0.35, 7), (90, 0.95, 86), (4, 0.0, 1)] {
+        let mut raw = route("r", "a.example", "/a/");
+        raw.service = None;
+        raw.shards = Some(shard_set(count, floor));
+        let checked = RouteConfiguration::try_from(&configuration(vec![raw])).unwrap();
+        let TargetSet::Shards(set) = &checked.routes[0].targets else { panic!() };
+        assert_eq!(set.floor, wanted, "{count} shards at {floor}");
+    }
+}
+
+#[test]
+fn find_takes_the_longest_prefix_of_the_host() {
+    let raw = configuration(vec![
+        route("short", "a.example", "/a/"),
+        route("long", "a.example", "/a/b/"),
+        route("other", "b.example", "/a/b/"),
+    ]);
+    let table = RouteTable::new(&RouteConfiguration::try_from(&raw).unwrap());
+    let find = |host: &str, path: &str| table.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(find("a.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(find("A.Example:8080", "/a/b/").as_deref(), Some("long"));
+    assert_eq!(find("a.example", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(find("b.example", "/a/b/c").as_deref(), Some("other"));
+    assert_eq!(find("a.example", "/ab/c"), None);
+    assert_eq!(find("c.example", "/a/b/c"), None);
+}
+
+proptest! {
+    #[test]
+    fn next_gives_each_service_exactly_its_weight(
+        weights in prop::collection::vec(1_u32..20, 1..6),
+    ) {
+        let shares: Vec<ServiceShare> = weights
+            .iter()
+            .map(|weight| ServiceShare { service: "s".into(), weight: *weight })
+            .collect();
+        let mut turns = ShareTurns::default();
+        let mut counts = vec![0; shares.len()];
+        for _ in 0..weights.iter().sum::<u32>() {
+            counts[turns.next(&shares).unwrap()] += 1;
+        }
+        prop_assert_eq!(counts, weights);
+    }
+
+    #[test]
+    fn merge_records_gives_the_greatest_of_all_parts_falling(
+        parts in prop::collection::vec(prop::collection::vec(0_u8..4, 0..100), 0..6),
+        top in 0_usize..8,
+    ) {
+        let mut records: Vec<Vec<u8>> = parts
+            .iter()
+            .flat_map(|part| part.chunks_exact(16).map(<[u8]>::to_vec))
+            .collect();
+        records.sort_by(|left, right| right.cmp(left));
+        records.truncate(top);
+        let parts: Vec<Bytes> = parts.into_iter().map(Bytes::from).collect();
+        prop_assert_eq!(merge_records(&parts, top), records.concat());
+    }
+}
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod planned_stop;
 mod refusals;
+mod reload;
 mod searches;
 mod silence;
 mod spread;
--- a/tests/proofs/support/process.rs
+++ b/tests/proofs/support/process.rs
@@ -95,32 +95,31 @@
     }
 
     async fn start_vm(&mut self) -> usize {
+        self.start_vm_with(&["--address-keep-ms", "200", "--leave-notice-ms", "300"]).await
+    }
+
+    /// Starts one more daemon with some settings of its own and lists it.
+    pub(crate) async fn start_vm_with(&mut self, settings: &[&str]) -> usize {
         let index = self.vms.len();
         let platform = self.standin.address("platform");
         let vm = format!("vm-{index}");
         let domain = format!("fd-{}", index % 3);
         let program = env!("CARGO_BIN_EXE_oleanderwindd");
-        let process = VmProcess::start(
-            program,
-            &[
-                "--vm",
-                &vm,
-                "--failure-domain",
-                &domain,
-                "--platform",
-                &platform,
-                "--caller-listen",
-                "127.0.0.1:0",
-                "--admin-listen",
-                "127.0.0.1:0",
-                "--peer-listen",
-                "127.0.0.1:0",
-                "--address-keep-ms",
-                "200",
-                "--leave-notice-ms",
-                "300",
-            ],
-        );
+        let places = [
+            "--vm",
+            &vm,
+            "--failure-domain",
+            &domain,
+            "--platform",
+            &platform,
+            "--caller-listen",
+            "127.0.0.1:0",
+            "--admin-listen",
+            "127.0.0.1:0",
+            "--peer-listen",
+            "127.0.0.1:0",
+        ];
+        let process = VmProcess::start(program, &[&places, settings].concat());
         let object = json!({
             "kind": "vms",
             "metadata": {"name": vm},
@@ -137,7 +136,7 @@
         index
     }
 
-    async fn wait_until_ready(&self, index: usize) {
+    pub(crate) async fn wait_until_ready(&self, index: usize) {
         let address = self.vms[index].address("caller");
         let caller = self.caller.clone();
         wait_for("the VM is ready", async || caller.is_ready(&address).await).await;
