--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -175,6 +175,7 @@
     engine.floor_wait = settings.floor_wait;
     engine.own_domain = Some(settings.failure_domain.clone());
     engine.crossing_cost = settings.crossing_cost;
+    engine.answer_margin = settings.answer_margin;
     // The process start is mixed in, so that a restarted VM reuses no call id.
     let start = std::time::SystemTime::now();
     let since = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -72,6 +72,8 @@
     pub extra_slack: u32,
     /// Expected wait that a target in another failure domain has to save.
     pub crossing_cost: Duration,
+    /// Time kept before an objective or a deadline for an answer's way to its caller.
+    pub answer_margin: Duration,
     /// How long a target that is listed no more is kept as a last resort.
     pub lapse_hold: Option<Duration>,
     /// Time from SIGTERM to the end, in place of notice and patience.
@@ -139,6 +141,7 @@
             extra_permille: permille(&raw.extra_ratio, "--extra-ratio", 0.1, &mut findings),
             extra_slack: parsed(&raw.extra_slack, "--extra-slack", 40, &mut findings),
             crossing_cost: time(&raw.crossing_cost_ms, "--crossing-cost-ms", 0, &mut findings),
+            answer_margin: time(&raw.answer_margin_ms, "--answer-margin-ms", 5, &mut findings),
             lapse_hold: optional_time(&raw.lapse_hold_ms, "--lapse-hold-ms", &mut findings),
             stop_grace: optional_time(&raw.stop_grace_ms, "--stop-grace-ms", &mut findings),
             platform_retry: time(
@@ -180,6 +183,7 @@
         writeln!(f, "extra-ratio={}", f64::from(self.extra_permille) / WHOLE_PERMILLE)?;
         writeln!(f, "extra-slack={}", self.extra_slack)?;
         writeln!(f, "crossing-cost-ms={}", self.crossing_cost.as_millis())?;
+        writeln!(f, "answer-margin-ms={}", self.answer_margin.as_millis())?;
         let lapse_hold = self.lapse_hold.map(|hold| hold.as_millis());
         writeln!(f, "lapse-hold-ms={}", text_or_none(lapse_hold))?;
         let stop_grace = self.stop_grace.map(|grace| grace.as_millis());
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -73,6 +73,9 @@
     /// milliseconds that a target in another failure domain has to save; default: 0
     #[argh(option)]
     pub crossing_cost_ms: Option<String>,
+    /// milliseconds kept for an answer's way to its caller; default: 5
+    #[argh(option)]
+    pub answer_margin_ms: Option<String>,
     /// milliseconds that a target listed no more is kept as a last resort; default: 0
     #[argh(option)]
     pub lapse_hold_ms: Option<String>,
@@ -169,6 +172,7 @@
             ("EXTRA_RATIO", &mut self.extra_ratio),
             ("EXTRA_SLACK", &mut self.extra_slack),
             ("CROSSING_COST_MS", &mut self.crossing_cost_ms),
+            ("ANSWER_MARGIN_MS", &mut self.answer_margin_ms),
             ("LAPSE_HOLD_MS", &mut self.lapse_hold_ms),
             ("STOP_GRACE_MS", &mut self.stop_grace_ms),
             ("PLATFORM_RETRY_MS", &mut self.platform_retry_ms),
