feat(ctl): routing state of a VM, calls without an answer in the log, a check of names

Cause: an operator could not see the configuration version, targets, budgets and why requests got no answer; a line of a request did not lead to the target that failed it; nothing kept the platform's names in their folder. Change: GET /v1/routing and oleanderctl routing; one line a call that brought no answer, under a quota of its own; tools/names runs with the lints. Before: none of these. After: names found outside were three fields, renamed.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,10 @@
 bench: ## Counts the instructions of the decisions against their limits.
 	./tools/bench
 
-lint: ## Checks format and lints.
+lint: ## Checks format, lints and where the platform's names stand.
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets -- -D warnings
+	./tools/names
 
 docs: ## Builds the documentation.
 	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps
--- a/crates/ctl/src/command/control.rs
+++ b/crates/ctl/src/command/control.rs
@@ -34,6 +34,8 @@
     Move(MoveCommand),
     /// State of one VM.
     Status(StatusCommand),
+    /// Routes, targets and unanswered requests of one VM.
+    Routing(RoutingCommand),
     /// Every VM with its revision.
     Fleet(FleetCommand),
     /// Whether each contract holds.
@@ -64,6 +66,12 @@
 #[argh(subcommand, name = "status")]
 pub struct StatusCommand {}
 
+/// Shows the routes' version, targets with what is left for extra calls, and why the last requests
+/// got no answer.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "routing")]
+pub struct RoutingCommand {}
+
 /// Shows every VM as the asked one last heard of it, and which lag behind.
 #[derive(Clone, Debug, PartialEq, FromArgs)]
 #[argh(subcommand, name = "fleet")]
--- a/crates/ctl/src/print/mod.rs
+++ b/crates/ctl/src/print/mod.rs
@@ -8,6 +8,7 @@
 use oleanderwind_wire::FleetMember;
 use oleanderwind_wire::HistoryEntry;
 use oleanderwind_wire::RouteExplanation;
+use oleanderwind_wire::RoutingStatus;
 use oleanderwind_wire::VmStatus;
 
 /// Something that can be printed as text.
@@ -23,6 +24,35 @@
     };
 }
 
+impl PrintText for RoutingStatus {
+    fn print_text(&self) -> String {
+        let mut text = format!(
+            "version {}, {} routes, {} connections to targets made\n",
+            self.version, self.routes, self.connects
+        );
+        for target in &self.targets {
+            let failing = if target.is_failing { ", failing" } else { "" };
+            text += &format!(
+                "{} {} in {}: {:?}{failing}, {} of {} calls open, {} extra calls left\n",
+                target.service,
+                target.target,
+                target.failure_domain,
+                target.phase,
+                target.open,
+                target.window,
+                target.extra_calls_left
+            );
+        }
+        for request in &self.unanswered {
+            text += &format!(
+                "request {} on {}: {} after {} ms, {}\n",
+                request.request, request.route, request.outcome, request.ms, request.reason
+            );
+        }
+        text
+    }
+}
+
 impl PrintText for VmStatus {
     fn print_text(&self) -> String {
         let mut text = String::new();
--- a/crates/ctl/src/run/mod.rs
+++ b/crates/ctl/src/run/mod.rs
@@ -12,6 +12,7 @@
 use oleanderwind_wire::FleetMember;
 use oleanderwind_wire::HistoryEntry;
 use oleanderwind_wire::RouteExplanation;
+use oleanderwind_wire::RoutingStatus;
 use oleanderwind_wire::VmStatus;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -87,6 +88,7 @@
                 self.move_customer(&command.customer, placement, &command.operator).await
             }
             ControlAction::Status(_) => self.show::<VmStatus>("/v1/status").await,
+            ControlAction::Routing(_) => self.show::<RoutingStatus>("/v1/routing").await,
             ControlAction::Fleet(_) => self.show::<Vec<FleetMember>>("/v1/fleet").await,
             ControlAction::Outcomes(_) => self.show::<Vec<ClassOutcome>>("/v1/outcomes").await,
             ControlAction::Explain(command) => {
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -29,6 +29,8 @@
           move              Moves a customer's requests between providers, fully or by
                             share.
           status            Shows the state of the VM that is asked.
+          routing           Shows the routes' version, targets with what is left for
+                            extra calls, and why the last requests got no answer.
           fleet             Shows every VM as the asked one last heard of it, and which
                             lag behind.
           outcomes          Shows for each class whether the contract's tail, coverage
--- a/crates/daemon/src/admin/service.rs
+++ b/crates/daemon/src/admin/service.rs
@@ -95,6 +95,7 @@
     }
     match (&call.method, call.segments().as_slice()) {
         (&Method::GET, ["v1", "status"]) => HttpReply::json(StatusCode::OK, &state.status()),
+        (&Method::GET, ["v1", "routing"]) => state.routing(),
         (&Method::GET, ["v1", "fleet"]) => HttpReply::json(StatusCode::OK, &state.peers.fleet()),
         (&Method::GET, ["v1", "contracts"]) => state.list_contracts(),
         (&Method::GET, ["v1", "contracts", customer]) => state.get_contract(customer).await,
@@ -187,6 +188,13 @@
         }
     }
 
+    fn routing(&self) -> HttpReply {
+        match self.kernel.routes() {
+            Ok(routes) => HttpReply::json(StatusCode::OK, &routes.status()),
+            Err(_) => not_found("this VM serves no routes of opaque requests"),
+        }
+    }
+
     fn explain(&self, call: &HttpCall) -> HttpReply {
         let customer = call.parameter("customer").unwrap_or_default();
         let class = call.parameter("class").unwrap_or_default();
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -50,18 +50,52 @@
         marks.request_id.is_none_or(|id| id == request.id.as_bytes())
     };
     let targets = fanout.targets.clone();
+    let sent_at = Instant::now();
     let sent = targets.forward(&call.target, message, call.may_repeat, call.deadline, is_own);
-    let event = match sent.await {
-        ForwardOutcome::Unsent => FanoutEvent::Unsent { call: call.call },
-        ForwardOutcome::Failed => FanoutEvent::Failed { call: call.call },
+    let (event, status) = match sent.await {
+        ForwardOutcome::Unsent => (FanoutEvent::Unsent { call: call.call }, None),
+        ForwardOutcome::Failed => (FanoutEvent::Failed { call: call.call }, None),
         ForwardOutcome::Replied(reply) => {
             let marks = dialect.read_marks(reply.status, &reply.headers);
-            take_reply(&fanout, &call, reply, marks)
+            let status = reply.status.as_u16();
+            (take_reply(&fanout, &call, reply, marks), Some(status))
         }
     };
+    log_unanswered(&call, &request, &event, status, sent_at);
     fanout.handle(event);
 }
 
+/// One line for each call that brought no answer.
+fn log_unanswered(
+    call: &ForwardCall,
+    request: &OpaqueRequest,
+    event: &FanoutEvent,
+    status: Option<u16>,
+    sent_at: Instant,
+) {
+    let outcome = match event {
+        FanoutEvent::Answered { .. } => return,
+        FanoutEvent::Refused { cause: RefusalCause::Draining, .. } => "other_target_at_address",
+        FanoutEvent::Refused { .. } => "refused_not_run",
+        FanoutEvent::Unsent { .. } => "not_sent",
+        FanoutEvent::Failed { .. } if status.is_some() => "target_failed",
+        FanoutEvent::Failed { .. } => "no_whole_reply",
+    };
+    log::info!(
+        request = request.id.as_str(),
+        target = call.target.as_ref(),
+        call = call.call,
+        status = status,
+        outcome = outcome,
+        ms = elapsed_ms(sent_at);
+        "a call brought no answer"
+    );
+}
+
+fn elapsed_ms(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 fn build_request(
     dialect: &dyn CallerDialect,
     call: &ForwardCall,
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -17,6 +17,7 @@
 use crate::outcomes::OutcomeService;
 use crate::peers::PeerService;
 use crate::platform::PlatformService;
+use crate::routes::RouteService;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
 use crate::targets::TargetService;
@@ -88,6 +89,7 @@
 typed_lookup!(targets, Targets, TargetService);
 typed_lookup!(fanout, Fanout, FanoutService);
 typed_lookup!(ledger, Ledger, LedgerService);
+typed_lookup!(routes, Routes, RouteService);
 
 impl Kernel {
     /// Asks the process to drain, as SIGTERM does.
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -22,6 +22,10 @@
 /// Lines a second that a VM may write on average: about twice what its requests need on the
 /// heaviest day seen, 20 requests/s a VM.
 const LINES_PER_SECOND: u32 = 100;
+/// Lines a second about single calls to targets, which come in hundreds when many fail.
+const CALL_LINES_PER_SECOND: u32 = 50;
+/// Module whose lines are about single calls to targets.
+const CALL_MODULE: &str = "oleanderwind_daemon::fanout::forward";
 /// Lines that may come at once, so that a burst of changes is still told whole.
 const BURST_LINES: u32 = 400;
 
@@ -33,8 +37,11 @@
 pub fn start_logging(vm: &str, level: LevelFilter) -> eyre::Result<HeldLines> {
     let vm = vm.to_owned();
     let (writer, held) = LineWriter::new();
-    let quota = Mutex::new(LineQuota::new(LINES_PER_SECOND, BURST_LINES, Instant::now()));
+    let now = Instant::now();
+    let quota = Mutex::new(LineQuota::new(LINES_PER_SECOND, BURST_LINES, now));
+    let call_quota = Mutex::new(LineQuota::new(CALL_LINES_PER_SECOND, BURST_LINES, now));
     let output = fern::Output::call(move |record| {
+        let quota = if record.target() == CALL_MODULE { &call_quota } else { &quota };
         let left_out = match quota.lock() {
             Ok(mut quota) => quota.admit(Instant::now()),
             Err(_) => return,
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -25,6 +25,7 @@
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::ShareTurns;
 use oleanderwind_policy::TargetSet;
+use oleanderwind_wire::UnansweredRequest;
 
 use crate::directory::DirectoryService;
 use crate::directory::RoutesInForce;
@@ -41,6 +42,7 @@
 use crate::routes::answer::answer;
 use crate::routes::answer::refusal;
 use crate::routes::manifests::ManifestBook;
+use crate::routes::view::UnansweredLog;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
 
@@ -58,8 +60,9 @@
     settings: DaemonSettings,
     live: LiveSettings,
     dialect: Rc<dyn CallerDialect>,
-    directory: Rc<DirectoryService>,
-    fanout: Rc<FanoutService>,
+    pub(crate) directory: Rc<DirectoryService>,
+    pub(crate) fanout: Rc<FanoutService>,
+    pub(crate) unanswered: UnansweredLog,
     peers: Rc<PeerService>,
     metrics: Rc<MetricsService>,
     manifests: ManifestBook,
@@ -85,6 +88,7 @@
             fanout: kernel.fanout()?,
             peers: kernel.peers()?,
             metrics: kernel.metrics()?,
+            unanswered: UnansweredLog::default(),
             manifests: ManifestBook::new(directory.clone()),
             directory,
             turns: RefCell::new(HashMap::new()),
@@ -228,7 +232,7 @@
             status = reply.status().as_u16(),
             outcome = outcome,
             reason:? = result.reason,
-            ms = latency.as_millis() as u64,
+            ms = milliseconds(latency),
             shards = result.shards_answered,
             of = result.shards_total,
             calls = result.calls_sent,
@@ -236,6 +240,15 @@
             far = result.far_calls;
             "a request is answered"
         );
+        if matches!(outcome, "refused" | "late" | "failed") {
+            self.unanswered.add(UnansweredRequest {
+                request: request.id.clone(),
+                route: route.name.to_string(),
+                outcome: outcome.to_owned(),
+                reason: format!("{:?}", result.reason),
+                ms: milliseconds(latency),
+            });
+        }
         reply
     }
 
@@ -287,6 +300,10 @@
     }
 }
 
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Bounds before routes say which.
 fn default_limits() -> HttpLimits {
     HttpLimits { connections: CALLER_CONNECTIONS, ..HttpLimits::default() }
@@ -296,7 +313,7 @@
     HttpLimits {
         connections: CALLER_CONNECTIONS,
         body_bytes: limits.body_bytes,
-        head_timeout: limits.header_time,
+        head_timeout: limits.head_time,
         keep_alive: limits.idle_time,
         ..HttpLimits::default()
     }
--- a/crates/daemon/src/routes/view.rs
+++ b/crates/daemon/src/routes/view.rs
@@ -1,1 +1,67 @@
 //! The routing state that operators see.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+
+use oleanderwind_policy::TargetSpec;
+use oleanderwind_wire::RoutedTarget;
+use oleanderwind_wire::RoutingStatus;
+use oleanderwind_wire::UnansweredRequest;
+
+use crate::routes::RouteService;
+
+/// Requests without an answer that are kept for operators.
+const KEPT_REQUESTS: usize = 32;
+
+/// The last requests that ended without an answer, newest first.
+#[derive(Default)]
+pub(crate) struct UnansweredLog {
+    requests: RefCell<VecDeque<UnansweredRequest>>,
+}
+
+impl UnansweredLog {
+    /// Adds a request; the oldest one gives way.
+    pub(crate) fn add(&self, request: UnansweredRequest) {
+        let mut requests = self.requests.borrow_mut();
+        requests.truncate(KEPT_REQUESTS - 1);
+        requests.push_front(request);
+    }
+
+    fn list(&self) -> Vec<UnansweredRequest> {
+        self.requests.borrow().iter().cloned().collect()
+    }
+}
+
+impl RouteService {
+    /// Routes, targets and the last requests without an answer.
+    pub(crate) fn status(&self) -> RoutingStatus {
+        let routes = self.directory.routes();
+        let mut targets: Vec<RoutedTarget> =
+            self.directory.targets().iter().map(|spec| self.routed(spec)).collect();
+        targets.sort_by(|left, right| {
+            (&left.service, &left.target).cmp(&(&right.service, &right.target))
+        });
+        RoutingStatus {
+            version: routes.as_ref().map_or(0, |routes| routes.configuration.version),
+            routes: routes.as_ref().map_or(0, |routes| routes.configuration.routes.len()),
+            connects: self.fanout.targets.connects(),
+            targets,
+            unanswered: self.unanswered.list(),
+        }
+    }
+
+    fn routed(&self, spec: &TargetSpec) -> RoutedTarget {
+        let mut engine = self.fanout.engine.borrow_mut();
+        let view = engine.target_view(&spec.target);
+        RoutedTarget {
+            target: spec.target.clone(),
+            service: spec.service.to_string(),
+            failure_domain: spec.failure_domain.to_string(),
+            phase: spec.phase,
+            open: view.open,
+            window: view.window,
+            is_failing: view.is_failing,
+            extra_calls_left: engine.extra_calls_left(&spec.service),
+        }
+    }
+}
--- a/crates/policy/src/budget/extra_load.rs
+++ b/crates/policy/src/budget/extra_load.rs
@@ -53,6 +53,11 @@
         self.credit = self.credit.min(self.cap);
     }
 
+    /// Extra calls that would be granted now.
+    pub(crate) fn calls_left(&self) -> u64 {
+        self.credit / CALL_CREDIT
+    }
+
     /// Whether a hedge would leave enough for retries.
     pub(crate) fn has_hedge_credit(&self) -> bool {
         self.credit >= self.cap / RETRY_RESERVE_DIVISOR + CALL_CREDIT
--- a/crates/policy/src/fanout/mod.rs
+++ b/crates/policy/src/fanout/mod.rs
@@ -17,6 +17,7 @@
 mod result;
 mod settings;
 mod timer;
+mod view;
 mod waiting;
 
 pub use action::FanoutAction;
@@ -33,3 +34,4 @@
 pub use settings::FanoutSettings;
 pub use settings::FloorWait;
 pub use settings::HedgePolicy;
+pub use view::TargetView;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,6 +52,7 @@
 pub use fanout::HedgePolicy;
 pub use fanout::QueryId;
 pub use fanout::RepeatTerms;
+pub use fanout::TargetView;
 pub use finding::Finding;
 pub use finding::FindingList;
 pub use ids::CallId;
--- a/crates/policy/src/route/configuration.rs
+++ b/crates/policy/src/route/configuration.rs
@@ -36,11 +36,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Longest head, in bytes.
-    pub header_bytes: usize,
+    pub head_bytes: usize,
     /// Longest body, in bytes.
     pub body_bytes: usize,
     /// Longest time to send a head.
-    pub header_time: Duration,
+    pub head_time: Duration,
     /// Longest time between two requests of a connection.
     pub idle_time: Duration,
 }
@@ -75,9 +75,9 @@
 impl From<&RawCallerLimits> for CallerLimits {
     fn from(raw: &RawCallerLimits) -> CallerLimits {
         CallerLimits {
-            header_bytes: raw.header_bytes,
+            head_bytes: raw.head_bytes,
             body_bytes: raw.body_bytes,
-            header_time: Duration::from_millis(raw.header_ms),
+            head_time: Duration::from_millis(raw.head_ms),
             idle_time: Duration::from_millis(raw.idle_ms),
         }
     }
--- a/crates/policy/src/route/contract.rs
+++ b/crates/policy/src/route/contract.rs
@@ -24,7 +24,7 @@
     /// Host that callers name, in lower case.
     pub host: Arc<str>,
     /// Begins the paths that the route serves; begins and ends with a slash.
-    pub path_prefix: Arc<str>,
+    pub prefix: Arc<str>,
     /// Whether a request may run more than once.
     pub operation: OperationKind,
     /// Time in which an answer has its full worth.
@@ -43,9 +43,9 @@
     /// Checks `raw`; findings name places below `place`.
     pub(crate) fn check(raw: &RawRoute, place: &str) -> Result<RouteContract, FindingList> {
         let mut findings = FindingList::default();
-        if !(raw.path_prefix.starts_with('/') && raw.path_prefix.ends_with('/')) {
-            let problem = format!("is {:?}; begin and end it with a slash", raw.path_prefix);
-            findings.add(format!("{place}.path_prefix"), problem);
+        if !(raw.prefix.starts_with('/') && raw.prefix.ends_with('/')) {
+            let problem = format!("is {:?}; begin and end it with a slash", raw.prefix);
+            findings.add(format!("{place}.prefix"), problem);
         }
         if raw.time_limit_ms == 0 {
             findings.add(format!("{place}.time_limit_ms"), "is 0; give at least 1");
@@ -59,7 +59,7 @@
         Ok(RouteContract {
             name: raw.name.as_str().into(),
             host: raw.host.to_ascii_lowercase().into(),
-            path_prefix: raw.path_prefix.as_str().into(),
+            prefix: raw.prefix.as_str().into(),
             operation: raw.operation,
             objective: Duration::from_millis(raw.objective_ms.min(raw.time_limit_ms)),
             time_limit: Duration::from_millis(raw.time_limit_ms),
--- a/crates/policy/src/route/raw.rs
+++ b/crates/policy/src/route/raw.rs
@@ -28,7 +28,7 @@
     /// Host that callers name.
     pub host: String,
     /// Begins and ends with a slash.
-    pub path_prefix: String,
+    pub prefix: String,
     /// Whether a request may run more than once.
     pub operation: OperationKind,
     /// Time in which an answer has its full worth.
@@ -89,11 +89,11 @@
 #[serde(deny_unknown_fields)]
 pub struct RawCallerLimits {
     /// Longest head.
-    pub header_bytes: usize,
+    pub head_bytes: usize,
     /// Longest body.
     pub body_bytes: usize,
     /// Longest time to send a head.
-    pub header_ms: u64,
+    pub head_ms: u64,
     /// Longest time between two requests of a connection.
     pub idle_ms: u64,
 }
--- a/crates/policy/src/route/table.rs
+++ b/crates/policy/src/route/table.rs
@@ -18,7 +18,7 @@
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteContract>>> = HashMap::new();
         for route in &configuration.routes {
             let prefixes = by_host.entry(route.host.clone()).or_default();
-            prefixes.insert(route.path_prefix.clone(), Arc::new(route.clone()));
+            prefixes.insert(route.prefix.clone(), Arc::new(route.clone()));
         }
         RouteTable { by_host }
     }
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -17,11 +17,11 @@
 use oleanderwind_policy::merge_records;
 use proptest::prelude::*;
 
-fn route(name: &str, host: &str, path_prefix: &str) -> RawRoute {
+fn route(name: &str, host: &str, prefix: &str) -> RawRoute {
     RawRoute {
         name: name.to_owned(),
         host: host.to_owned(),
-        path_prefix: path_prefix.to_owned(),
+        prefix: prefix.to_owned(),
         operation: OperationKind::Search,
         objective_ms: 80,
         time_limit_ms: 800,
@@ -39,9 +39,9 @@
         routes,
         services: Vec::new(),
         limits: RawCallerLimits {
-            header_bytes: 16_384,
+            head_bytes: 16_384,
             body_bytes: 262_144,
-            header_ms: 3_000,
+            head_ms: 3_000,
             idle_ms: 15_000,
         },
     }
@@ -67,7 +67,7 @@
     let raw = configuration(vec![first, second, third, fourth]);
     let findings = RouteConfiguration::try_from(&raw).unwrap_err();
     expect![[r#"
-        routes[0].path_prefix: is "no-slash"; begin and end it with a slash
+        routes[0].prefix: is "no-slash"; begin and end it with a slash
         routes[0].attempts: is 0; give at least 1
         routes[1]: needs exactly one of service, shares and shards
         routes[2].shards.floor: is 1.5; give 0 to 1
--- a/crates/wire/src/admin/mod.rs
+++ b/crates/wire/src/admin/mod.rs
@@ -3,6 +3,7 @@
 //! | call | body | reply |
 //! |---|---|---|
 //! | `GET /v1/status` | none | [`VmStatus`] |
+//! | `GET /v1/routing` | none | [`RoutingStatus`] |
 //! | `GET /v1/fleet` | none | list of [`FleetMember`] |
 //! | `GET /v1/contracts` | none | list of [`ContractDocument`] |
 //! | `GET /v1/contracts/{customer}` | none | [`ContractDocument`] |
@@ -24,5 +25,8 @@
 pub use status::ClassOutcome;
 pub use status::FleetMember;
 pub use status::RouteExplanation;
+pub use status::RoutedTarget;
+pub use status::RoutingStatus;
 pub use status::ShardRoute;
+pub use status::UnansweredRequest;
 pub use status::VmStatus;
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -5,6 +5,7 @@
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::ShardId;
 use oleanderwind_policy::TargetId;
+use oleanderwind_policy::TargetPhase;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -31,6 +32,57 @@
     pub platform_calls: u64,
 }
 
+/// Routes of opaque requests on the VM that answers.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct RoutingStatus {
+    /// Configuration version in force, 0 before the first.
+    pub version: u64,
+    /// Routes in force.
+    pub routes: usize,
+    /// Connections to targets made since the start.
+    pub connects: u64,
+    /// Targets, by service and name.
+    pub targets: Vec<RoutedTarget>,
+    /// The last requests that ended without an answer, newest first.
+    pub unanswered: Vec<UnansweredRequest>,
+}
+
+/// A target as the VM stands to it.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct RoutedTarget {
+    /// The target.
+    pub target: TargetId,
+    /// The service that it serves.
+    pub service: String,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// What the platform says of it.
+    pub phase: TargetPhase,
+    /// Calls open to it.
+    pub open: u32,
+    /// Calls that may be open to it.
+    pub window: u32,
+    /// Whether its last calls failed, so that others go first.
+    pub is_failing: bool,
+    /// Extra calls that its service's budget has left.
+    pub extra_calls_left: u64,
+}
+
+/// A request that ended without an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct UnansweredRequest {
+    /// The caller's id.
+    pub request: String,
+    /// Its route.
+    pub route: String,
+    /// `refused`, `late` or `failed`.
+    pub outcome: String,
+    /// Why.
+    pub reason: String,
+    /// Time since its arrival when it ended, in milliseconds.
+    pub ms: u64,
+}
+
 /// A VM of the fleet as the answering VM last heard of it.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct FleetMember {
