--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -41,6 +41,8 @@
     platform: Rc<PlatformService>,
     peers: Rc<PeerService>,
     directory: Rc<DirectoryService>,
+    /// When the platform was lost, while it is.
+    lost_since: Cell<Option<Instant>>,
 }
 
 /// Where each kind's next watch starts.
@@ -53,6 +55,7 @@
             platform: kernel.platform()?,
             peers: kernel.peers()?,
             directory: kernel.directory()?,
+            lost_since: Cell::new(None),
         };
         let backoff = WatchBackoff::new(
             kernel.settings().seed,
@@ -101,8 +104,8 @@
                     revisions = self.list_after_expiry(&mut backoff).await;
                 }
                 Err(error) => {
-                    log::warn!("the platform's watch: {error}");
                     backoff.failed(Instant::now());
+                    self.note_lost(&error, &backoff);
                 }
             }
         }
@@ -114,8 +117,8 @@
             match self.list_all().await {
                 Ok(next) => return Some(next),
                 Err(error) => {
-                    log::warn!("the platform's lists: {error}");
                     backoff.failed(Instant::now());
+                    self.note_lost(&error, &backoff);
                     tokio::time::sleep_until(backoff.next_call().into()).await;
                 }
             }
@@ -138,7 +141,7 @@
             Ok::<_, PlatformError>(KindList { kind, revision, objects: objects.collect() })
         });
         let lists = try_join_all(lists).await?;
-        self.peers.platform_heard();
+        self.note_heard();
         let revision = lists.iter().map(|list| list.revision).min().unwrap_or(0);
         let objects: Vec<ConfigurationObject> =
             lists.iter().flat_map(|list| list.objects.iter().cloned()).collect();
@@ -160,10 +163,15 @@
     ) -> Result<(), PlatformError> {
         let (kind, after) = (own.kind, own.revision.get());
         let mut events = self.platform.watch(edge_kind(kind), after).await?;
-        self.peers.platform_heard();
         while let Some(event) = events.next().await {
-            let event = event?;
-            self.peers.platform_heard();
+            let event = event.inspect_err(|error| {
+                log::info!(
+                    kind = kind.as_str(),
+                    after = own.revision.get();
+                    "a watch ended: {error}"
+                );
+            })?;
+            self.note_heard();
             own.revision.set(own.revision.get().max(event.object.revision()));
             let mut object = configuration_object(kind, &event.object);
             match event.kind {
@@ -180,6 +188,31 @@
         Ok(())
     }
 
+    /// Takes in that the platform answered.
+    fn note_heard(&self) {
+        self.peers.platform_heard();
+        if let Some(since) = self.lost_since.take() {
+            let away_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            log::info!(dependency = "platform", away_ms = away_ms; "a dependency is back");
+        }
+    }
+
+    /// Takes in that a call to the platform failed; one line tells of each loss.
+    fn note_lost(&self, error: &PlatformError, backoff: &WatchBackoff) {
+        if self.lost_since.get().is_some() {
+            return;
+        }
+        let now = Instant::now();
+        self.lost_since.set(Some(now));
+        let wait = backoff.next_call().saturating_duration_since(now);
+        log::warn!(
+            dependency = "platform",
+            revision = self.peers.complete_to(),
+            next_try_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            "a dependency is lost: {error}"
+        );
+    }
+
     /// What every kind's watch has passed is whole.
     fn note_progress(&self, all: &[WatchProgress]) {
         let passed = all.iter().map(|kind| kind.revision.get()).min();
