test(fanout): routes in virtual time, each test naming its pattern

Found: a hedge went to a lapsed target. Change: tests of the patterns; a lapsed target gets no hedge; the fake fleet knows targets that can't be connected to.

--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -74,6 +74,7 @@
         let choice = self.choose(running, position, skipped, now);
         if let TargetChoice::Target(target) = choice
             && !self.targets.state(target).backoff.is_failing()
+            && !self.targets.state(target).is_lapsed()
         {
             self.send(query, running, position, target, now, actions);
         }
--- a/crates/policy/tests/fanout/fake_fleet.rs
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -245,6 +245,13 @@
 
     fn receive(&mut self, sent: SentCall) {
         let call = sent.call;
+        if self.targets[&sent.target].behaviour == Behaviour::Unreachable {
+            // Nothing of it arrives anywhere, so that it is neither a first call nor an extra one.
+            self.targets.get_mut(&sent.target).unwrap().open += 1;
+            self.schedule(call, ms(1));
+            self.open.insert(call, sent);
+            return;
+        }
         match self.begun.insert((sent.query, sent.shard)) {
             true => self.primary += 1,
             false => self.extra += 1,
@@ -259,6 +266,7 @@
         let is_immediate = match target.behaviour {
             Behaviour::Silent => false,
             Behaviour::Fail | Behaviour::Refuse(_) => true,
+            Behaviour::Unreachable => unreachable!("handled above"),
             Behaviour::Serve | Behaviour::Half(_) => target.queue.len() >= target.queue_limit,
         };
         if is_immediate {
@@ -303,6 +311,7 @@
         };
         let event = match target.behaviour {
             Behaviour::Fail => FanoutEvent::Failed { call },
+            Behaviour::Unreachable => FanoutEvent::Unsent { call },
             Behaviour::Refuse(cause) => FanoutEvent::Refused { call, cause, load, draining },
             _ if !is_run => {
                 let cause = RefusalCause::Shedding;
--- a/crates/policy/tests/fanout/fake_target.rs
+++ b/crates/policy/tests/fanout/fake_target.rs
@@ -21,6 +21,8 @@
     Serve,
     Silent,
     Fail,
+    /// Can't be connected to.
+    Unreachable,
     Refuse(RefusalCause),
     /// Covers only this many documents.
     Half(u64),
--- a/crates/policy/tests/fanout/main.rs
+++ b/crates/policy/tests/fanout/main.rs
@@ -8,4 +8,5 @@
 mod fake_target;
 mod invariants;
 mod load;
+mod routes;
 mod targets;
--- /dev/null
+++ b/crates/policy/tests/fanout/routes.rs
@@ -0,0 +1,280 @@
+//! Requests of routes: objectives, repeats, budgets of services, and which target is chosen.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use oleanderwind_policy::BudgetOwner;
+use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::FanoutSettings;
+use oleanderwind_policy::FinishReason;
+use oleanderwind_policy::QueryId;
+use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::RepeatTerms;
+use oleanderwind_policy::RequestOutcome;
+use oleanderwind_policy::RunState;
+use oleanderwind_policy::ServiceId;
+use oleanderwind_policy::TargetPhase;
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::fake_fleet::FakeFleet;
+use crate::fake_fleet::ms;
+use crate::fake_target::Behaviour;
+
+/// Time within which an answer has its full worth.
+const OBJECTIVE: Duration = ms(80);
+/// Kept for an answer's way to its caller.
+const MARGIN: Duration = ms(15);
+/// Window in which extra calls are bounded.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+
+fn settings() -> FanoutSettings {
+    let mut settings = FanoutSettings::default();
+    settings.answer_margin = MARGIN;
+    settings.own_domain = Some("a".into());
+    settings
+}
+
+/// A plan of a route: the floor is half of the shards, each shard's service pays for itself.
+fn route_plan(fleet: &FakeFleet) -> FanoutPlan {
+    let services: Vec<ServiceId> =
+        (0..fleet.manifest.shards.len()).map(|shard| format!("s{shard}").into()).collect();
+    FanoutPlan {
+        objective: Some(fleet.now + OBJECTIVE),
+        repeats: RepeatTerms {
+            is_idempotent: true,
+            attempts: 2,
+            budget: BudgetOwner::Services(services.into()),
+        },
+        ..fleet.plan()
+    }
+}
+
+/// Submits `count` route queries, one every `gap`, then lets all finish.
+fn submit_routes(fleet: &mut FakeFleet, first: QueryId, count: u64, gap: Duration) {
+    for query in first..first + count {
+        let plan = route_plan(fleet);
+        fleet.submit(query, plan);
+        fleet.advance(gap);
+    }
+    fleet.advance(ms(400));
+}
+
+fn warm_routes(settings: FanoutSettings, shards: u32) -> FakeFleet {
+    let mut fleet = FakeFleet::new(settings, shards, 2);
+    fleet.extra_permille = 200;
+    submit_routes(&mut fleet, 1_000, 200, ms(10));
+    fleet
+}
+
+fn targets_of(fleet: &FakeFleet, query: QueryId, shard: u32) -> Vec<String> {
+    let sent = fleet.sent.iter().filter(|sent| sent.query == query && sent.shard == shard);
+    sent.map(|sent| sent.target.to_string()).collect()
+}
+
+/// Pattern: every target of one shard is silent.
+#[test]
+fn floor_answer_leaves_the_margin_before_the_objective() {
+    let mut fleet = warm_routes(settings(), 20);
+    fleet.target("s3r0").behaviour = Behaviour::Silent;
+    fleet.target("s3r1").behaviour = Behaviour::Silent;
+    submit_routes(&mut fleet, 1, 1, ms(0));
+    assert_eq!(fleet.latency(1), OBJECTIVE - MARGIN);
+    assert_eq!(fleet.result(1).reason, FinishReason::FloorMet);
+    assert_eq!(fleet.result(1).shards_answered, 19);
+}
+
+/// Pattern: more shards are late than the floor allows; the answer goes out late, and whole enough.
+#[test]
+fn answer_below_the_floor_waits_past_the_objective() {
+    let mut fleet = warm_routes(settings(), 20);
+    fleet.targets.values_mut().for_each(|target| target.base = ms(100));
+    submit_routes(&mut fleet, 1, 1, ms(0));
+    assert!(fleet.latency(1) > OBJECTIVE - MARGIN);
+    assert!(fleet.result(1).shards_answered >= 10, "{:?}", fleet.result(1));
+}
+
+/// Pattern: usual latency is far above what the objective leaves, and one target has paused.
+#[test]
+fn hedge_leaves_in_time_for_the_objective() {
+    let mut settings = settings();
+    settings.cold_latency = ms(150);
+    let mut fleet = FakeFleet::new(settings, 4, 2);
+    fleet.extra_permille = 1_000;
+    submit_routes(&mut fleet, 1_000, 12, ms(10));
+    for shard in 0..4 {
+        fleet.target(&format!("s{shard}r0")).behaviour = Behaviour::Silent;
+    }
+    submit_routes(&mut fleet, 1, 1, ms(0));
+    assert_eq!(fleet.result(1).outcome, RequestOutcome::Answered, "{:?}", fleet.result(1));
+    let hedged = (0..4).filter(|shard| targets_of(&fleet, 1, *shard).len() == 2).count();
+    assert!(hedged > 0, "no first call met a paused target");
+    assert!(fleet.latency(1) < OBJECTIVE - MARGIN);
+}
+
+/// Pattern: searchers pause for a quarter of a second, each at its own time.
+#[test]
+fn paused_target_is_avoided_before_its_first_answer() {
+    let mut fleet = FakeFleet::new(settings(), 1, 2);
+    fleet.extra_permille = 200;
+    // Usually the slower one, so that only the pause speaks for it.
+    fleet.target("s0r1").base = ms(16);
+    submit_routes(&mut fleet, 1_000, 200, ms(40));
+    fleet.target("s0r0").behaviour = Behaviour::Silent;
+    let mut query = 0;
+    while targets_of(&fleet, query, 0).first().is_none_or(|target| target != "s0r0") {
+        query += 1;
+        let plan = route_plan(&fleet);
+        fleet.submit(query, plan);
+        fleet.advance(ms(1));
+    }
+    // The call is overdue, and neither an answer nor a deadline has said so.
+    fleet.advance(ms(30));
+    let received = fleet.target("s0r0").received;
+    for later in 500..504 {
+        let plan = route_plan(&fleet);
+        fleet.submit(later, plan);
+        fleet.advance(ms(20));
+    }
+    let after = fleet.target("s0r0").received - received;
+    assert_eq!(after, 0, "calls went to the paused target");
+}
+
+/// Pattern: every target of a shard refuses connections.
+#[test]
+fn unsent_calls_give_a_shard_up() {
+    let mut fleet = warm_routes(settings(), 1);
+    fleet.targets.values_mut().for_each(|target| target.behaviour = Behaviour::Unreachable);
+    submit_routes(&mut fleet, 1, 1, ms(0));
+    let result = fleet.result(1);
+    assert_eq!((result.reason, result.ran), (FinishReason::ShardLost, RunState::No));
+    assert_eq!(result.calls_sent, 0, "what never left counts as never sent");
+    assert!(fleet.latency(1) < ms(60), "{:?}", fleet.latency(1));
+}
+
+#[test]
+fn call_that_may_not_be_repeated_is_sent_again_only_when_it_did_not_run() {
+    let behaviours = [
+        (Behaviour::Fail, 1, RunState::Unknown),
+        (Behaviour::Silent, 1, RunState::Unknown),
+        (Behaviour::Refuse(RefusalCause::Shedding), 2, RunState::No),
+    ];
+    for (behaviour, least, ran) in behaviours {
+        let mut fleet = warm_routes(settings(), 1);
+        fleet.targets.values_mut().for_each(|target| target.behaviour = behaviour);
+        let mut plan = route_plan(&fleet);
+        plan.repeats.is_idempotent = false;
+        fleet.submit(1, plan);
+        fleet.advance(ms(400));
+        let sent = targets_of(&fleet, 1, 0).len();
+        assert!(if least == 1 { sent == 1 } else { sent >= least }, "{behaviour:?}: {sent} sent");
+        assert_eq!(fleet.result(1).ran, ran, "{behaviour:?}");
+    }
+}
+
+#[test]
+fn near_target_is_preferred_until_the_far_one_saves_its_cost() {
+    let mut settings = settings();
+    settings.crossing_cost = ms(30);
+    let mut fleet = FakeFleet::new(settings, 1, 2);
+    fleet.specs[1].failure_domain = "b".into();
+    fleet.engine.apply_targets(fleet.specs.clone(), fleet.now);
+    submit_routes(&mut fleet, 1_000, 100, ms(20));
+    let far = fleet.target("s0r1").received;
+    assert!(far <= 10, "{far} of 100 calls crossed without need");
+    fleet.target("s0r0").base = ms(100);
+    submit_routes(&mut fleet, 2_000, 100, ms(20));
+    assert!(fleet.target("s0r1").received - far >= 50, "a slow near target keeps its calls");
+}
+
+#[test]
+fn lapsed_target_is_used_only_where_nothing_else_is_left() {
+    let mut fleet = warm_routes(settings(), 1);
+    fleet.specs[0].phase = TargetPhase::Lapsed;
+    fleet.engine.apply_targets(fleet.specs.clone(), fleet.now);
+    let received = fleet.target("s0r0").received;
+    submit_routes(&mut fleet, 1, 20, ms(30));
+    assert_eq!(fleet.target("s0r0").received, received);
+    fleet.specs[1].phase = TargetPhase::Draining;
+    fleet.engine.apply_targets(fleet.specs.clone(), fleet.now);
+    submit_routes(&mut fleet, 100, 20, ms(30));
+    assert_eq!(fleet.target("s0r0").received, received + 20);
+}
+
+/// Pattern: a target that failed starts again under its id.
+#[test]
+fn target_of_another_incarnation_starts_with_a_clean_record() {
+    let mut fleet = warm_routes(settings(), 1);
+    fleet.target("s0r0").behaviour = Behaviour::Fail;
+    submit_routes(&mut fleet, 1, 20, ms(10));
+    fleet.target("s0r0").behaviour = Behaviour::Serve;
+    fleet.specs[0].incarnation = 7;
+    fleet.engine.apply_targets(fleet.specs.clone(), fleet.now);
+    assert!(!fleet.engine.target_view(&"s0r0".into()).is_failing);
+    let received = fleet.target("s0r0").received;
+    submit_routes(&mut fleet, 100, 20, ms(30));
+    assert!(fleet.target("s0r0").received > received + 4);
+}
+
+/// The most extra calls of a shard in a window, less its share of the first ones there.
+fn worst_excess(fleet: &FakeFleet, shard: u32, permille: u64) -> i64 {
+    let mut calls: Vec<(Instant, bool)> = Vec::new();
+    let mut begun = std::collections::HashSet::new();
+    for sent in fleet.sent.iter().filter(|sent| sent.shard == shard) {
+        calls.push((sent.at, !begun.insert(sent.query)));
+    }
+    let mut worst = 0;
+    for (index, (start, _)) in calls.iter().enumerate() {
+        let (mut first, mut extra) = (0_i64, 0_i64);
+        for (at, is_extra) in &calls[index..] {
+            if *at >= *start + BUDGET_WINDOW {
+                break;
+            }
+            if *is_extra {
+                extra += 1
+            } else {
+                first += 1
+            }
+            worst = worst.max(extra - first * permille as i64 / 1_000);
+        }
+    }
+    worst
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    /// Pattern: targets slow down, fail, refuse, pause and recover in any order.
+    #[test]
+    fn extra_calls_of_a_service_stay_within_its_share_and_burst_in_every_window(
+        seed in any::<u64>(),
+    ) {
+        const BURST: u32 = 6;
+        let mut settings = settings();
+        settings.service_burst = BURST;
+        let mut fleet = FakeFleet::new(settings, 2, 2);
+        fleet.extra_permille = 200;
+        let mut generator = Pcg64Mcg::seed_from_u64(seed);
+        let names: Vec<String> = fleet.targets.keys().map(|name| name.to_string()).collect();
+        for step in 0..40 {
+            let name = &names[generator.random_range(0..names.len())];
+            let behaviour = match generator.random_range(0..6) {
+                0 => Behaviour::Fail,
+                1 => Behaviour::Silent,
+                2 => Behaviour::Refuse(RefusalCause::Shedding),
+                3 => Behaviour::Unreachable,
+                _ => Behaviour::Serve,
+            };
+            fleet.target(name).behaviour = behaviour;
+            fleet.target(name).base = ms(generator.random_range(5..120));
+            submit_routes(&mut fleet, step * 100, 20, ms(generator.random_range(2..40)));
+        }
+        for shard in 0..2 {
+            let excess = worst_excess(&fleet, shard, 200);
+            // One call of rounding: an empty budget may hold a part of a call.
+            prop_assert!(excess <= i64::from(BURST) + 1, "shard {shard}: {excess} beyond the share");
+        }
+    }
+}
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -9,11 +9,14 @@
 use fleet::platform_vm;
 use oleanderwind_policy::ConnectionBudget;
 use oleanderwind_policy::HeldService;
+use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
 use oleanderwind_policy::MemberStanding;
+use oleanderwind_policy::ShardPlaces;
 use oleanderwind_policy::SubsetCandidate;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::address_plan;
+use oleanderwind_policy::caller_plan;
 use oleanderwind_policy::holders_by_service;
 use oleanderwind_policy::service_holders;
 use proptest::prelude::any;
@@ -255,3 +258,45 @@
     let names: Vec<&str> = vms.iter().map(|vm| &**vm).collect();
     assert_eq!(names, ["vm-0003", "vm-0002", "vm-0001"]);
 }
+
+/// Pattern: shards have targets in two of three failure domains, and callers are in all.
+#[test]
+fn caller_plan_names_vms_near_the_shards_and_near_the_caller() {
+    let record = |vm: &str, domain: &str| MemberRecord {
+        vm: vm.into(),
+        incarnation: 1,
+        sequence: 1,
+        phase: MemberPhase::Serving,
+        suspected: false,
+        failure_domain: domain.into(),
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        caller_address: "127.0.0.1:2".parse().unwrap(),
+        revision: 1,
+    };
+    let records = [
+        record("a1", "a"),
+        record("a2", "a"),
+        record("b1", "b"),
+        record("b2", "b"),
+        record("c1", "c"),
+        record("c2", "c"),
+    ];
+    let held = [("a".into(), 20), ("b".into(), 20)].into();
+    let places = ShardPlaces { shards: 20, held };
+    let named = |domain: Option<&str>, standings: [MemberStanding; 6]| -> Vec<String> {
+        let members: Vec<_> = records.iter().zip(standings).collect();
+        let chosen = caller_plan(domain, &members, &places);
+        chosen.iter().map(|record| record.vm.to_string()).collect()
+    };
+    let serving = [MemberStanding::Serving; 6];
+    assert_eq!(named(Some("a"), serving), ["a1", "a2"]);
+    assert_eq!(named(Some("c"), serving), ["a1", "a2", "b1", "b2"]);
+    assert_eq!(named(None, serving), ["a1", "a2", "b1", "b2"]);
+    let mut one_left = serving;
+    one_left[0] = MemberStanding::Leaving;
+    assert_eq!(named(Some("a"), one_left), ["a2", "b1", "b2"]);
+    let mut only_far = [MemberStanding::Gone; 6];
+    only_far[4] = MemberStanding::Serving;
+    assert_eq!(named(Some("a"), only_far), ["c1"]);
+    assert_eq!(named(Some("a"), [MemberStanding::Suspect; 6]).len(), 6);
+}
