fix(sync): list everything after a watch that broke off

The store drops its history, and for a second its watches hear nothing of what changes; resumed at a later revision, a VM missed version 8 for 5.7 s until a peer's digest showed it. Ruled out: a silent connection, the pause of 300 ms between calls. Change: an edge says whether its watches may be resumed; those of the users' store may not. The first call of a process waits at most an eighth of the longest pause: 0.1 s in place of 0.8 s, in which a VM that starts refuses everything.

--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -98,6 +98,11 @@
     /// Whether each VM enters itself into the platform's VM list.
     fn is_self_enrolled(&self) -> bool;
 
+    /// Whether a watch that broke off may be resumed where it ended.
+    ///
+    /// If not, it may have kept changes back before it broke, and a list has to show them.
+    fn resumes_watches(&self) -> bool;
+
     /// Every object of a kind.
     fn list(&self, kind: ObjectKind) -> LocalBoxFuture<'_, Result<ObjectList, PlatformError>>;
 
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -113,6 +113,10 @@
         false
     }
 
+    fn resumes_watches(&self) -> bool {
+        true
+    }
+
     fn list(&self, kind: ObjectKind) -> LocalBoxFuture<'_, Result<ObjectList, PlatformError>> {
         self.call(Method::GET, kind.as_str().to_owned(), None).boxed_local()
     }
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -81,6 +81,7 @@
     /// Hears the platform for ever.
     async fn follow(self, mut backoff: WatchBackoff) {
         let mut revisions = None;
+        let mut must_list = false;
         loop {
             if self.directory.is_configured() && !self.peers.is_watch_holder() {
                 // Peers keep the store up to date, so that the next watch starts from there.
@@ -90,10 +91,11 @@
             }
             tokio::time::sleep_until(backoff.next_call().into()).await;
             let held = revisions.take().or_else(|| self.held_revisions());
-            let result = match held {
+            let result = match held.filter(|_| !must_list) {
                 Some(held) => self.watch_all(held).await,
                 None => self.list_all().await,
             };
+            must_list = result.is_err() && !self.platform.resumes_watches();
             match result {
                 Ok(next) => {
                     backoff.succeeded(Instant::now());
--- a/crates/policy/src/objects/watch.rs
+++ b/crates/policy/src/objects/watch.rs
@@ -17,6 +17,9 @@
 const WATCH_NAME: &str = "platform-watch";
 /// Bound of a watch's length.
 const LONGEST_WATCH: Duration = Duration::from_secs(60);
+/// The first call of a process waits at most this part of the longest wait: fleets that may wait
+/// long between calls are large.
+const FIRST_CALL_DIVISOR: u32 = 8;
 /// Bound of the first wait after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -45,12 +48,12 @@
 }
 
 impl WatchBackoff {
-    /// The first call is due within a second, as many VMs may start together; no wait is longer
-    /// than `longest`.
+    /// The first call is due within a second at most, as many VMs may start together; no wait is
+    /// longer than `longest`.
     pub fn new(seed: u64, longest: Duration, now: Instant) -> WatchBackoff {
         let generator = Pcg64Mcg::seed_from_u64(seed);
         let mut backoff = WatchBackoff { failures: 0, longest, next_call: now, generator };
-        backoff.wait(FIRST_BACKOFF.min(longest), now);
+        backoff.wait(FIRST_BACKOFF.min(longest / FIRST_CALL_DIVISOR), now);
         backoff
     }
 
