fix(spread): pass on what a list brings, watch from every VM of a small failure domain

Change: news of a list is pushed; VMs of a failure domain of three or fewer all hold watches; a stop answers 504 to what outlasts it, and takes requests for 3 of 5 parts of its time.

--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -29,13 +29,15 @@
 
     /// Takes whole lists of every kind in.
     pub(crate) fn platform_listed(self: &Rc<Self>, listing: &ObjectListing) {
-        {
+        let actions = {
             let mut state = self.state.borrow_mut();
-            state.spread.apply_listing(listing);
-            let complete_to = state.spread.store().summary().complete_to;
-            state.gate.platform_listed(complete_to);
-        }
+            let PeerState { spread, membership, gate, .. } = &mut *state;
+            let actions = spread.listed(listing, membership);
+            gate.platform_listed(spread.store().summary().complete_to);
+            actions
+        };
         self.feed_all();
+        self.spread_out(actions);
         self.settle();
     }
 
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -10,6 +10,7 @@
 
 use actix_http::StatusCode;
 use futures_util::FutureExt;
+use futures_util::future::join_all;
 use oleanderwind_http::HttpCall;
 use oleanderwind_http::HttpLimits;
 use oleanderwind_http::HttpListener;
@@ -26,6 +27,7 @@
 use oleanderwind_policy::ShareTurns;
 use oleanderwind_policy::TargetSet;
 use oleanderwind_wire::UnansweredRequest;
+use tokio::sync::watch;
 
 use crate::directory::DirectoryService;
 use crate::directory::RoutesInForce;
@@ -50,6 +52,8 @@
 const RETRY_AFTER_START: Duration = Duration::from_millis(500);
 /// Callers' connections served at once; the smallest VM has 3,900 descriptors for sockets.
 const CALLER_CONNECTIONS: usize = 2_000;
+/// Kept of a stop for the last answers to leave.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Customer that routes' queries are booked under.
 const ROUTE_CUSTOMER: &str = "routes";
 /// A whole, in thousandths.
@@ -68,6 +72,8 @@
     manifests: ManifestBook,
     turns: RefCell<HashMap<Arc<str>, ShareTurns>>,
     listeners: RefCell<Vec<HttpListener>>,
+    /// Whether requests that still run must be answered now.
+    is_ending: watch::Sender<bool>,
 }
 
 impl RouteService {
@@ -93,6 +99,7 @@
             directory,
             turns: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
+            is_ending: watch::Sender::new(false),
             settings,
             live,
         });
@@ -127,10 +134,18 @@
     }
 
     /// Finishes open requests and closes every connection.
+    ///
+    /// A request that still runs near the end of `patience` is answered as late: its caller learns
+    /// more from that than from a connection that breaks.
     pub(crate) async fn drain(&self, patience: Duration) {
         let listeners = self.listeners.borrow().clone();
+        let end = Instant::now() + patience;
+        let last_answers = end.checked_sub(LAST_ANSWERS_TIME).unwrap_or(end);
+        let drains = listeners.iter().map(|listener| listener.drain(time_until(last_answers)));
+        join_all(drains).await;
+        self.is_ending.send_replace(true);
         for listener in listeners {
-            let left = listener.drain(patience).await;
+            let left = listener.drain(time_until(end)).await;
             if left > 0 {
                 log::error!(connections = left; "callers were still there at the end of the drain");
             }
@@ -212,7 +227,20 @@
         arrived: Instant,
     ) -> HttpReply {
         let plan = self.plan(routes, route, &request, arrived);
-        let reply = self.fanout.run(plan, QueryWork::forward(request.clone())).await;
+        let mut ending = self.is_ending.subscribe();
+        let reply = tokio::select! {
+            reply = self.fanout.run(plan, QueryWork::forward(request.clone())) => reply,
+            _ = ending.wait_for(|is_ending| *is_ending) => {
+                log::warn!(
+                    request = request.id.as_str(),
+                    route = route.name.as_ref(),
+                    outcome = "cut_by_stop",
+                    ms = milliseconds(arrived.elapsed());
+                    "a request outlasts the stop of the VM"
+                );
+                return HttpReply::empty(StatusCode::GATEWAY_TIMEOUT).closing();
+            }
+        };
         let Some(FanoutReply { result, work }) = reply else {
             log::error!(request = request.id.as_str(); "a request ended without a result");
             return HttpReply::empty(StatusCode::BAD_GATEWAY);
@@ -300,6 +328,10 @@
     }
 }
 
+fn time_until(end: Instant) -> Duration {
+    end.saturating_duration_since(Instant::now())
+}
+
 fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -25,7 +25,7 @@
 /// Kept of the time that a stop may take, for the last word to peers and the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Part of a stop in which requests are still taken.
-const NOTICE_PART: f64 = 0.75;
+const NOTICE_PART: f64 = 0.6;
 /// A whole, in thousandths.
 const WHOLE_PERMILLE: f64 = 1_000.0;
 
--- a/crates/policy/src/objects/spread.rs
+++ b/crates/policy/src/objects/spread.rs
@@ -65,6 +65,26 @@
         self.store.apply_listing(listing);
     }
 
+    /// Takes the platform's lists of every kind in, and passes on what was news.
+    ///
+    /// A first list and one with more news than fits a message are left to the peers' own lists and
+    /// pulls.
+    pub fn listed(
+        &mut self,
+        listing: &ObjectListing,
+        members: &mut MembershipEngine,
+    ) -> Vec<SpreadAction> {
+        let is_first = self.store.summary().highest == 0;
+        let fresh: Vec<ConfigurationObject> =
+            listing.objects.values().filter(|object| self.store.is_news(object)).cloned().collect();
+        self.store.apply_listing(listing);
+        let bytes: usize = fresh.iter().map(ConfigurationObject::encoded_bound).sum();
+        if is_first || fresh.is_empty() || bytes > PULL_BYTES {
+            return Vec::new();
+        }
+        push_to(members, &fresh)
+    }
+
     /// Takes changes in, from a watch or from a peer, and passes on what was news.
     pub fn changed(
         &mut self,
@@ -76,8 +96,7 @@
         if fresh.is_empty() {
             return Vec::new();
         }
-        let push = |vm| SpreadAction::Push { vm, objects: fresh.clone() };
-        members.sample_peers(PUSH_FANOUT).into_iter().map(push).collect()
+        push_to(members, &fresh)
     }
 
     /// Every watched kind is known up to `revision`.
@@ -129,3 +148,9 @@
         None
     }
 }
+
+/// Sends objects to a few peers, which pass on what is news to them.
+fn push_to(members: &mut MembershipEngine, objects: &[ConfigurationObject]) -> Vec<SpreadAction> {
+    let push = |vm| SpreadAction::Push { vm, objects: objects.to_vec() };
+    members.sample_peers(PUSH_FANOUT).into_iter().map(push).collect()
+}
--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -35,6 +35,12 @@
         self.objects.get(key).filter(|object| object.body.is_some())
     }
 
+    /// Whether the object is newer than what is held of it.
+    pub fn is_news(&self, object: &ConfigurationObject) -> bool {
+        let held = self.objects.get(&object.key);
+        held.is_none_or(|held| held.revision < object.revision)
+    }
+
     /// Objects of a kind that exist, by name.
     pub fn iter_kind(&self, kind: ObjectKind) -> impl Iterator<Item = &ConfigurationObject> {
         let start = ObjectKey { kind, name: "".into() };
--- a/crates/policy/src/objects/watch.rs
+++ b/crates/policy/src/objects/watch.rs
@@ -13,6 +13,9 @@
 
 /// Watch holders of one failure domain; a second one covers the loss of the first.
 const HOLDERS_PER_DOMAIN: usize = 2;
+/// VMs of a failure domain up to which all of them hold watches: a watch is one call in 25 s, and a
+/// VM that hears for itself needs no peer to be in time.
+const SMALL_DOMAIN: usize = 3;
 /// Name under which VMs are ranked for the watches.
 const WATCH_NAME: &str = "platform-watch";
 /// Bound of a watch's length.
@@ -28,6 +31,9 @@
 /// `vms` are the domain's serving VMs. Two views that differ give an extra watch or, until
 /// suspicion has spread, one watch less; the other holder and other domains cover that.
 pub fn watch_holders(domain: &FailureDomainId, vms: &[VmId]) -> Vec<VmId> {
+    if vms.len() <= SMALL_DOMAIN {
+        return vms.to_vec();
+    }
     let mut ranked: Vec<(u64, &VmId)> =
         vms.iter().map(|vm| (rendezvous_weight(&[WATCH_NAME, domain], vm), vm)).collect();
     ranked.sort_unstable_by(|left, right| right.cmp(left));
