feat(routes): heads longer than the routes' limit get 431

Cause: only the listener's own bound held. Change: the dialect counts the head's bytes, the service compares. After: 431, the connection ends.

--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -44,6 +44,8 @@
     pub target: String,
     /// Length of the path in `target`.
     pub path_length: usize,
+    /// Bytes of the head as it came.
+    pub head_bytes: usize,
     /// Headers to pass on.
     pub headers: HeaderMap,
     /// The whole body.
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -204,6 +204,10 @@
             self.metrics.record_refusal("no_route");
             return HttpReply::empty(StatusCode::NOT_FOUND);
         };
+        if request.head_bytes > routes.configuration.limits.head_bytes {
+            self.note_refusal(&request, "head_too_long");
+            return HttpReply::empty(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE).closing();
+        }
         if request.body.len() > routes.configuration.limits.body_bytes {
             self.note_refusal(&request, "body_too_long");
             return HttpReply::empty(StatusCode::PAYLOAD_TOO_LARGE).closing();
