--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -120,7 +120,7 @@
                 Ok(next) => return Some(next),
                 Err(error) => {
                     backoff.failed(Instant::now());
-                    self.note_lost(&error, &backoff);
+                    self.note_lost(&error, backoff);
                     tokio::time::sleep_until(backoff.next_call().into()).await;
                 }
             }
--- a/crates/policy/tests/fanout/routes.rs
+++ b/crates/policy/tests/fanout/routes.rs
@@ -233,9 +233,9 @@
                 break;
             }
             if *is_extra {
-                extra += 1
+                extra += 1;
             } else {
-                first += 1
+                first += 1;
             }
             worst = worst.max(extra - first * permille as i64 / 1_000);
         }
