refactor(lapse): decide in policy which targets lapse and until when

Cause: the rule stood in the daemon's directory, with a task for every change. Change: LapseBook in policy; one task takes out what is due.

--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -9,6 +9,7 @@
 
 use oleanderwind_policy as policy;
 use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::LapseBook;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::ServiceId;
@@ -26,10 +27,10 @@
 /// Configuration in force; objects only ever get newer.
 pub(crate) struct DirectoryService {
     state: Rc<RefCell<DirectoryState>>,
-    /// How long a target that is listed no more stands as lapsed; none for not at all.
-    lapse_hold: Option<Duration>,
     is_configured: Cell<bool>,
     is_leaving: Cell<bool>,
+    /// Whether a task takes lapsed targets out.
+    is_timing: Rc<Cell<bool>>,
     target_changes: Rc<watch::Sender<u64>>,
     contract_changes: watch::Sender<u64>,
 }
@@ -38,12 +39,12 @@
     /// An empty directory; targets that are listed no more lapse for `lapse_hold`, if it is given.
     pub(crate) fn new(lapse_hold: Option<Duration>) -> DirectoryService {
         let mut state = DirectoryState::default();
-        state.lets_lapse = lapse_hold.is_some();
+        state.lapses = LapseBook::new(lapse_hold);
         DirectoryService {
             state: Rc::new(RefCell::new(state)),
-            lapse_hold,
             is_configured: Cell::new(false),
             is_leaving: Cell::new(false),
+            is_timing: Rc::new(Cell::new(false)),
             target_changes: Rc::new(watch::Sender::new(0)),
             contract_changes: watch::Sender::new(0),
         }
@@ -99,26 +100,35 @@
 }
 
 impl DirectoryService {
-    /// Takes targets that lapse now out later, unless they are back by then.
+    /// Takes targets that lapse out once they are due; one task does it for all of them.
     fn time_lapsed(&self) {
-        let Some(hold) = self.lapse_hold else { return };
-        let lapsed = self.state.borrow().lapsed();
-        if lapsed.is_empty() {
-            return;
+        let has_lapsed = self.state.borrow().lapses.next_due().is_some();
+        if has_lapsed && !self.is_timing.replace(true) {
+            let (state, changes) = (self.state.clone(), self.target_changes.clone());
+            actix_rt::spawn(drop_lapsed(state, changes, self.is_timing.clone()));
+        }
+    }
+}
+
+/// Takes targets out as they become due, until none lapses.
+async fn drop_lapsed(
+    state: Rc<RefCell<DirectoryState>>,
+    changes: Rc<watch::Sender<u64>>,
+    is_timing: Rc<Cell<bool>>,
+) {
+    loop {
+        let due = state.borrow().lapses.next_due();
+        let Some(due) = due else { break };
+        tokio::time::sleep_until(due.into()).await;
+        let gone = state.borrow_mut().drop_lapsed();
+        for target in &gone {
+            log::info!(target = target.as_ref(); "a target that is listed no more is gone");
+        }
+        if !gone.is_empty() {
+            changes.send_modify(|count| *count += 1);
         }
-        let state = self.state.clone();
-        let changes = self.target_changes.clone();
-        actix_rt::spawn(async move {
-            tokio::time::sleep(hold).await;
-            let gone = state.borrow_mut().drop_lapsed(&lapsed);
-            for target in &gone {
-                log::info!(target = target.as_ref(); "a target that is listed no more is gone");
-            }
-            if !gone.is_empty() {
-                changes.send_modify(|count| *count += 1);
-            }
-        });
     }
+    is_timing.set(false);
 }
 
 /// What is in force.
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -5,9 +5,12 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::CustomerId;
+use oleanderwind_policy::LapseBook;
+use oleanderwind_policy::LostTarget;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::RawContract;
 use oleanderwind_policy::RawRouteConfiguration;
@@ -59,10 +62,7 @@
     pub(crate) snapshots: HashMap<SnapshotKey, Arc<SnapshotManifest>>,
     pub(crate) targets: BTreeMap<TargetId, TargetSpec>,
     pub(crate) routes: Option<Rc<RoutesInForce>>,
-    /// Targets that are listed no more and still stand as lapsed.
-    lapsed: HashMap<TargetId, Revision>,
-    /// Whether targets lapse before they go.
-    pub(crate) lets_lapse: bool,
+    pub(crate) lapses: LapseBook,
     pub(crate) highest: Revision,
 }
 
@@ -92,7 +92,7 @@
             ObjectKind::Contracts => {
                 self.contracts.remove(name);
             }
-            ObjectKind::Targets => self.lose_target(name, revision),
+            ObjectKind::Targets => self.lose_target(name),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| key.object_name() != name);
             }
@@ -170,7 +170,7 @@
     fn apply_target(&mut self, object: &ObjectDocument) {
         match serde_json::from_value::<TargetSpec>(object.spec.clone()) {
             Ok(spec) => {
-                self.lapsed.remove(&spec.target);
+                self.lapses.find(&spec.target);
                 self.targets.insert(spec.target.clone(), spec);
             }
             Err(error) => log_bad_object(object, &error.to_string()),
@@ -207,15 +207,12 @@
 
 /// Targets that are listed no more.
 impl DirectoryState {
-    /// A target that never said that it leaves may be back soon; until then it lapses.
-    fn lose_target(&mut self, name: &str, revision: Revision) {
+    fn lose_target(&mut self, name: &str) {
         let Some(spec) = self.targets.get_mut(name) else { return };
-        if !self.lets_lapse || spec.phase == TargetPhase::Draining {
-            self.targets.remove(name);
-            return;
+        match self.lapses.lose(&spec.target, spec.phase, Instant::now()) {
+            LostTarget::Lapsed => spec.phase = TargetPhase::Lapsed,
+            LostTarget::Gone => drop(self.targets.remove(name)),
         }
-        spec.phase = TargetPhase::Lapsed;
-        self.lapsed.insert(spec.target.clone(), revision);
     }
 
     /// Loses every target that `names` lacks; says whether there was one.
@@ -223,29 +220,17 @@
         let missing: Vec<TargetId> = self
             .targets
             .keys()
-            .filter(|name| !names.contains(&***name) && !self.lapsed.contains_key(*name))
+            .filter(|name| !names.contains(&***name) && !self.lapses.is_lapsing(name))
             .cloned()
             .collect();
-        let highest = self.highest;
-        missing.iter().for_each(|name| self.lose_target(name, highest));
+        missing.iter().for_each(|name| self.lose_target(name));
         !missing.is_empty()
     }
 
-    /// Targets that lapse now.
-    pub(crate) fn lapsed(&self) -> HashMap<TargetId, Revision> {
-        self.lapsed.clone()
-    }
-
-    /// Takes out the targets that still lapse as they did in `since`; says which.
-    pub(crate) fn drop_lapsed(&mut self, since: &HashMap<TargetId, Revision>) -> Vec<TargetId> {
-        let is_same = |name: &TargetId| self.lapsed.get(name) == since.get(name);
-        let gone: Vec<TargetId> =
-            since.keys().filter(|name| self.lapsed.contains_key(*name)).cloned().collect();
-        let gone: Vec<TargetId> = gone.into_iter().filter(is_same).collect();
-        for name in &gone {
-            self.lapsed.remove(name);
-            self.targets.remove(name);
-        }
+    /// Takes out the targets that have lapsed long enough; says which.
+    pub(crate) fn drop_lapsed(&mut self) -> Vec<TargetId> {
+        let gone = self.lapses.take_due(Instant::now());
+        gone.iter().for_each(|name| drop(self.targets.remove(name)));
         gone
     }
 }
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -21,6 +21,7 @@
 use crate::peers::measures::contact_label;
 use crate::peers::measures::standing_label;
 use crate::peers::service::PeerService;
+use crate::peers::service::PeerState;
 
 /// For other services.
 impl PeerService {
@@ -30,13 +31,7 @@
     pub(crate) fn addresses(&self, caller: &str) -> Vec<String> {
         let state = self.state.borrow();
         let own = state.membership.own();
-        let is_fresh = state.contact.state(Instant::now()) == ContactState::Fresh;
-        let own_standing = match own.phase {
-            MemberPhase::Serving if is_fresh => MemberStanding::Serving,
-            MemberPhase::Serving | MemberPhase::Leaving | MemberPhase::Left => {
-                MemberStanding::Leaving
-            }
-        };
+        let own_standing = own_standing(&state);
         let table = state.membership.table();
         // The platform lists a VM before it can serve; the VM itself says when it does.
         let heard = table.iter().filter(|(record, _)| record.incarnation > 0);
@@ -59,13 +54,7 @@
     ) -> Vec<String> {
         let state = self.state.borrow();
         let own = state.membership.own();
-        let is_fresh = state.contact.state(Instant::now()) == ContactState::Fresh;
-        let own_standing = match own.phase {
-            MemberPhase::Serving if is_fresh => MemberStanding::Serving,
-            MemberPhase::Serving | MemberPhase::Leaving | MemberPhase::Left => {
-                MemberStanding::Leaving
-            }
-        };
+        let own_standing = own_standing(&state);
         let table = state.membership.table();
         let heard = table.iter().filter(|(record, _)| record.incarnation > 0);
         let mut members: Vec<(&MemberRecord, MemberStanding)> = heard.collect();
@@ -186,3 +175,12 @@
         self.measures.note_fleet(revision, contact, &standings);
     }
 }
+
+/// This VM's own standing: one that may have missed a change leaves itself out.
+fn own_standing(state: &PeerState) -> MemberStanding {
+    let is_fresh = state.contact.state(Instant::now()) == ContactState::Fresh;
+    match state.membership.own().phase {
+        MemberPhase::Serving if is_fresh => MemberStanding::Serving,
+        MemberPhase::Serving | MemberPhase::Leaving | MemberPhase::Left => MemberStanding::Leaving,
+    }
+}
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -15,9 +15,6 @@
 }
 
 impl HttpReply {
-    /// The status of a call that went well.
-    pub const OK: StatusCode = StatusCode::OK;
-
     /// An empty reply.
     pub fn empty(status: StatusCode) -> HttpReply {
         HttpReply { response: Response::with_body(status, BoxBody::new(())) }
@@ -34,6 +31,11 @@
         }
     }
 
+    /// A JSON reply to a call that went well.
+    pub fn json_ok<T: Serialize>(value: &T) -> HttpReply {
+        HttpReply::json(StatusCode::OK, value)
+    }
+
     /// A reply of plain text.
     pub fn text(status: StatusCode, text: impl Into<String>) -> HttpReply {
         HttpReply::bytes(status, "text/plain; charset=utf-8", Bytes::from(text.into()))
