--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -4,6 +4,7 @@
 
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -17,6 +18,8 @@
 
 /// Exit code for bad settings.
 const EXIT_BAD_SETTINGS: u8 = 2;
+/// Time for the last lines of the log to be written; a line takes microseconds.
+const LAST_LINES_TIME: Duration = Duration::from_millis(30);
 /// Exit code when the daemon could not run.
 const EXIT_NOT_RUN: u8 = 3;
 
@@ -72,6 +75,7 @@
         }
         daemon.drain().await;
         following.abort();
+        tokio::time::sleep(LAST_LINES_TIME).await;
         Ok(())
     })
 }
