fix(policy): forget the latency of a target that was seen only once sooner

A mean of one sample was kept for the same half-life as one of many. Ruled out: backing off (no failures), windows (no call open), the drain sign (not yet told). Now a mean with fewer than eight samples is forgotten sooner in proportion.

--- a/crates/policy/src/latency/mean.rs
+++ b/crates/policy/src/latency/mean.rs
@@ -13,12 +13,17 @@
 const FORGET_HALF_LIFE: f64 = 2.0;
 /// Silence after which the usual mean counts for half, in seconds.
 const USUAL_HALF_LIFE: f64 = 5.0;
+/// Samples from which on a mean is kept for its whole half-life; with fewer it is forgotten sooner,
+/// in proportion. As many as the recent mean spreads over, the inverse of its weight.
+const FULL_SAMPLES: u32 = 8;
 
 /// A recent and a usual mean of one target's latency.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LatencyMean {
     recent: f64,
     usual: f64,
+    /// Samples taken in, up to [`FULL_SAMPLES`].
+    samples: u32,
     sampled_at: Option<Instant>,
 }
 
@@ -29,14 +34,15 @@
         let Some(sampled_at) = self.sampled_at.replace(now) else {
             self.recent = seconds;
             self.usual = seconds;
+            self.samples = 1;
             return;
         };
-        let silence = now.saturating_duration_since(sampled_at).as_secs_f64();
         // What was kept before a silence counts for less after it.
-        let weight =
-            |fresh: f64, half_life: f64| 1.0 - (1.0 - fresh) * (-silence / half_life).exp2();
-        self.recent += (seconds - self.recent) * weight(RECENT_WEIGHT, FORGET_HALF_LIFE);
-        self.usual += (seconds - self.usual) * weight(USUAL_WEIGHT, USUAL_HALF_LIFE);
+        let recent = 1.0 - (1.0 - RECENT_WEIGHT) * self.kept(sampled_at, now, FORGET_HALF_LIFE);
+        let usual = 1.0 - (1.0 - USUAL_WEIGHT) * self.kept(sampled_at, now, USUAL_HALF_LIFE);
+        self.recent += (seconds - self.recent) * recent;
+        self.usual += (seconds - self.usual) * usual;
+        self.samples = (self.samples + 1).min(FULL_SAMPLES);
     }
 
     /// The recent mean in seconds, 0 without samples.
@@ -46,9 +52,15 @@
     pub(crate) fn expected(&self, now: Instant) -> f64 {
         let Some(sampled_at) = self.sampled_at else { return 0.0 };
         let usual = self.usual.min(self.recent);
+        let late = (self.recent - usual) * self.kept(sampled_at, now, FORGET_HALF_LIFE);
+        late + usual * self.kept(sampled_at, now, USUAL_HALF_LIFE)
+    }
+
+    /// The part of a mean that is left after the silence since `sampled_at`.
+    fn kept(&self, sampled_at: Instant, now: Instant, half_life: f64) -> f64 {
         let silence = now.saturating_duration_since(sampled_at).as_secs_f64();
-        let late = (self.recent - usual) * (-silence / FORGET_HALF_LIFE).exp2();
-        late + usual * (-silence / USUAL_HALF_LIFE).exp2()
+        let confidence = f64::from(self.samples) / f64::from(FULL_SAMPLES);
+        (-silence / (half_life * confidence)).exp2()
     }
 
     /// Whether the target has become much slower than it used to be.
--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -208,3 +208,19 @@
     let received = fleet.target("s0r0").received - before;
     assert!(received >= 30, "only {received} of 300 calls after it was well again");
 }
+
+#[test]
+fn target_seen_once_while_cold_is_tried_again_within_two_seconds() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 1, 2);
+    fleet.target("s0r0").base = ms(20);
+    fleet.target("s0r1").base = ms(4);
+    while fleet.target("s0r0").received == 0 {
+        let id = 1 + u64::from(fleet.target("s0r1").received);
+        fleet.submit_every(id, 1, ms(20));
+    }
+    let before = fleet.target("s0r0").received;
+    fleet.target("s0r0").base = ms(4);
+    fleet.submit_every(100, 100, ms(20));
+    let received = fleet.target("s0r0").received - before;
+    assert!(received >= 10, "only {received} of 100 calls within two seconds");
+}
