perf(policy): draw one candidate in the own failure domain, and none for a hedge that owes an answer

Now one of the two is near wherever a near one has room. A call that was overdue when it was given up speaks against its target for 300 ms; a hedge whose only candidate owes an answer is not sent: in the test of a paused target both had gone to it.

--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -72,10 +72,10 @@
         }
         let skipped = running.shards[position].tried | running.shards[position].excluded;
         let choice = self.choose(running, position, skipped, now);
-        if let TargetChoice::Target(target) = choice
-            && !self.targets.state(target).backoff.is_failing()
-            && !self.targets.state(target).is_lapsed()
-        {
+        let TargetChoice::Target(target) = choice else { return };
+        let state = self.targets.state(target);
+        let is_hopeful = !state.backoff.is_failing() && !state.is_lapsed();
+        if is_hopeful && !state.is_overdue(now) {
             self.send(query, running, position, target, now, actions);
         }
     }
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -88,14 +88,7 @@
                 candidates.min_by_key(|index| table.state(*index).window.open())
             }
             RoutingPolicy::ExpectedWait => {
-                let count = candidates.clone().count();
-                if count == 0 {
-                    return None;
-                }
-                let first = generator.random_range(0..count);
-                let other = (first + generator.random_range(0..count.max(2) - 1) + 1) % count;
-                let first = candidates.clone().nth(first)?;
-                let other = candidates.clone().nth(other)?;
+                let (first, other) = draw_two(table, candidates, generator)?;
                 let mut wait = |index: TargetIndex| {
                     let jitter = generator.random_range(1.0 - WAIT_JITTER..1.0 + WAIT_JITTER);
                     table.state(index).expected_wait(now) * jitter
@@ -105,3 +98,25 @@
         }
     }
 }
+
+/// Two candidates at random, the first in the own failure domain if one is: of three replicas in as
+/// many failure domains, a third of the plain draws would leave the near one out.
+fn draw_two(
+    table: &TargetTable,
+    candidates: impl Iterator<Item = TargetIndex> + Clone,
+    generator: &mut Pcg64Mcg,
+) -> Option<(TargetIndex, TargetIndex)> {
+    let near = candidates.clone().filter(|index| !table.state(*index).is_far);
+    let first = match near.clone().count() {
+        0 => {
+            candidates.clone().nth(generator.random_range(0..candidates.clone().count().max(1)))?
+        }
+        count => near.clone().nth(generator.random_range(0..count))?,
+    };
+    let others = candidates.filter(|index| *index != first);
+    let other = match others.clone().count() {
+        0 => first,
+        count => others.clone().nth(generator.random_range(0..count))?,
+    };
+    Some((first, other))
+}
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -24,6 +24,9 @@
 /// An open call counts as overdue after the expected latency times this; three in a hundred sound
 /// calls of the users' spread (a log-normal one of 0.35) take longer.
 const OVERDUE_FACTOR: f64 = 2.0;
+/// A call that was overdue when it was given up speaks against its target for this long after it was
+/// sent; the users' targets pause for up to 250 ms.
+const SILENCE_HOLD: Duration = Duration::from_millis(300);
 /// Latency taken for a target without samples, in seconds.
 const UNKNOWN_LATENCY: f64 = 0.001;
 
@@ -55,6 +58,8 @@
     pub(crate) backoff: FailureBackoff,
     /// When each open call was sent, oldest first.
     open_since: VecDeque<Instant>,
+    /// When the last call was sent that was given up overdue, if nothing was heard since.
+    silent_since: Option<Instant>,
     /// Grows with each call, for choices by turn.
     pub(crate) picks: u64,
     /// When the platform stopped listing it.
@@ -82,6 +87,7 @@
             latency: LatencyMean::default(),
             backoff: FailureBackoff::default(),
             open_since: VecDeque::new(),
+            silent_since: None,
             picks: 0,
             unlisted_at: None,
             is_far: false,
@@ -122,6 +128,7 @@
         self.is_draining = false;
         self.reported_at = None;
         self.shed_at = None;
+        self.silent_since = None;
     }
 
     /// Notes that the platform lists it no more.
@@ -160,14 +167,14 @@
     /// Takes in an answer, before its call is closed.
     pub(crate) fn note_answer(&mut self, latency: Duration, load: LoadReport, now: Instant) {
         self.latency.record(latency, now);
-        self.backoff.note_alive();
+        self.note_alive();
         self.note_load(load, now);
         self.window.note_answer(load, self.latency.is_slow(), now);
     }
 
     /// Takes in a refused call.
     pub(crate) fn note_refusal(&mut self, cause: RefusalCause, load: LoadReport, now: Instant) {
-        self.backoff.note_alive();
+        self.note_alive();
         self.note_load(load, now);
         if matches!(cause, RefusalCause::Shedding | RefusalCause::DeadlinePassed) {
             self.shed_at = Some(now);
@@ -175,13 +182,22 @@
         }
     }
 
+    fn note_alive(&mut self) {
+        self.backoff.note_alive();
+        self.silent_since = None;
+    }
+
     /// Takes in a cancelled call that had run for `elapsed`.
     ///
     /// Its latency is at least that long. Lateness counts as a failure for the choice of targets, so
     /// that one whose calls all lose to hedges is found out; only a deadline that it let pass
     /// narrows its window too.
     pub(crate) fn note_unanswered(&mut self, elapsed: Duration, end: CancelledCall, now: Instant) {
-        if elapsed.as_secs_f64() > self.latency.expected(now) {
+        let expected = self.latency.expected(now);
+        if elapsed.as_secs_f64() > expected * OVERDUE_FACTOR {
+            self.silent_since = now.checked_sub(elapsed);
+        }
+        if elapsed.as_secs_f64() > expected {
             self.latency.record(elapsed, now);
         }
         match end {
@@ -215,21 +231,32 @@
         }
     }
 
-    /// How long the oldest open call has been out, in seconds.
-    fn oldest_open(&self, now: Instant) -> f64 {
-        let oldest = self.open_since.front();
-        oldest.map_or(0.0, |since| now.saturating_duration_since(*since).as_secs_f64())
+    /// How long the target has owed an answer, in seconds: to its oldest open call, or to one that
+    /// was given up a moment ago.
+    fn owed(&self, now: Instant) -> f64 {
+        let age = |since: &Instant| now.saturating_duration_since(*since);
+        let open = self.open_since.front().map(age).unwrap_or_default();
+        let silent = self.silent_since.as_ref().map(age).filter(|age| *age < SILENCE_HOLD);
+        open.max(silent.unwrap_or_default()).as_secs_f64()
+    }
+
+    /// Expected latency of a call that waits for no other, in seconds.
+    fn usual_latency(&self, now: Instant) -> f64 {
+        self.latency.expected(now).max(UNKNOWN_LATENCY)
+    }
+
+    /// Whether it has owed an answer for longer than calls usually take.
+    pub(crate) fn is_overdue(&self, now: Instant) -> bool {
+        self.owed(now) > self.usual_latency(now) * OVERDUE_FACTOR
     }
 
     /// Expected time to an answer, in seconds: waiting calls, own and others', share the slots.
     ///
-    /// A call that has been out for longer than calls usually take shows a target that has paused
+    /// A call that is owed for longer than calls usually take shows a target that has paused
     /// or turned slow before any answer can; nothing is expected sooner than as long again.
     pub(crate) fn expected_wait(&self, now: Instant) -> f64 {
-        let latency = self.latency.expected(now).max(UNKNOWN_LATENCY);
-        let overdue = self.oldest_open(now);
-        let latency =
-            if overdue > latency * OVERDUE_FACTOR { latency.max(overdue) } else { latency };
+        let latency = self.usual_latency(now);
+        let latency = if self.is_overdue(now) { latency.max(self.owed(now)) } else { latency };
         let is_fresh =
             self.reported_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_LIFETIME);
         let others = if is_fresh { self.others_open } else { 0 };
--- a/crates/policy/tests/fanout/routes.rs
+++ b/crates/policy/tests/fanout/routes.rs
@@ -278,3 +278,18 @@
         }
     }
 }
+
+/// Pattern: a replica of each shard in each of three failure domains, all sound.
+#[test]
+fn calls_stay_in_the_failure_domain_where_a_sound_replica_is() {
+    let mut settings = settings();
+    settings.crossing_cost = ms(50);
+    let mut fleet = FakeFleet::new(settings, 4, 3);
+    for (spec, domain) in fleet.specs.iter_mut().zip(["a", "b", "c"].into_iter().cycle()) {
+        spec.failure_domain = domain.into();
+    }
+    fleet.engine.apply_targets(fleet.specs.clone(), fleet.now);
+    submit_routes(&mut fleet, 1, 200, ms(20));
+    let far = fleet.sent.iter().filter(|call| !call.target.ends_with("r0")).count();
+    assert!(far * 20 < fleet.sent.len(), "{far} of {} calls crossed", fleet.sent.len());
+}
