--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The few commands of each day. `make help` lists them.
 
-.PHONY: help build test bench lint docs demo format generate
+.PHONY: help build test bench lint docs demo soak format generate
 
 help: ## Lists the commands.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
@@ -25,6 +25,10 @@
 demo: ## Serves both deployments in one process for a few seconds.
 	cargo run --release --bin oleanderwind-load -- demo
 
+soak: ## Plays ten fresh seeds of faults against daemons of this build.
+	cargo build --release -p oleanderwind_platform -p oleanderwind_soak
+	target/release/oleanderwind-soak --runs 10
+
 format: ## Formats every file.
 	cargo fmt --all
 
