--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -26,6 +26,7 @@
 use crate::fanout::service::DrivenQuery;
 use crate::fanout::work::CallAnswer;
 use crate::targets::CallOutcome;
+use crate::time::milliseconds;
 
 /// VMs that may hold connections to a target beyond those in view, during a replacement.
 const SPARE_HOLDERS: usize = 1;
@@ -171,7 +172,7 @@
         customer: driven.plan.customer.clone(),
         shard,
         index_version,
-        deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        deadline_ms: milliseconds(remaining),
         query: text.to_owned(),
     }
 }
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -1,5 +1,6 @@
 //! Calls that pass a request on unread.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -22,6 +23,7 @@
 use crate::fanout::work::QueryWork;
 use crate::fanout::work::TargetPart;
 use crate::targets::ForwardOutcome;
+use crate::time::milliseconds;
 
 /// A call as the engine ordered it.
 pub(crate) struct ForwardCall {
@@ -45,9 +47,13 @@
     let Some(message) = build_request(dialect.as_ref(), &call, &request) else {
         return fanout.handle(FanoutEvent::Unsent { call: call.call });
     };
+    // The marks are read where the reply is checked to be this call's, once.
+    let told: RefCell<Option<TargetMarks>> = RefCell::new(None);
     let is_own = |reply: &LaneReply| {
         let marks = dialect.read_marks(reply.status, &reply.headers);
-        marks.request_id.is_none_or(|id| id == request.id.as_bytes())
+        let is_own = marks.request_id.as_ref().is_none_or(|id| id == request.id.as_bytes());
+        told.replace(Some(marks));
+        is_own
     };
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
@@ -56,9 +62,9 @@
         ForwardOutcome::Unsent => (FanoutEvent::Unsent { call: call.call }, None),
         ForwardOutcome::Failed => (FanoutEvent::Failed { call: call.call }, None),
         ForwardOutcome::Replied(reply) => {
-            let marks = dialect.read_marks(reply.status, &reply.headers);
             let status = reply.status.as_u16();
-            (take_reply(&fanout, &call, reply, marks), Some(status))
+            let marks = told.take();
+            (take_reply(&fanout, &call, reply, marks.unwrap_or_default()), Some(status))
         }
     };
     log_unanswered(&call, &request, &event, status, sent_at);
@@ -87,15 +93,11 @@
         call = call.call,
         status = status,
         outcome = outcome,
-        ms = elapsed_ms(sent_at);
+        ms = milliseconds(sent_at.elapsed());
         "a call brought no answer"
     );
 }
 
-fn elapsed_ms(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
-
 fn build_request(
     dialect: &dyn CallerDialect,
     call: &ForwardCall,
--- a/crates/daemon/src/front/addresses.rs
+++ b/crates/daemon/src/front/addresses.rs
@@ -3,8 +3,8 @@
 use oleanderwind_policy::CustomerId;
 use oleanderwind_wire::AddressAnswer;
 
-use crate::front::answer::milliseconds;
 use crate::front::service::FrontService;
+use crate::time::milliseconds;
 
 impl FrontService {
     /// The answer to `GET /v1/addresses?customer=`.
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -11,6 +11,8 @@
 use oleanderwind_wire::RefusalReport;
 use oleanderwind_wire::SearchHit;
 
+use crate::time::milliseconds;
+
 /// Hits in an answer.
 const MAX_HITS: usize = 10;
 
@@ -130,8 +132,3 @@
 pub(crate) fn write_reply(status: StatusCode, answer: &CallerAnswer) -> HttpReply {
     HttpReply::json(status, answer)
 }
-
-/// A duration in whole milliseconds.
-pub(crate) fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/front/execute.rs
+++ b/crates/daemon/src/front/execute.rs
@@ -12,13 +12,13 @@
 
 use crate::front::answer::RefusalKind;
 use crate::front::answer::empty_answer;
-use crate::front::answer::milliseconds;
 use crate::front::request::CallerRequest;
 use crate::front::request::RequestKey;
 use crate::front::service::FrontService;
 use crate::front::service::RequestEnd;
 use crate::ledger::LedgerCall;
 use crate::ledger::LedgerReply;
+use crate::time::milliseconds;
 
 /// Reason given for an answer whose result was too long to keep.
 const RESULT_NOT_KEPT: &str = "result_not_kept";
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -17,11 +17,11 @@
 use crate::fanout::FanoutReply;
 use crate::fanout::QueryWork;
 use crate::front::answer::empty_answer;
-use crate::front::answer::milliseconds;
 use crate::front::answer::set_hits;
 use crate::front::request::CallerRequest;
 use crate::front::service::FrontService;
 use crate::front::service::RequestEnd;
+use crate::time::milliseconds;
 
 /// Longest wait for word of the snapshot that follows a retired one.
 const NEWER_SNAPSHOT_TIME: Duration = Duration::from_millis(20);
--- a/crates/daemon/src/ledger/dispatch.rs
+++ b/crates/daemon/src/ledger/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::ledger::LedgerService;
 use crate::targets::CallOutcome;
 use crate::targets::ExecuteDeadline;
+use crate::time::milliseconds;
 
 /// Time after the deadline in which a reply is still taken, so that repeats learn the result.
 const REPLY_GRACE: Duration = Duration::from_secs(5);
@@ -71,7 +72,7 @@
         call_id: ledger.fanout.fresh_call(),
         customer: call.customer.clone(),
         idempotency_key: call.key.text().to_string(),
-        deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        deadline_ms: milliseconds(remaining),
         body: call.text.to_string(),
     };
     let sent = Instant::now();
--- a/crates/daemon/src/outcomes/mod.rs
+++ b/crates/daemon/src/outcomes/mod.rs
@@ -12,6 +12,7 @@
 use oleanderwind_wire::ClassOutcome;
 
 use crate::directory::DirectoryService;
+use crate::time::milliseconds;
 
 /// Outcomes are kept for one to two of these.
 const HALF_WINDOW: Duration = Duration::from_secs(300);
@@ -186,7 +187,7 @@
             above_floor: self.above_floor,
             not_served: self.not_served,
             p99_ms,
-            deadline_ms: u64::try_from(terms.deadline.as_millis()).unwrap_or(u64::MAX),
+            deadline_ms: milliseconds(terms.deadline),
             primary_calls: self.primary_calls,
             extra_calls: self.extra_calls,
             extra_load_permille: contract.extra_load_permille,
--- a/crates/daemon/src/routes/manifests.rs
+++ b/crates/daemon/src/routes/manifests.rs
@@ -14,6 +14,7 @@
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSet;
+use oleanderwind_policy::TargetSpec;
 
 use crate::directory::DirectoryService;
 
@@ -76,16 +77,17 @@
     fn refresh(&self, state: &mut BookState, version: u64) {
         let changes = (self.directory.target_change_count(), version);
         if state.changes != Some(changes) {
+            let specs = self.directory.targets();
             *state = BookState {
                 changes: Some(changes),
-                targets: self.targets_by_service(),
-                places: Rc::new(self.count_places()),
+                targets: targets_by_service(&specs),
+                places: Rc::new(self.count_places(&specs)),
                 manifests: HashMap::new(),
             };
         }
     }
 
-    fn count_places(&self) -> ShardPlaces {
+    fn count_places(&self, specs: &[TargetSpec]) -> ShardPlaces {
         let mut places = ShardPlaces::default();
         let Some(routes) = self.directory.routes() else { return places };
         let mut shards: HashSet<&ServiceId> = HashSet::new();
@@ -95,7 +97,6 @@
             }
         }
         places.shards = shards.len();
-        let specs = self.directory.targets();
         let held: HashSet<(&FailureDomainId, &ServiceId)> = specs
             .iter()
             .filter(|spec| shards.contains(&spec.service))
@@ -106,14 +107,14 @@
         }
         places
     }
+}
 
-    fn targets_by_service(&self) -> HashMap<ServiceId, Vec<TargetId>> {
-        let mut by_service: HashMap<ServiceId, Vec<TargetId>> = HashMap::new();
-        for spec in self.directory.targets() {
-            by_service.entry(spec.service).or_default().push(spec.target);
-        }
-        by_service
+fn targets_by_service(specs: &[TargetSpec]) -> HashMap<ServiceId, Vec<TargetId>> {
+    let mut by_service: HashMap<ServiceId, Vec<TargetId>> = HashMap::new();
+    for spec in specs {
+        by_service.entry(spec.service.clone()).or_default().push(spec.target.clone());
     }
+    by_service
 }
 
 impl BookState {
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -47,6 +47,7 @@
 use crate::routes::view::UnansweredLog;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
+use crate::time::milliseconds;
 
 /// When to come back to a VM that has no configuration yet; it lists the platform in a second.
 const RETRY_AFTER_START: Duration = Duration::from_millis(500);
@@ -336,10 +337,6 @@
     end.saturating_duration_since(Instant::now())
 }
 
-fn milliseconds(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Bounds before routes say which.
 fn default_limits() -> HttpLimits {
     HttpLimits { connections: CALLER_CONNECTIONS, ..HttpLimits::default() }
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -29,6 +29,7 @@
 use crate::peers::configuration_object;
 use crate::platform::PlatformService;
 use crate::sync::enrolment::EnrolmentTask;
+use crate::time::milliseconds;
 
 /// How often a VM that holds no watch looks whether it should.
 const HOLDER_POLL: Duration = Duration::from_millis(250);
@@ -284,7 +285,7 @@
     fn note_heard(&self) {
         self.peers.platform_heard();
         if let Some(since) = self.lost_since.take() {
-            let away_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let away_ms = milliseconds(since.elapsed());
             log::info!(dependency = "platform", away_ms = away_ms; "a dependency is back");
         }
     }
@@ -300,7 +301,7 @@
         log::warn!(
             dependency = "platform",
             revision = self.peers.complete_to(),
-            next_try_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            next_try_ms = milliseconds(wait);
             "a dependency is lost: {error}"
         );
     }
--- a/crates/daemon/src/time/mod.rs
+++ b/crates/daemon/src/time/mod.rs
@@ -1,5 +1,6 @@
-//! The wall clock.
+//! The wall clock, and times as numbers.
 
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -8,3 +9,8 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// A duration in whole milliseconds.
+pub(crate) fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
