--- a/crates/daemon/src/admission/service.rs
+++ b/crates/daemon/src/admission/service.rs
@@ -123,7 +123,7 @@
     let mut changes = admission.directory.contract_changes();
     let mut sizes = admission.peers.fleet_size();
     loop {
-        let holders = *sizes.borrow_and_update();
+        let holders = sizes.borrow_and_update().vms;
         admission.apply_contracts(holders);
         let changed = tokio::select! {
             changed = changes.changed() => changed,
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -13,6 +13,7 @@
 use oleanderwind_policy::FanoutEngine;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::FanoutSettings;
+use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::ServiceId;
@@ -107,13 +108,13 @@
     }
 
     /// Tells the engine of the targets and of this VM's share of their connections.
-    fn apply_targets(&self, specs: Vec<TargetSpec>, fleet: usize) {
+    fn apply_targets(&self, specs: Vec<TargetSpec>, fleet: FleetShape) {
         let mut engine = self.engine.borrow_mut();
         for spec in &specs {
-            let share = connection_share(spec.connection_limit, fleet);
+            let share = connection_share(spec.connection_limit, fleet.vms);
             engine.set_connection_budget(&spec.target, share.working);
         }
-        engine.set_service_burst(self.settings.get().service_burst(fleet));
+        engine.set_service_burst(fleet.slack_part(self.settings.get().extra_slack));
         engine.apply_targets(specs, Instant::now());
         self.timer_changes.notify_one();
     }
@@ -200,7 +201,7 @@
     loop {
         let specs = directory.targets();
         let fleet = *sizes.borrow_and_update();
-        let share = |spec: &TargetSpec| connection_share(spec.connection_limit, fleet);
+        let share = |spec: &TargetSpec| connection_share(spec.connection_limit, fleet.vms);
         fanout.targets.apply_targets(&specs, share);
         fanout.apply_targets(specs, fleet);
         let changed = tokio::select! {
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -117,6 +117,15 @@
         actix_rt::spawn(async move { peers.clients.push(address, objects).await });
     }
 
+    fn pull_failed(self: &Rc<Self>) {
+        let action = {
+            let mut state = self.state.borrow_mut();
+            let PeerState { spread, membership, .. } = &mut *state;
+            spread.pull_failed(membership, Instant::now())
+        };
+        self.spread_out(action);
+    }
+
     fn page_came(self: &Rc<Self>, vm: &VmId, after: Revision, whole: bool, delta: &ObjectDelta) {
         let now = Instant::now();
         let actions = {
@@ -137,7 +146,9 @@
 async fn pull(peers: Rc<PeerService>, vm: VmId, after: Revision, whole: bool) {
     let Some(address) = peers.peer_address(&vm) else { return };
     let request = FetchObjectsRequest { after_revision: after, whole };
-    let Some(reply) = peers.clients.fetch(address, request).await else { return };
+    let Some(reply) = peers.clients.fetch(address, request).await else {
+        return peers.pull_failed();
+    };
     match ObjectDelta::try_from(&reply) {
         Ok(delta) => peers.page_came(&vm, after, whole, &delta),
         Err(findings) => log::warn!("a page from {vm} is broken: {findings}"),
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -10,6 +10,7 @@
 use actix_rt::task::JoinHandle;
 use oleanderwind_policy::ContactClock;
 use oleanderwind_policy::DrainBook;
+use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
 use oleanderwind_policy::MembershipEngine;
@@ -54,7 +55,7 @@
     pub(crate) state: RefCell<PeerState>,
     pub(crate) clients: PeerClients,
     /// VMs that hold connections, by this VM's view.
-    pub(crate) fleet_size: watch::Sender<usize>,
+    pub(crate) fleet_size: watch::Sender<FleetShape>,
     /// Departures of targets that this VM did not hear itself.
     pub(crate) drain_news: mpsc::UnboundedSender<TargetId>,
     /// Peers that ask for loans.
@@ -85,7 +86,7 @@
             measures: PeerMeasures::new(kernel.metrics()?.meter()),
             state: RefCell::new(new_state(&settings, address)),
             clients: PeerClients::default(),
-            fleet_size: watch::Sender::new(1),
+            fleet_size: watch::Sender::new(FleetShape::even(1)),
             drain_news,
             borrow_asks,
             borrow_receiver: RefCell::new(Some(borrow_receiver)),
@@ -158,7 +159,7 @@
             let complete_to = state.spread.store().summary().complete_to;
             !self.directory.is_configured() && state.gate.is_open(complete_to, known)
         };
-        let fleet = self.count_holders();
+        let fleet = self.fleet_shape();
         self.fleet_size.send_if_modified(|size| std::mem::replace(size, fleet) != fleet);
         if opens && !self.is_opening.replace(true) {
             actix_rt::spawn(begin_serving(self.clone()));
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use oleanderwind_policy::ContactState;
+use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
 use oleanderwind_policy::MemberStanding;
@@ -103,7 +104,7 @@
     }
 
     /// VMs that may hold connections to targets, this one included.
-    pub(crate) fn fleet_size(&self) -> watch::Receiver<usize> {
+    pub(crate) fn fleet_size(&self) -> watch::Receiver<FleetShape> {
         self.fleet_size.subscribe()
     }
 
@@ -159,15 +160,20 @@
         standings.filter(|(_, standing)| *standing == MemberStanding::Serving).count()
     }
 
-    /// VMs that may hold connections, this one included: all that may not have closed yet.
-    pub(crate) fn count_holders(&self) -> usize {
+    /// VMs that may hold connections, all that may not have closed yet, and who of them carries.
+    pub(crate) fn fleet_shape(&self) -> FleetShape {
         let may_hold = |standing: MemberStanding| match standing {
             MemberStanding::Serving | MemberStanding::Suspect | MemberStanding::Leaving => true,
             MemberStanding::Left | MemberStanding::Gone => false,
         };
         let state = self.state.borrow();
+        let own = state.membership.own();
         let holding = state.membership.table().iter().filter(|(_, held)| may_hold(*held));
-        holding.count() + 1
+        let vms: Vec<&MemberRecord> =
+            std::iter::once(own).chain(holding.map(|(record, _)| record)).collect();
+        let carriers = most_capable(&vms);
+        let is_carrier = carriers.iter().any(|record| record.vm == own.vm);
+        FleetShape { vms: vms.len(), carriers: carriers.len(), is_carrier }
     }
 
     /// Brings the gauges up to date.
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -22,8 +22,6 @@
 /// Longest time that any setting may give.
 const MAX_TIME_MS: u64 = 600_000;
 
-/// VMs beyond those in view that may spend a part of a shared budget, during a replacement.
-const SPARE_VMS: usize = 1;
 /// Kept of the time that a stop may take, for the last word to peers and the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Part of a stop in which requests are still taken.
@@ -216,14 +214,6 @@
             }
         }
     }
-
-    /// Extra calls to a service that one VM of a fleet of `fleet` may save up.
-    ///
-    /// All VMs together stay below the slack while one VM more than in view spends its part too.
-    pub fn service_burst(&self, fleet: usize) -> u32 {
-        let sharers = u32::try_from(fleet + SPARE_VMS).unwrap_or(u32::MAX);
-        (self.extra_slack / sharers).max(1)
-    }
 }
 
 fn text_or_none<T: ToString>(value: Option<T>) -> String {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub use admission::AdmissionAnswer;
 pub use admission::BorrowCall;
 pub use admission::CustomerLimiter;
+pub use budget::FleetShape;
 pub use connection::ConnectionShare;
 pub use contract::AnswerPreference;
 pub use contract::ClassPriority;
--- a/crates/policy/src/objects/spread.rs
+++ b/crates/policy/src/objects/spread.rs
@@ -62,6 +62,8 @@
     lacked: Option<LackedChange>,
     /// Whether the running pull crosses failure domains.
     is_far_pull: bool,
+    /// Whether the running pull stands in for one that failed.
+    is_second_pull: bool,
     /// Pages of the whole listing that is being pulled.
     listing: Option<ObjectListing>,
     /// Peers in a row that had forgotten deletions.
@@ -149,6 +151,7 @@
         }
         self.pulling_since = Some(now);
         self.is_far_pull = !is_near;
+        self.is_second_pull = false;
         let whole = own.complete_to == 0 || self.refusals >= REFUSAL_LIMIT;
         self.listing = whole.then(ObjectListing::default);
         let after = if whole { 0 } else { own.complete_to };
@@ -160,6 +163,27 @@
         self.store.delta_after(after, whole, PULL_BYTES)
     }
 
+    /// A pull brought no page: a neighbour is asked at once, in place of waiting for a heartbeat; if
+    /// that fails too, the next heartbeat decides.
+    pub fn pull_failed(
+        &mut self,
+        members: &mut MembershipEngine,
+        now: Instant,
+    ) -> Option<SpreadAction> {
+        self.listing = None;
+        self.pulling_since = None;
+        if std::mem::replace(&mut self.is_second_pull, true) {
+            return None;
+        }
+        let neighbour = members.sample_neighbours(2).pop();
+        self.pulling_since = neighbour.as_ref().map(|_| now);
+        self.is_far_pull = false;
+        let after = self.store.summary().complete_to;
+        let whole = after == 0;
+        self.listing = whole.then(ObjectListing::default);
+        neighbour.map(|vm| SpreadAction::Pull { vm, after, whole })
+    }
+
     /// Takes a page in; asks for the next when there is one.
     ///
     /// Changes that came from another failure domain are passed on, as the neighbours are likely to
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -216,6 +216,26 @@
     assert!(heard(true, 3_600).is_some());
 }
 
+/// Pattern: a peer that dies while a VM pulls from it.
+#[test]
+fn pull_failed_asks_one_neighbour_and_then_waits_for_a_heartbeat() {
+    let now = Instant::now();
+    let mut members = MembershipEngine::new(settings(1), serving(0), now);
+    members.apply_list(&[platform_vm(3, 3), platform_vm(4, 3)]);
+    let mut spread = SpreadEngine::default();
+    spread.changed(&[object("a", 1, Some("x"))], &mut members);
+    spread.watched_to(1);
+    let mut ahead = spread.clone();
+    ahead.changed(&[object("b", 2, Some("x"))], &mut members);
+    ahead.watched_to(2);
+    let summary = ahead.store().summary();
+    assert!(spread.heard(&"vm".into(), true, summary, now).is_some());
+    let wanted = SpreadAction::Pull { vm: platform_vm(3, 3).vm, after: 1, whole: false };
+    assert_eq!(spread.pull_failed(&mut members, now), Some(wanted));
+    assert_eq!(spread.pull_failed(&mut members, now), None);
+    assert!(spread.heard(&"vm".into(), true, summary, now).is_some(), "at the next heartbeat");
+}
+
 /// Pattern: a VM without a watch that was told of every change.
 #[test]
 fn heard_takes_a_peers_proof_over_when_both_hold_the_same() {
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -8,6 +8,7 @@
 
 use fleet::platform_vm;
 use oleanderwind_policy::ConnectionBudget;
+use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::HeldService;
 use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
@@ -339,3 +340,24 @@
     let lost = ["a-big0", "a-big1", "b-big0", "b-big1"];
     assert_eq!(named("a", &lost).len(), 25, "too few are left to carry all");
 }
+
+/// Pattern: a few capable VMs carry the traffic of a large fleet.
+#[test]
+fn slack_parts_stay_within_the_slack_with_a_vm_more_than_in_view() {
+    for slack in [10, 52, 206, 400] {
+        for vms in 1..120_usize {
+            for carriers in 1..=vms {
+                let carrier = FleetShape { vms, carriers, is_carrier: true }.slack_part(slack);
+                let other = FleetShape { vms, carriers, is_carrier: false }.slack_part(slack);
+                let others = (vms - carriers) as u32;
+                let sum = (carriers as u32 + 1) * carrier + others * other;
+                // Each VM keeps one call, however many there are.
+                let least = vms as u32 + 1;
+                assert!(
+                    sum <= slack.max(least),
+                    "{vms} VMs, {carriers} carriers: {sum} of {slack}"
+                );
+            }
+        }
+    }
+}
