fix(policy): pass the news of a new list on whatever its size

The store had forgotten its history, the watch holders listed anew, and news beyond 64 KB was left to heartbeats and pulls, which meet a neighbour once in 2.5 s with five failure domains. Ruled out: the holders' own time (version 7 in force on the first VMs at 2.3 s in a play with every log). Now it goes out in messages of up to 64 KB.

--- a/crates/policy/src/objects/spread.rs
+++ b/crates/policy/src/objects/spread.rs
@@ -14,8 +14,8 @@
 
 /// Neighbours that a VM passes a change on to.
 const PUSH_FANOUT: usize = 3;
-/// Bound of one pull's reply, in bytes.
-const PULL_BYTES: usize = 64 * 1_024;
+/// Bound of the objects in one message, in bytes; a single larger one goes alone.
+const MESSAGE_BYTES: usize = 64 * 1_024;
 /// Peers in a row that have forgotten deletions, after which a whole listing is pulled.
 const REFUSAL_LIMIT: u32 = 3;
 /// A pull that got no reply by then is taken for lost.
@@ -83,8 +83,7 @@
 
     /// Takes the platform's lists of every kind in, and passes on what was news.
     ///
-    /// A first list and one with more news than fits a message are left to the peers' own lists and
-    /// pulls.
+    /// A first list is left to the peers' own lists and pulls.
     pub fn listed(
         &mut self,
         listing: &ObjectListing,
@@ -94,8 +93,7 @@
         let fresh: Vec<ConfigurationObject> =
             listing.objects.values().filter(|object| self.store.is_news(object)).cloned().collect();
         self.store.apply_listing(listing);
-        let bytes: usize = fresh.iter().map(ConfigurationObject::encoded_bound).sum();
-        if is_first || fresh.is_empty() || bytes > PULL_BYTES {
+        if is_first || fresh.is_empty() {
             return Vec::new();
         }
         push_to(members, &fresh)
@@ -160,7 +158,7 @@
 
     /// The reply to a peer's pull.
     pub fn pull_asked(&self, after: Revision, whole: bool) -> ObjectDelta {
-        self.store.delta_after(after, whole, PULL_BYTES)
+        self.store.delta_after(after, whole, MESSAGE_BYTES)
     }
 
     /// A pull brought no page: a neighbour is asked at once, in place of waiting for a heartbeat; if
@@ -226,6 +224,24 @@
 ///
 /// Each failure domain hears from its own watches; what it misses is pulled.
 fn push_to(members: &mut MembershipEngine, objects: &[ConfigurationObject]) -> Vec<SpreadAction> {
-    let push = |vm| SpreadAction::Push { vm, objects: objects.to_vec() };
-    members.sample_neighbours(PUSH_FANOUT).into_iter().map(push).collect()
+    let neighbours = members.sample_neighbours(PUSH_FANOUT);
+    let mut pushes = Vec::new();
+    let mut rest = objects;
+    while !rest.is_empty() {
+        let (message, left) = rest.split_at(fitting(rest));
+        let push = |vm: &VmId| SpreadAction::Push { vm: vm.clone(), objects: message.to_vec() };
+        pushes.extend(neighbours.iter().map(push));
+        rest = left;
+    }
+    pushes
+}
+
+/// How many of the first objects fit in a message; one always does.
+fn fitting(objects: &[ConfigurationObject]) -> usize {
+    let mut bytes = 0;
+    let fits = |object: &&ConfigurationObject| {
+        bytes += object.encoded_bound();
+        bytes <= MESSAGE_BYTES
+    };
+    objects.iter().take_while(fits).count().max(1)
 }
--- a/crates/policy/src/subset/callers.rs
+++ b/crates/policy/src/subset/callers.rs
@@ -40,8 +40,7 @@
 /// An answer that is merged near its shards crosses between failure domains once; one merged
 /// elsewhere crosses part by part. So callers are sent to VMs of failure domains that hold most
 /// shards, to the most capable of them, and of these to those of their own domain if there are at
-/// least two. Suspect VMs are named only
-/// where nobody serves, as a suspicion may be wrong.
+/// least two. Suspect VMs are named only where nobody serves, as a suspicion may be wrong.
 pub fn caller_plan<'a>(
     failure_domain: Option<&str>,
     members: &[(&'a MemberRecord, MemberStanding)],
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -4,6 +4,7 @@
 
 mod fleet;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +16,7 @@
 use oleanderwind_policy::MemberStanding;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
+use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::ObjectSummary;
 use oleanderwind_policy::ProbePlan;
 use oleanderwind_policy::SpreadAction;
@@ -216,6 +218,30 @@
     assert!(heard(true, 3_600).is_some());
 }
 
+/// Pattern: a store that forgets its history while the configuration changes, so that the watch
+/// holders list anew and find more news than fits a message.
+#[test]
+fn listed_passes_on_news_that_needs_many_messages() {
+    let now = Instant::now();
+    let mut members = MembershipEngine::new(settings(1), serving(0), now);
+    members.apply_list(&[platform_vm(3, 3), platform_vm(6, 3), platform_vm(9, 3)]);
+    let mut spread = SpreadEngine::default();
+    let known = [object("known", 1, Some("x"))];
+    spread.apply_listing(&ObjectListing::from_platform(&known, 1));
+    let body = "x".repeat(40_000);
+    let mut all: Vec<_> =
+        (0..6).map(|number| object(&format!("n{number}"), number + 2, Some(&body))).collect();
+    all.extend(known);
+    let actions = spread.listed(&ObjectListing::from_platform(&all, 7), &mut members);
+    let mut pushed = BTreeMap::new();
+    for action in actions {
+        let SpreadAction::Push { vm, objects } = action else { panic!("only pushes") };
+        assert_eq!(objects.len(), 1, "two would be more than 64 KB");
+        *pushed.entry(vm).or_insert(0) += 1;
+    }
+    assert_eq!(pushed.into_values().collect::<Vec<_>>(), [6; 3]);
+}
+
 /// Pattern: a peer that dies while a VM pulls from it.
 #[test]
 fn pull_failed_asks_one_neighbour_and_then_waits_for_a_heartbeat() {
