--- a/crates/daemon/src/admission/service.rs
+++ b/crates/daemon/src/admission/service.rs
@@ -121,13 +121,13 @@
 /// Follows contracts and the number of VMs that share them.
 async fn follow_contracts(admission: Rc<AdmissionService>) {
     let mut changes = admission.directory.contract_changes();
-    let mut sizes = admission.peers.fleet_size();
+    let mut shapes = admission.peers.fleet_shapes();
     loop {
-        let holders = sizes.borrow_and_update().vms;
+        let holders = shapes.borrow_and_update().vms;
         admission.apply_contracts(holders);
         let changed = tokio::select! {
             changed = changes.changed() => changed,
-            changed = sizes.changed() => changed,
+            changed = shapes.changed() => changed,
         };
         if changed.is_err() {
             return;
--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -71,6 +71,23 @@
     Uncertain(String),
 }
 
+impl PlatformError {
+    /// What a status other than success means, whichever way the platform is spoken to.
+    ///
+    /// `creates` says whether the call would have made an object; `body` is the reply's.
+    pub fn from_status(status: u16, creates: bool, body: &[u8]) -> PlatformError {
+        match status {
+            409 if creates => PlatformError::AlreadyExists,
+            409 => PlatformError::Conflict,
+            404 => PlatformError::NotFound,
+            410 => PlatformError::Expired,
+            429 => PlatformError::Refused("too many calls".to_owned()),
+            400..500 => PlatformError::Rejected(String::from_utf8_lossy(body).into_owned()),
+            _ => PlatformError::Uncertain(format!("status {status}")),
+        }
+    }
+}
+
 impl fmt::Display for PlatformError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -13,6 +13,7 @@
 use oleanderwind_policy::IndexVersion;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::SPARE_VMS;
 use oleanderwind_policy::ShardId;
 use oleanderwind_policy::TargetId;
 use oleanderwind_wire::ShardAnswer;
@@ -28,14 +29,12 @@
 use crate::targets::CallOutcome;
 use crate::time::milliseconds;
 
-/// VMs that may hold connections to a target beyond those in view, during a replacement.
-const SPARE_HOLDERS: usize = 1;
 /// Fewest connections to a target that are worth holding.
 const WANTED_CONNECTIONS: u32 = 2;
 
 /// This VM's share of the connections that a target accepts, in a fleet of `fleet` VMs.
 pub(crate) fn connection_share(limit: u32, fleet: usize) -> ConnectionShare {
-    ConnectionBudget::new(limit, fleet, SPARE_HOLDERS, WANTED_CONNECTIONS).into()
+    ConnectionBudget::new(limit, fleet, SPARE_VMS, WANTED_CONNECTIONS).into()
 }
 
 /// Wakes the engine whenever one of its timers is due.
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -197,16 +197,16 @@
 /// Tells the engine and the pools of every change of targets and of the fleet that shares them.
 async fn follow_targets(fanout: Rc<FanoutService>, directory: Rc<DirectoryService>) {
     let mut changes = directory.target_changes();
-    let mut sizes = fanout.peers.fleet_size();
+    let mut shapes = fanout.peers.fleet_shapes();
     loop {
         let specs = directory.targets();
-        let fleet = *sizes.borrow_and_update();
+        let fleet = *shapes.borrow_and_update();
         let share = |spec: &TargetSpec| connection_share(spec.connection_limit, fleet.vms);
         fanout.targets.apply_targets(&specs, share);
         fanout.apply_targets(specs, fleet);
         let changed = tokio::select! {
             changed = changes.changed() => changed,
-            changed = sizes.changed() => changed,
+            changed = shapes.changed() => changed,
         };
         if changed.is_err() {
             return;
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -54,8 +54,8 @@
     pub(crate) measures: PeerMeasures,
     pub(crate) state: RefCell<PeerState>,
     pub(crate) clients: PeerClients,
-    /// VMs that hold connections, by this VM's view.
-    pub(crate) fleet_size: watch::Sender<FleetShape>,
+    /// The VMs that share targets, by this VM's view.
+    pub(crate) fleet_shape: watch::Sender<FleetShape>,
     /// Departures of targets that this VM did not hear itself.
     pub(crate) drain_news: mpsc::UnboundedSender<TargetId>,
     /// Peers that ask for loans.
@@ -86,7 +86,7 @@
             measures: PeerMeasures::new(kernel.metrics()?.meter()),
             state: RefCell::new(new_state(&settings, address)),
             clients: PeerClients::default(),
-            fleet_size: watch::Sender::new(FleetShape::even(1)),
+            fleet_shape: watch::Sender::new(FleetShape::even(1)),
             drain_news,
             borrow_asks,
             borrow_receiver: RefCell::new(Some(borrow_receiver)),
@@ -159,8 +159,8 @@
             let complete_to = state.spread.store().summary().complete_to;
             !self.directory.is_configured() && state.gate.is_open(complete_to, known)
         };
-        let fleet = self.fleet_shape();
-        self.fleet_size.send_if_modified(|size| std::mem::replace(size, fleet) != fleet);
+        let fleet = self.count_fleet();
+        self.fleet_shape.send_if_modified(|shape| std::mem::replace(shape, fleet) != fleet);
         if opens && !self.is_opening.replace(true) {
             actix_rt::spawn(begin_serving(self.clone()));
         }
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -13,7 +13,6 @@
 use oleanderwind_policy::address_plan;
 use oleanderwind_policy::caller_plan;
 use oleanderwind_policy::most_capable;
-use oleanderwind_policy::watch_holders;
 use oleanderwind_wire::FleetMember;
 use oleanderwind_wire::peer::BorrowReply;
 use oleanderwind_wire::peer::BorrowRequest;
@@ -32,18 +31,13 @@
     /// A VM that may have missed a change leaves itself out.
     pub(crate) fn addresses(&self, caller: &str) -> Vec<String> {
         let state = self.state.borrow();
-        let own = state.membership.own();
-        let own_standing = own_standing(&state);
-        let table = state.membership.table();
-        // The platform lists a VM before it can serve; the VM itself says when it does.
-        let heard = table.iter().filter(|(record, _)| record.incarnation > 0);
-        let mut holders: Vec<(&MemberRecord, MemberStanding, u32)> =
-            heard.map(|(record, standing)| (record, standing, 0)).collect();
-        holders.push((own, own_standing, 0));
+        let members = heard_members(&state);
+        let holders: Vec<(&MemberRecord, MemberStanding, u32)> =
+            members.iter().map(|(record, standing)| (*record, *standing, 0)).collect();
         let vms = address_plan(caller, &holders);
         let address = |vm: &VmId| {
-            let record = if *vm == own.vm { Some(own) } else { table.record(vm) };
-            record.map(|record| record.caller_address.to_string())
+            let found = members.iter().find(|(record, _)| record.vm == *vm);
+            found.map(|(record, _)| record.caller_address.to_string())
         };
         vms.iter().filter_map(address).collect()
     }
@@ -55,13 +49,7 @@
         places: &ShardPlaces,
     ) -> Vec<String> {
         let state = self.state.borrow();
-        let own = state.membership.own();
-        let own_standing = own_standing(&state);
-        let table = state.membership.table();
-        let heard = table.iter().filter(|(record, _)| record.incarnation > 0);
-        let mut members: Vec<(&MemberRecord, MemberStanding)> = heard.collect();
-        members.push((own, own_standing));
-        let chosen = caller_plan(failure_domain, &members, places);
+        let chosen = caller_plan(failure_domain, &heard_members(&state), places);
         chosen.iter().map(|record| record.caller_address.to_string()).collect()
     }
 
@@ -103,9 +91,9 @@
         contact_label(self.contact())
     }
 
-    /// VMs that may hold connections to targets, this one included.
-    pub(crate) fn fleet_size(&self) -> watch::Receiver<FleetShape> {
-        self.fleet_size.subscribe()
+    /// The VMs that share targets, and their changes.
+    pub(crate) fn fleet_shapes(&self) -> watch::Receiver<FleetShape> {
+        self.fleet_shape.subscribe()
     }
 
     /// VMs that may lend.
@@ -127,21 +115,7 @@
     ///
     /// One that hears nobody calls the platform whatever its view says.
     pub(crate) fn is_watch_holder(&self) -> bool {
-        if self.contact() != ContactState::Fresh {
-            return true;
-        }
-        let domain = &self.settings.failure_domain;
-        let state = self.state.borrow();
-        let mut vms = vec![state.membership.own()];
-        vms.extend(neighbours(&state));
-        // What they hear they pass on, which takes processor and link.
-        let vms: Vec<VmId> = most_capable(&vms).iter().map(|record| record.vm.clone()).collect();
-        watch_holders(domain, &vms).contains(&self.settings.vm)
-    }
-
-    /// Whether this VM knows others of its failure domain that should hold the watches.
-    pub(crate) fn has_watch_holders(&self) -> bool {
-        neighbours(&self.state.borrow()).next().is_some() && !self.is_watch_holder()
+        self.contact() != ContactState::Fresh || self.state.borrow().membership.is_watch_holder()
     }
 }
 
@@ -161,7 +135,7 @@
     }
 
     /// VMs that may hold connections, all that may not have closed yet, and who of them carries.
-    pub(crate) fn fleet_shape(&self) -> FleetShape {
+    pub(crate) fn count_fleet(&self) -> FleetShape {
         let may_hold = |standing: MemberStanding| match standing {
             MemberStanding::Serving | MemberStanding::Suspect | MemberStanding::Leaving => true,
             MemberStanding::Left | MemberStanding::Gone => false,
@@ -187,13 +161,12 @@
     }
 }
 
-/// Other VMs of the own failure domain that serve.
-fn neighbours(state: &PeerState) -> impl Iterator<Item = &MemberRecord> {
-    let domain = &state.membership.own().failure_domain;
-    let serving = state.membership.table().iter().filter(move |(record, standing)| {
-        *standing == MemberStanding::Serving && record.failure_domain == *domain
-    });
-    serving.map(|(record, _)| record)
+/// Every VM that has spoken for itself with its standing, this one last: the platform lists a VM
+/// before it can serve; the VM itself says when it does.
+fn heard_members(state: &PeerState) -> Vec<(&MemberRecord, MemberStanding)> {
+    let membership = &state.membership;
+    let heard = membership.table().iter().filter(|(record, _)| record.incarnation > 0);
+    heard.chain(std::iter::once((membership.own(), own_standing(state)))).collect()
 }
 
 /// This VM's own standing: one that may have missed a change leaves itself out.
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -144,7 +144,7 @@
             self.list_vms().await;
         }
         let patience = Instant::now() + START_PATIENCE;
-        while self.peers.has_watch_holders()
+        while !self.peers.is_watch_holder()
             && !self.directory.is_configured()
             && Instant::now() < patience
         {
--- a/crates/load/src/experiment/program.rs
+++ b/crates/load/src/experiment/program.rs
@@ -1,10 +1,12 @@
 //! Programs that an experiment starts and ends.
 
+use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
+use std::process::ExitStatus;
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -18,6 +20,8 @@
 const STOP_POLL: Duration = Duration::from_millis(10);
 
 /// A running program that printed one JSON line of addresses; killed when dropped.
+///
+/// What it prints after that line is read and dropped, so that its log finds a reader.
 #[derive(Debug)]
 pub struct ChildProgram {
     child: Child,
@@ -47,12 +51,14 @@
         let mut program = ChildProgram { child, addresses: Value::Null };
         let stdout = stdout.ok_or_else(|| eyre!("{name} has no output"))?;
         let read = tokio::task::spawn_blocking(move || {
+            let mut output = BufReader::new(stdout);
             let mut line = String::new();
-            BufReader::new(stdout).read_line(&mut line).map(|_| line)
+            output.read_line(&mut line).map(|_| (line, output))
         });
-        let line = tokio::time::timeout(START_TIMEOUT, read)
+        let (line, output) = tokio::time::timeout(START_TIMEOUT, read)
             .await
             .wrap_err_with(|| format!("{name} printed no addresses in time"))???;
+        std::thread::spawn(move || output.lines().for_each(drop));
         program.addresses = serde_json::from_str(&line)
             .wrap_err_with(|| format!("{name} printed no JSON line of addresses"))?;
         Ok(program)
@@ -63,17 +69,41 @@
         self.child.id()
     }
 
+    /// Sends a signal by its name, for example `TERM`; a program that has ended gets none.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be signalled.
+    pub fn signal(&mut self, name: &str) -> eyre::Result<()> {
+        // Its id may be another process's once it has been waited for.
+        if self.end()?.is_some() {
+            return Ok(());
+        }
+        let pid = self.pid().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status()?;
+        eyre::ensure!(status.success(), "process {pid} can't be signalled");
+        Ok(())
+    }
+
+    /// How it ended, once it has.
+    ///
+    /// # Errors
+    ///
+    /// When the system can't say.
+    pub fn end(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
     /// Asks the program to stop and waits for its end.
     ///
     /// # Errors
     ///
     /// When it can't be signalled or does not end within `timeout`.
     pub async fn stop(&mut self, timeout: Duration) -> eyre::Result<()> {
-        let pid = self.pid().to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status()?;
-        eyre::ensure!(status.success(), "process {pid} can't be signalled");
+        let pid = self.pid();
+        self.signal("TERM")?;
         let ended = async {
-            while self.child.try_wait()?.is_none() {
+            while self.end()?.is_none() {
                 tokio::time::sleep(STOP_POLL).await;
             }
             Ok(())
--- a/crates/policy/src/budget/mod.rs
+++ b/crates/policy/src/budget/mod.rs
@@ -6,5 +6,6 @@
 
 pub(crate) use extra_load::ExtraLoadBudget;
 pub use slack::FleetShape;
+pub use slack::SPARE_VMS;
 pub(crate) use table::BudgetIndex;
 pub(crate) use table::BudgetTable;
--- a/crates/policy/src/budget/slack.rs
+++ b/crates/policy/src/budget/slack.rs
@@ -1,14 +1,15 @@
 //! How the slack of extra calls is parted among the VMs.
 
-/// VMs beyond those in view that may spend their part too, while one replaces another.
-const SPARE_VMS: usize = 1;
+/// VMs beyond those in view that may use their part of something shared too, while one replaces
+/// another.
+pub const SPARE_VMS: usize = 1;
 
 /// Who shares the fleet's slack, by one VM's view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetShape {
     /// VMs that may hold connections and send calls, the own one included.
     pub vms: usize,
-    /// Those of them that callers are sent to.
+    /// Those of them that callers are sent to as long as these can carry all: the most capable.
     pub carriers: usize,
     /// Whether the own VM is one of these.
     pub is_carrier: bool,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub use admission::BorrowCall;
 pub use admission::CustomerLimiter;
 pub use budget::FleetShape;
+pub use budget::SPARE_VMS;
 pub use connection::ConnectionShare;
 pub use contract::AnswerPreference;
 pub use contract::ClassPriority;
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -22,6 +22,8 @@
 use crate::ProbePlan;
 use crate::VmId;
 use crate::membership::update_queue::UpdateQueue;
+use crate::most_capable;
+use crate::watch_holders;
 
 /// Probes that a VM looks back on before it suspects another.
 const DOUBT_WINDOW: u32 = 8;
@@ -113,18 +115,31 @@
     /// Up to `count` serving peers of the own failure domain to pass news on to: the next by name,
     /// so that each is the next of one, and others at random.
     pub fn sample_neighbours(&mut self, count: usize) -> Vec<VmId> {
-        let own = &self.own;
-        let neighbours = self.table.iter().filter(|(record, standing)| {
-            *standing == MemberStanding::Serving && record.failure_domain == own.failure_domain
-        });
-        let mut neighbours: Vec<VmId> = neighbours.map(|(record, _)| record.vm.clone()).collect();
-        let after = neighbours.iter().filter(|vm| **vm > own.vm).min();
+        let mut neighbours: Vec<VmId> = self.neighbours().map(|record| record.vm.clone()).collect();
+        let after = neighbours.iter().filter(|vm| **vm > self.own.vm).min();
         let Some(next) = after.or(neighbours.iter().min()).cloned() else { return neighbours };
         neighbours.retain(|vm| *vm != next);
         let others = neighbours.sample(&mut self.generator, count.saturating_sub(1));
         std::iter::once(next.clone()).chain(others.cloned()).take(count).collect()
     }
 
+    /// Whether the own VM should hold the platform's watches: what a holder hears it passes on,
+    /// which takes processor and link, so that the most capable do.
+    pub fn is_watch_holder(&self) -> bool {
+        let vms: Vec<&MemberRecord> = std::iter::once(&self.own).chain(self.neighbours()).collect();
+        let capable = most_capable(&vms).into_iter();
+        let capable: Vec<VmId> = capable.map(|record| record.vm.clone()).collect();
+        watch_holders(&self.own.failure_domain, &capable).contains(&self.own.vm)
+    }
+
+    /// Other VMs of the own failure domain that serve.
+    fn neighbours(&self) -> impl Iterator<Item = &MemberRecord> {
+        let serving = self.table.iter().filter(|(record, standing)| {
+            *standing == MemberStanding::Serving && record.failure_domain == self.own.failure_domain
+        });
+        serving.map(|(record, _)| record)
+    }
+
     /// Names of the members whose standing is wanted.
     fn names(&self, wanted: impl Fn(MemberStanding) -> bool) -> Vec<VmId> {
         let wanted = self.table.iter().filter(|(_, standing)| wanted(*standing));
--- a/crates/policy/src/objects/spread.rs
+++ b/crates/policy/src/objects/spread.rs
@@ -129,9 +129,8 @@
         peer: ObjectSummary,
         now: Instant,
     ) -> Option<SpreadAction> {
-        if peer.digest == self.store.summary().digest
-            && peer.highest == self.store.summary().highest
-        {
+        let held = self.store.summary();
+        if (peer.digest, peer.highest) == (held.digest, held.highest) {
             // The same objects, so that the peer's proof holds here as well.
             self.store.raise_complete(peer.complete_to);
         }
@@ -147,13 +146,17 @@
         if is_pulling || (!is_near && now < since + FAR_PULL_AFTER) {
             return None;
         }
-        self.pulling_since = Some(now);
-        self.is_far_pull = !is_near;
         self.is_second_pull = false;
         let whole = own.complete_to == 0 || self.refusals >= REFUSAL_LIMIT;
+        Some(self.begin_pull(vm.clone(), whole, !is_near, now))
+    }
+
+    fn begin_pull(&mut self, vm: VmId, whole: bool, is_far: bool, now: Instant) -> SpreadAction {
+        self.pulling_since = Some(now);
+        self.is_far_pull = is_far;
         self.listing = whole.then(ObjectListing::default);
-        let after = if whole { 0 } else { own.complete_to };
-        Some(SpreadAction::Pull { vm: vm.clone(), after, whole })
+        let after = if whole { 0 } else { self.store.summary().complete_to };
+        SpreadAction::Pull { vm, after, whole }
     }
 
     /// The reply to a peer's pull.
@@ -173,13 +176,10 @@
         if std::mem::replace(&mut self.is_second_pull, true) {
             return None;
         }
-        let neighbour = members.sample_neighbours(2).pop();
-        self.pulling_since = neighbour.as_ref().map(|_| now);
-        self.is_far_pull = false;
-        let after = self.store.summary().complete_to;
-        let whole = after == 0;
-        self.listing = whole.then(ObjectListing::default);
-        neighbour.map(|vm| SpreadAction::Pull { vm, after, whole })
+        // The second of two is a random one, if there is another beside the next by name.
+        let neighbour = members.sample_neighbours(2).pop()?;
+        let whole = self.store.summary().complete_to == 0;
+        Some(self.begin_pull(neighbour, whole, false, now))
     }
 
     /// Takes a page in; asks for the next when there is one.
--- a/crates/policy/tests/fanout/promises.rs
+++ b/crates/policy/tests/fanout/promises.rs
@@ -18,6 +18,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::budget_window::CALL;
+use crate::budget_window::worst_excess;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::SentCall;
 use crate::fake_fleet::ms;
@@ -31,8 +33,6 @@
 const EXTRA_PERMILLE: u32 = 200;
 /// Extra calls of a service beyond that, of all VMs in any window.
 const SLACK: u32 = 40;
-/// Window in which extra calls are bounded.
-const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
 /// What one VM promised with a query.
 struct Promise {
@@ -158,7 +158,12 @@
     }
 }
 
-/// Whether a call may have run.
+/// Calls of a shard that may have run.
+fn count_runs(calls: &[&SentCall], shard: u32) -> usize {
+    calls.iter().filter(|call| call.shard == shard && may_have_run(call)).count()
+}
+
+/// Whether a call may have run: a target that refused it has not.
 fn may_have_run(call: &SentCall) -> bool {
     !matches!(call.behaviour, Behaviour::Refuse(_))
 }
@@ -170,9 +175,7 @@
     fn query_runs_on_no_more_targets_of_a_shard_than_its_attempts(seed in any::<u64>()) {
         PromiseWorld::play(seed).each(|_, query, promise, calls| {
             for shard in 0..SHARDS {
-                // A target that refused a call has not run it.
-                let of_shard = calls.iter().filter(|call| call.shard == shard);
-                let runs = of_shard.filter(|call| may_have_run(call)).count();
+                let runs = count_runs(calls, shard);
                 let attempts = promise.plan.repeats.attempts as usize;
                 assert!(runs <= attempts, "query {query}: {runs} of {attempts} attempts");
             }
@@ -183,8 +186,7 @@
     fn query_that_may_not_be_repeated_runs_once_at_most(seed in any::<u64>()) {
         PromiseWorld::play(seed).each(|_, query, promise, calls| {
             for shard in 0..SHARDS {
-                let of_shard = calls.iter().filter(|call| call.shard == shard);
-                let runs = of_shard.filter(|call| may_have_run(call)).count();
+                let runs = count_runs(calls, shard);
                 assert!(promise.plan.repeats.is_idempotent || runs <= 1, "query {query}: {runs}");
             }
         });
@@ -220,36 +222,23 @@
     fn extra_calls_of_all_vms_stay_within_the_budget_in_every_window(seed in any::<u64>()) {
         let world = PromiseWorld::play(seed);
         for shard in 0..SHARDS {
-            let excess = worst_excess(&world, shard);
+            let excess = worst_excess(budget_events(&world, shard));
             // An empty budget may hold a part of a call at each VM.
             prop_assert!(excess <= i64::from(SLACK + VMS), "shard {shard}: {excess} beyond");
         }
     }
 }
 
-/// Most extra arrivals beyond the share of the requests in any window, over all VMs.
-fn worst_excess(world: &PromiseWorld, shard: u32) -> i64 {
-    // Each as its time and how much it adds to the extra calls, in thousandths.
-    let mut events: Vec<(Duration, i64)> = Vec::new();
+/// Extra arrivals of a shard and the requests that earn their share, of all VMs.
+fn budget_events(world: &PromiseWorld, shard: u32) -> Vec<(Duration, i64)> {
+    let mut events = Vec::new();
     for (vm, promises) in world.vms.iter().zip(&world.promises) {
         let asked = promises.values().map(|promise| promise.asked_at - vm.start);
         events.extend(asked.map(|at| (at, -i64::from(EXTRA_PERMILLE))));
         let mut begun = BTreeSet::new();
         let calls = vm.sent.iter().filter(|call| call.shard == shard);
         let extra = calls.filter(|call| !begun.insert(call.query));
-        events.extend(extra.map(|call| (call.at - vm.start, 1_000)));
-    }
-    events.sort_unstable();
-    let mut worst = 0;
-    for (index, (begin, _)) in events.iter().enumerate() {
-        let mut excess = 0;
-        for (at, change) in &events[index..] {
-            if *at > *begin + BUDGET_WINDOW {
-                break;
-            }
-            excess += change;
-            worst = worst.max(excess);
-        }
+        events.extend(extra.map(|call| (call.at - vm.start, CALL)));
     }
-    worst / 1_000
+    events
 }
--- a/crates/policy/tests/fanout/routes.rs
+++ b/crates/policy/tests/fanout/routes.rs
@@ -1,7 +1,7 @@
 //! Requests of routes: objectives, repeats, budgets of services, and which target is chosen.
 
+use std::collections::HashSet;
 use std::time::Duration;
-use std::time::Instant;
 
 use oleanderwind_policy::BudgetOwner;
 use oleanderwind_policy::FanoutPlan;
@@ -19,7 +19,10 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::budget_window::CALL;
+use crate::budget_window::worst_excess;
 use crate::fake_fleet::FakeFleet;
+use crate::fake_fleet::SentCall;
 use crate::fake_fleet::ms;
 use crate::fake_target::Behaviour;
 
@@ -27,8 +30,6 @@
 const OBJECTIVE: Duration = ms(80);
 /// Kept for an answer's way to its caller.
 const MARGIN: Duration = ms(15);
-/// Window in which extra calls are bounded.
-const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
 fn settings() -> FanoutSettings {
     let mut settings = FanoutSettings::default();
@@ -218,29 +219,12 @@
     assert!(fleet.target("s0r0").received > received + 4);
 }
 
-/// The most extra calls of a shard in a window, less its share of the first ones there.
-fn worst_excess(fleet: &FakeFleet, shard: u32, permille: u64) -> i64 {
-    let mut calls: Vec<(Instant, bool)> = Vec::new();
-    let mut begun = std::collections::HashSet::new();
-    for sent in fleet.sent.iter().filter(|sent| sent.shard == shard) {
-        calls.push((sent.at, !begun.insert(sent.query)));
-    }
-    let mut worst = 0;
-    for (index, (start, _)) in calls.iter().enumerate() {
-        let (mut first, mut extra) = (0_i64, 0_i64);
-        for (at, is_extra) in &calls[index..] {
-            if *at >= *start + BUDGET_WINDOW {
-                break;
-            }
-            if *is_extra {
-                extra += 1;
-            } else {
-                first += 1;
-            }
-            worst = worst.max(extra - first * permille as i64 / 1_000);
-        }
-    }
-    worst
+/// Extra calls of a shard and the first ones that earn their share.
+fn budget_events(fleet: &FakeFleet, shard: u32, permille: i64) -> Vec<(Duration, i64)> {
+    let mut begun = HashSet::new();
+    let calls = fleet.sent.iter().filter(|sent| sent.shard == shard);
+    let mut change = |sent: &SentCall| if begun.insert(sent.query) { -permille } else { CALL };
+    calls.map(|sent| (sent.at - fleet.start, change(sent))).collect()
 }
 
 proptest! {
@@ -272,7 +256,7 @@
             submit_routes(&mut fleet, step * 100, 20, ms(generator.random_range(2..40)));
         }
         for shard in 0..2 {
-            let excess = worst_excess(&fleet, shard, 200);
+            let excess = worst_excess(budget_events(&fleet, shard, 200));
             // One call of rounding: an empty budget may hold a part of a call.
             prop_assert!(excess <= i64::from(BURST) + 1, "shard {shard}: {excess} beyond the share");
         }
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -197,18 +197,23 @@
     assert_eq!(first, all);
 }
 
+/// An engine that lacks a change, and the word of a peer that has it.
+fn one_change_behind(members: &mut MembershipEngine) -> (SpreadEngine, ObjectSummary) {
+    let mut spread = SpreadEngine::default();
+    spread.changed(&[object("a", 1, Some("x"))], members);
+    spread.watched_to(1);
+    let mut ahead = spread.clone();
+    ahead.changed(&[object("b", 2, Some("x"))], members);
+    ahead.watched_to(2);
+    (spread, ahead.store().summary())
+}
+
 /// Pattern: every change is told by heartbeats from afar before the neighbours have passed it on.
 #[test]
 fn heard_pulls_from_afar_only_when_the_neighbours_do_not_help() {
     let now = Instant::now();
     let mut members = MembershipEngine::new(settings(1), serving(0), now);
-    let mut spread = SpreadEngine::default();
-    spread.changed(&[object("a", 1, Some("x"))], &mut members);
-    spread.watched_to(1);
-    let mut ahead = spread.clone();
-    ahead.changed(&[object("b", 2, Some("x"))], &mut members);
-    ahead.watched_to(2);
-    let summary = ahead.store().summary();
+    let (mut spread, summary) = one_change_behind(&mut members);
     let at = |ms: u64| now + Duration::from_millis(ms);
     let mut heard = |is_near: bool, ms: u64| spread.heard(&"vm".into(), is_near, summary, at(ms));
     assert_eq!(heard(false, 0), None);
@@ -248,13 +253,7 @@
     let now = Instant::now();
     let mut members = MembershipEngine::new(settings(1), serving(0), now);
     members.apply_list(&[platform_vm(3, 3), platform_vm(4, 3)]);
-    let mut spread = SpreadEngine::default();
-    spread.changed(&[object("a", 1, Some("x"))], &mut members);
-    spread.watched_to(1);
-    let mut ahead = spread.clone();
-    ahead.changed(&[object("b", 2, Some("x"))], &mut members);
-    ahead.watched_to(2);
-    let summary = ahead.store().summary();
+    let (mut spread, summary) = one_change_behind(&mut members);
     assert!(spread.heard(&"vm".into(), true, summary, now).is_some());
     let wanted = SpreadAction::Pull { vm: platform_vm(3, 3).vm, after: 1, whole: false };
     assert_eq!(spread.pull_failed(&mut members, now), Some(wanted));
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -260,10 +260,9 @@
     assert_eq!(names, ["vm-0003", "vm-0002", "vm-0001"]);
 }
 
-/// Pattern: shards have targets in two of three failure domains, and callers are in all.
-#[test]
-fn caller_plan_names_vms_near_the_shards_and_near_the_caller() {
-    let record = |vm: &str, domain: &str| MemberRecord {
+/// The word of a serving VM.
+fn serving(vm: &str, domain: &str, processor_millicores: u32) -> MemberRecord {
+    MemberRecord {
         vm: vm.into(),
         incarnation: 1,
         sequence: 1,
@@ -273,8 +272,14 @@
         peer_address: "127.0.0.1:1".parse().unwrap(),
         caller_address: "127.0.0.1:2".parse().unwrap(),
         revision: 1,
-        processor_millicores: 0,
-    };
+        processor_millicores,
+    }
+}
+
+/// Pattern: shards have targets in two of three failure domains, and callers are in all.
+#[test]
+fn caller_plan_names_vms_near_the_shards_and_near_the_caller() {
+    let record = |vm: &str, domain: &str| serving(vm, domain, 0);
     let records = [
         record("a1", "a"),
         record("a2", "a"),
@@ -306,22 +311,10 @@
 /// Pattern: a few VMs with half a core each among many with an eighth.
 #[test]
 fn caller_plan_names_the_most_capable_while_they_can_carry_all() {
-    let record = |vm: String, domain: &str, processor_millicores| MemberRecord {
-        vm: vm.as_str().into(),
-        incarnation: 1,
-        sequence: 1,
-        phase: MemberPhase::Serving,
-        suspected: false,
-        failure_domain: domain.into(),
-        peer_address: "127.0.0.1:1".parse().unwrap(),
-        caller_address: "127.0.0.1:2".parse().unwrap(),
-        revision: 1,
-        processor_millicores,
-    };
     let mut records = Vec::new();
     for domain in ["a", "b", "c"] {
-        records.extend((0..2).map(|number| record(format!("{domain}-big{number}"), domain, 500)));
-        records.extend((0..25).map(|number| record(format!("{domain}-{number}"), domain, 120)));
+        records.extend((0..2).map(|number| serving(&format!("{domain}-big{number}"), domain, 500)));
+        records.extend((0..25).map(|number| serving(&format!("{domain}-{number}"), domain, 120)));
     }
     let held = ["a", "b", "c"].map(|domain| (domain.into(), 90)).into();
     let places = ShardPlaces { shards: 90, held };
