--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -9,9 +9,11 @@
 
 use actix_rt::task::JoinHandle;
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::ExecutorOutcome;
 use oleanderwind_policy::FanoutEngine;
 use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::ProviderId;
@@ -132,6 +134,12 @@
         self.timer_changes.notify_one();
     }
 
+    /// Charges a run whose request is run again to its customer's budget of extra calls.
+    pub(crate) fn charge_repeated_run(&self, contract: &CustomerContract, result: &FanoutResult) {
+        let permille = contract.extra_load_permille;
+        self.engine.borrow_mut().charge_repeated_run(&contract.customer, result, permille);
+    }
+
     /// Chooses a target for a call that must not be sent twice and reserves a slot there.
     pub(crate) fn pick_executor(
         &self,
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -61,6 +61,7 @@
                 && self.wait_for_newer_snapshot(&manifest, deadline).await
             {
                 extra_calls += reply.result.calls_sent;
+                self.fanout.charge_repeated_run(contract, &reply.result);
                 continue;
             }
             let primary_calls = reply.result.calls_sent - reply.result.extra_calls;
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -2,8 +2,10 @@
 
 use std::time::Instant;
 
+use crate::CustomerId;
 use crate::FanoutEngine;
 use crate::FanoutEvent;
+use crate::FanoutResult;
 use crate::RefusalCause;
 use crate::TargetId;
 use crate::TargetSpec;
@@ -46,6 +48,21 @@
         self.budgets.set_service_burst(calls);
     }
 
+    /// Charges a customer for a run whose request is run again: its primary calls become extra
+    /// calls.
+    pub fn charge_repeated_run(
+        &mut self,
+        customer: &CustomerId,
+        result: &FanoutResult,
+        extra_load_permille: u32,
+    ) {
+        let budget = self.budgets.customer_budget(customer);
+        let budget = self.budgets.budget_mut(budget);
+        for _ in result.extra_calls..result.calls_sent {
+            budget.charge_primary_call(extra_load_permille);
+        }
+    }
+
     /// Updates the state of an event's target and releases the call's slot there.
     pub(crate) fn record_event(&mut self, event: &FanoutEvent, open: &OpenCall, now: Instant) {
         let elapsed = now.saturating_duration_since(open.sent_at);
--- a/crates/policy/tests/fanout/guarantees.rs
+++ b/crates/policy/tests/fanout/guarantees.rs
@@ -34,6 +34,9 @@
 /// Extra calls to a service allowed beyond that share, for all VMs together in any window.
 const EXTRA_CALL_SLACK: u32 = 40;
 
+/// Cases of each property in an ordinary run; `PROPTEST_CASES` sets another number.
+const DEFAULT_CASES: u32 = 12;
+
 /// A query submitted to one VM.
 struct SubmittedQuery {
     submitted_at: Instant,
@@ -173,8 +176,15 @@
     !matches!(call.behaviour, Behaviour::Refuse(_))
 }
 
+fn config() -> ProptestConfig {
+    match std::env::var_os("PROPTEST_CASES") {
+        Some(_) => ProptestConfig::default(),
+        None => ProptestConfig::with_cases(DEFAULT_CASES),
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(12))]
+    #![proptest_config(config())]
 
     #[test]
     fn query_runs_on_at_most_attempt_limit_targets_of_a_shard(seed in any::<u64>()) {
--- a/crates/policy/tests/fanout/main.rs
+++ b/crates/policy/tests/fanout/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod baseline;
+mod budget;
 mod budget_window;
 mod comparison;
 mod fake_fleet;
