--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -20,7 +20,14 @@
 /// Maximum number of processor cores.
 const MAX_CORES: f64 = 4_096.0;
 /// Maximum of all settings that are times, in milliseconds.
-const MAX_TIME_MS: u64 = 600_000;
+const MAX_TIME_MS: f64 = 600_000.0;
+
+/// Maximum number of extra calls that may be saved up.
+const MAX_EXTRA_SLACK: f64 = 1_000_000.0;
+/// Milliseconds in a second.
+const MS_PER_SECOND: f64 = 1_000.0;
+/// Suffix of a time that is given in seconds.
+const SECONDS_SUFFIX: char = 's';
 
 /// Part of the shutdown grace period that is reserved for the last message to peers and the exit
 /// of the process.
@@ -29,6 +36,8 @@
 const NOTICE_FRACTION: f64 = 0.6;
 /// The number one, in thousandths.
 const ONE_PERMILLE: f64 = 1_000.0;
+/// The levels of log lines, for findings.
+const LOG_LEVELS: &str = "error, warn, info, debug or trace";
 
 /// The validated settings of a daemon.
 #[derive(Clone)]
@@ -147,7 +156,7 @@
                 &mut findings,
             ),
             extra_permille: permille(&raw.extra_ratio, "--extra-ratio", 0.1, &mut findings),
-            extra_slack: parsed(&raw.extra_slack, "--extra-slack", 40, &mut findings),
+            extra_slack: whole_calls(&raw.extra_slack, "--extra-slack", 40.0, &mut findings),
             crossing_cost: duration(&raw.crossing_cost_ms, "--crossing-cost-ms", 0, &mut findings),
             processor_millicores: processor_millicores(raw, &mut findings),
             answer_margin: duration(&raw.answer_margin_ms, "--answer-margin-ms", 5, &mut findings),
@@ -159,8 +168,14 @@
                 10_000,
                 &mut findings,
             ),
-            log_level: parsed(&raw.log_level, "--log-level", LevelFilter::Info, &mut findings),
-            seed: parsed(&raw.seed, "--seed", seed, &mut findings),
+            log_level: parsed(
+                &raw.log_level,
+                "--log-level",
+                LevelFilter::Info,
+                LOG_LEVELS,
+                &mut findings,
+            ),
+            seed: parsed(&raw.seed, "--seed", seed, "a whole number", &mut findings),
             vm: vm.into(),
         };
         findings.into_result(settings)
@@ -179,11 +194,11 @@
         writeln!(f, "admin-listen={}", self.admin_listen)?;
         writeln!(f, "peer-listen={}", self.peer_listen)?;
         writeln!(f, "operator-token={token}")?;
-        writeln!(f, "address-keep-ms={}", self.address_keep.as_millis())?;
-        writeln!(f, "leave-notice-ms={}", self.leave_notice.as_millis())?;
+        writeln!(f, "address-keep-ms={}", milliseconds(self.address_keep))?;
+        writeln!(f, "leave-notice-ms={}", milliseconds(self.leave_notice))?;
         let seeds: Vec<String> = self.seed_peers.iter().map(SocketAddr::to_string).collect();
         writeln!(f, "seed-peers={}", seeds.join(","))?;
-        writeln!(f, "drain-patience-ms={}", self.drain_patience.as_millis())?;
+        writeln!(f, "drain-patience-ms={}", milliseconds(self.drain_patience))?;
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
         writeln!(f, "floor-wait={:?}", self.floor_wait)?;
@@ -191,14 +206,14 @@
         writeln!(f, "address-listen={}", text_or_none(self.address_listen))?;
         writeln!(f, "extra-ratio={}", f64::from(self.extra_permille) / ONE_PERMILLE)?;
         writeln!(f, "extra-slack={}", self.extra_slack)?;
-        writeln!(f, "crossing-cost-ms={}", self.crossing_cost.as_millis())?;
+        writeln!(f, "crossing-cost-ms={}", milliseconds(self.crossing_cost))?;
         writeln!(f, "processor-millicores={}", self.processor_millicores)?;
-        writeln!(f, "answer-margin-ms={}", self.answer_margin.as_millis())?;
-        let lapse_hold = self.lapse_hold.map(|hold| hold.as_millis());
+        writeln!(f, "answer-margin-ms={}", milliseconds(self.answer_margin))?;
+        let lapse_hold = self.lapse_hold.map(milliseconds);
         writeln!(f, "lapse-hold-ms={}", text_or_none(lapse_hold))?;
-        let stop_grace = self.stop_grace.map(|grace| grace.as_millis());
+        let stop_grace = self.stop_grace.map(milliseconds);
         writeln!(f, "stop-grace-ms={}", text_or_none(stop_grace))?;
-        writeln!(f, "platform-retry-ms={}", self.platform_retry.as_millis())?;
+        writeln!(f, "platform-retry-ms={}", milliseconds(self.platform_retry))?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
@@ -222,6 +237,11 @@
     }
 }
 
+/// Returns a time in milliseconds, with decimals if it has a fraction of one.
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * MS_PER_SECOND
+}
+
 fn text_or_none<T: ToString>(value: Option<T>) -> String {
     value.map_or_else(|| "(none)".to_owned(), |value| value.to_string())
 }
@@ -243,21 +263,12 @@
 }
 
 fn permille(option: &Option<String>, flag: &str, default: f64, findings: &mut FindingList) -> u32 {
-    let fraction: f64 = parsed(option, flag, default, findings);
-    if !(0.0..=1.0).contains(&fraction) {
-        findings.add(place(flag), format!("is {fraction}; give 0 to 1"));
-        return 0;
-    }
-    (fraction * ONE_PERMILLE) as u32
+    (number(option, flag, default, 1.0, findings) * ONE_PERMILLE) as u32
 }
 
 /// Returns the cores of the processor, times the fraction of them that this process may use.
 fn processor_millicores(raw: &RawSettings, findings: &mut FindingList) -> u32 {
-    let cores: f64 = parsed(&raw.processor_cores, "--processor-cores", 0.0, findings);
-    if !(0.0..=MAX_CORES).contains(&cores) {
-        findings.add(place("--processor-cores"), format!("is {cores}; give 0 to {MAX_CORES}"));
-        return 0;
-    }
+    let cores = number(&raw.processor_cores, "--processor-cores", 0.0, MAX_CORES, findings);
     let share = permille(&raw.processor_share, "--processor-share", 1.0, findings);
     (cores * f64::from(share)) as u32
 }
@@ -300,27 +311,59 @@
 fn duration(
     option: &Option<String>,
     flag: &str,
-    default_ms: u64,
+    default_ms: u32,
     findings: &mut FindingList,
 ) -> Duration {
-    let milliseconds = parsed(option, flag, default_ms, findings);
-    if milliseconds > MAX_TIME_MS {
-        findings.add(place(flag), format!("is {milliseconds}; give at most {MAX_TIME_MS}"));
+    let seconds = option.as_deref().and_then(|text| text.strip_suffix(SECONDS_SUFFIX));
+    let milliseconds = match seconds {
+        None => number(option, flag, f64::from(default_ms), MAX_TIME_MS, findings),
+        Some(text) => {
+            let most = MAX_TIME_MS / MS_PER_SECOND;
+            number(&Some(text.to_owned()), flag, 0.0, most, findings) * MS_PER_SECOND
+        }
+    };
+    Duration::from_secs_f64(milliseconds / MS_PER_SECOND)
+}
+
+/// Returns a number of calls, rounded down.
+fn whole_calls(
+    option: &Option<String>,
+    flag: &str,
+    default: f64,
+    findings: &mut FindingList,
+) -> u32 {
+    number(option, flag, default, MAX_EXTRA_SLACK, findings) as u32
+}
+
+/// Returns a number from 0 to `most`, whole or not, and 0 for any other text.
+fn number(
+    option: &Option<String>,
+    flag: &str,
+    default: f64,
+    most: f64,
+    findings: &mut FindingList,
+) -> f64 {
+    let expected = format!("a number from 0 to {most}");
+    let value: f64 = parsed(option, flag, default, &expected, findings);
+    if (0.0..=most).contains(&value) {
+        return value;
     }
-    Duration::from_millis(milliseconds)
+    findings.add(place(flag), format!("is {value}; give {expected}"));
+    0.0
 }
 
 fn parsed<T: FromStr>(
     option: &Option<String>,
     flag: &str,
     default: T,
+    expected: &str,
     findings: &mut FindingList,
 ) -> T {
     let Some(text) = option else { return default };
     match text.parse() {
         Ok(value) => value,
         Err(_) => {
-            findings.add(place(flag), format!("is \"{text}\"; see --help for the accepted values"));
+            findings.add(place(flag), format!("is \"{text}\"; give {expected}"));
             default
         }
     }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -8,7 +8,8 @@
 /// Serves callers, operators and peers on one VM of an oleanderwind fleet.
 ///
 /// Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN.
-/// A flag overrides the environment. SIGTERM starts a graceful shutdown.
+/// A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM
+/// starts a graceful shutdown.
 ///
 /// Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 #[derive(Clone, Debug, Default, FromArgs)]
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Tests of the settings as operators see them.
 #![allow(clippy::unwrap_used)]
 
+use std::time::Duration;
+
 use argh::FromArgs;
 use expect_test::expect;
 use oleanderwind_daemon::DaemonSettings;
@@ -29,10 +31,76 @@
         --vm or OLEANDERWIND_VM: is missing; give it a value
         --failure-domain or OLEANDERWIND_FAILURE_DOMAIN: is missing; give it a value
         --platform or OLEANDERWIND_PLATFORM: is "nowhere"; give ip:port
-        --drain-patience-ms or OLEANDERWIND_DRAIN_PATIENCE_MS: is 600001; give at most 600000
+        --drain-patience-ms or OLEANDERWIND_DRAIN_PATIENCE_MS: is 600001; give a number from 0 to 600000
         --hedge or OLEANDERWIND_HEDGE: is "often"; give none, fixed:MS or quantile:PERMILLE
         --routing or OLEANDERWIND_ROUTING: is "random"; give expected-wait, least-outstanding or round-robin
-        --log-level or OLEANDERWIND_LOG_LEVEL: is "loud"; see --help for the accepted values"#]].assert_eq(&findings.to_string());
+        --log-level or OLEANDERWIND_LOG_LEVEL: is "loud"; give error, warn, info, debug or trace"#]].assert_eq(&findings.to_string());
+}
+
+/// The platform fills in the template with numbers that need not be whole.
+#[test]
+fn try_from_accepts_numbers_that_are_not_whole() {
+    let raw = raw_settings(
+        &[
+            "--vm=vm-1",
+            "--failure-domain=a",
+            "--platform=127.0.0.1:9",
+            "--extra-ratio=0.125",
+            "--extra-slack=33.1578947368421",
+            "--stop-grace-ms=6.5s",
+            "--lapse-hold-ms=2200.5",
+            "--platform-retry-ms=0.8s",
+            "--crossing-cost-ms=1.4",
+            "--answer-margin-ms=7.25",
+            "--address-keep-ms=1e3",
+            "--processor-cores=1.5",
+            "--processor-share=0.125",
+        ]
+        .map(|flag| flag.split('=').collect::<Vec<&str>>())
+        .concat(),
+    );
+    let settings = DaemonSettings::try_from(&raw).unwrap();
+    assert_eq!(settings.extra_permille, 125);
+    assert_eq!(settings.extra_slack, 33);
+    assert_eq!(settings.stop_grace, Some(Duration::from_millis(6_500)));
+    assert_eq!(settings.lapse_hold, Some(Duration::from_micros(2_200_500)));
+    assert_eq!(settings.platform_retry, Duration::from_millis(800));
+    assert_eq!(settings.crossing_cost, Duration::from_micros(1_400));
+    assert_eq!(settings.answer_margin, Duration::from_micros(7_250));
+    assert_eq!(settings.address_keep, Duration::from_secs(1));
+    assert_eq!(settings.processor_millicores, 187);
+}
+
+#[test]
+fn try_from_says_which_numbers_are_accepted() {
+    let raw = raw_settings(&[
+        "--vm",
+        "vm-1",
+        "--failure-domain",
+        "a",
+        "--platform",
+        "127.0.0.1:9",
+        "--extra-slack",
+        "-1",
+        "--stop-grace-ms",
+        "soon",
+        "--answer-margin-ms",
+        "inf",
+        "--processor-cores",
+        "many",
+        "--extra-ratio",
+        "2",
+        "--seed",
+        "x",
+    ]);
+    let findings = DaemonSettings::try_from(&raw).err().unwrap();
+    expect![[r#"
+        --extra-ratio or OLEANDERWIND_EXTRA_RATIO: is 2; give a number from 0 to 1
+        --extra-slack or OLEANDERWIND_EXTRA_SLACK: is -1; give a number from 0 to 1000000
+        --processor-cores or OLEANDERWIND_PROCESSOR_CORES: is "many"; give a number from 0 to 4096
+        --answer-margin-ms or OLEANDERWIND_ANSWER_MARGIN_MS: is inf; give a number from 0 to 600000
+        --stop-grace-ms or OLEANDERWIND_STOP_GRACE_MS: is "soon"; give a number from 0 to 600000
+        --seed or OLEANDERWIND_SEED: is "x"; give a whole number"#]].assert_eq(&findings.to_string());
 }
 
 #[test]
@@ -83,7 +151,7 @@
     expect![[r#"
         Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
 
-        Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
+        Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 
         Options:
           --vm              name of this VM, unique in the fleet
