feat(policy): pull missing changes from a watch holder of the own failure domain

Cause: a VM that lacks changes for 1.5 s pulls them from any failure domain. While hundreds of targets register every heartbeat shows a difference, so that all VMs pull pages from afar that they get pushed anyway, and a VM that no push reaches waits for the 1.5 s. Change: the first difference leads to a pull from a watch holder of the own domain after 0.5 s, once a second at most. Another domain is asked after 1.5 s by watch holders and after 3 s by others, and only while pulls bring nothing. Tests: policy gossip::storm_of_changes_is_pulled_within_the_failure_domain (fails before), change_reaches_vms_in_time_that_no_push_reaches (holds in both, proves the bound).

--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -83,6 +83,10 @@
     pub(crate) now: Instant,
     pub(crate) start: Instant,
     pub(crate) loss_rate: f64,
+    /// Pushes do not arrive at nodes whose number is a multiple of this.
+    pub(crate) unpushed: Option<usize>,
+    /// Pages of pulled objects sent from one failure domain to another.
+    pub(crate) cross_domain_pages: usize,
     /// Partition: nodes from this index on can't reach lower nodes or the platform.
     pub(crate) partition: Option<usize>,
     pub(crate) platform: Platform,
@@ -115,14 +119,20 @@
 
 impl Fleet {
     pub(crate) fn new(size: usize, settings: MembershipSettings) -> Fleet {
+        Fleet::with_domains(size, if size < 16 { 4 } else { 16 }, settings)
+    }
+
+    /// Returns a fleet whose VMs are spread over `domains` failure domains.
+    pub(crate) fn with_domains(size: usize, domains: usize, settings: MembershipSettings) -> Fleet {
         let start = Instant::now();
-        let domains = if size < 16 { 4 } else { 16 };
         let vms: Vec<PlatformVm> = (0..size).map(|number| platform_vm(number, domains)).collect();
         let mut fleet = Fleet {
             nodes: Vec::new(),
             now: start,
             start,
             loss_rate: 0.0,
+            unpushed: None,
+            cross_domain_pages: 0,
             partition: None,
             platform: Platform { vms, revision: 10, ..Platform::default() },
             index: HashMap::new(),
@@ -298,6 +308,8 @@
             Event::Push { to, objects } => self.handle_changes(to, &objects),
             Event::Pull { from, to, after, full } => {
                 let delta = self.nodes[to].gossip.handle_pull(after, full);
+                let domain = |number: usize| &self.platform.vms[number].failure_domain;
+                self.cross_domain_pages += usize::from(domain(from) != domain(to));
                 self.count_bytes(from, to, peer::FetchObjectsReply::from(&delta).encoded_len());
                 let at = self.delivery_time();
                 if self.can_reach(to, from) {
@@ -411,7 +423,8 @@
         let vm = self.platform.vms[peer].vm.clone();
         let domain = |number: usize| &self.platform.vms[number].failure_domain;
         let same_domain = domain(node) == domain(peer);
-        let action = self.nodes[node].gossip.handle_summary(&vm, same_domain, summary, self.now);
+        let Node { gossip, members, .. } = &mut self.nodes[node];
+        let action = gossip.handle_summary(&vm, same_domain, summary, members, self.now);
         self.send_gossip(node, action);
     }
 
@@ -430,7 +443,8 @@
                     let pushed = objects.iter().map(peer::ConfigurationObject::from);
                     let message = peer::PushObjectsRequest { objects: pushed.collect() };
                     self.count_bytes(from, to, message.encoded_len());
-                    if self.can_reach(from, to) {
+                    let is_lost = self.unpushed.is_some_and(|every| to % every == 0);
+                    if self.can_reach(from, to) && !is_lost {
                         self.schedule(at, Event::Push { to, objects });
                     }
                 }
