feat(policy): regain the slack of extra calls in each window

The contract allows the slack in every window, not once. Change: half of a VM's share may be saved up, a quarter is regained in each window, and a process starts with a quarter, so that the share holds in any window with a restart. A service's budget covers one shard, so its reserve for retries is three calls at most.

--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -123,8 +123,9 @@
             let share = connection_share(spec.connection_limit, fleet.vms);
             engine.set_connection_budget(&spec.target, share.active);
         }
-        engine.set_service_burst(fleet.slack_share(self.settings.get().extra_slack));
-        engine.apply_targets(specs, Instant::now());
+        let now = Instant::now();
+        engine.set_service_share(fleet.slack_share(self.settings.get().extra_slack), now);
+        engine.apply_targets(specs, now);
         self.timer_changes.notify_one();
     }
 
@@ -137,7 +138,8 @@
     /// Charges a run whose request is run again to its customer's budget of extra calls.
     pub(crate) fn charge_repeated_run(&self, contract: &CustomerContract, result: &FanoutResult) {
         let permille = contract.extra_load_permille;
-        self.engine.borrow_mut().charge_repeated_run(&contract.customer, result, permille);
+        let now = Instant::now();
+        self.engine.borrow_mut().charge_repeated_run(&contract.customer, result, permille, now);
     }
 
     /// Chooses a target for a call that must not be sent twice and reserves a slot there.
@@ -194,6 +196,7 @@
     engine.own_domain = Some(settings.failure_domain.clone());
     engine.crossing_cost = settings.crossing_cost;
     engine.answer_margin = settings.answer_margin;
+    engine.service_window = settings.extra_window;
     // The start time is part of the hash, so that a restarted VM does not reuse call ids.
     let start = std::time::SystemTime::now();
     let since_epoch = start.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/routes/view.rs
+++ b/crates/daemon/src/routes/view.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::time::Instant;
 
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::RoutingStatus;
@@ -61,7 +62,7 @@
             open: view.open,
             window: view.window,
             is_failing: view.is_failing,
-            extra_calls_left: engine.extra_calls_left(&spec.service),
+            extra_calls_left: engine.extra_calls_left(&spec.service, Instant::now()),
         }
     }
 }
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -80,6 +80,8 @@
     pub extra_permille: u32,
     /// Extra calls beyond that ratio that the whole fleet may make to a service at once.
     pub extra_slack: u32,
+    /// Window in which the extra calls beyond the ratio are counted.
+    pub extra_window: Duration,
     /// Penalty added to the expected wait of targets in other failure domains.
     pub crossing_cost: Duration,
     /// Processor capacity that this process may use, in thousandths of a core; 0 if unknown.
@@ -92,6 +94,10 @@
     pub stop_grace: Option<Duration>,
     /// Maximum delay between two calls to a failing platform.
     pub platform_retry: Duration,
+    /// How long the platform keeps its history of changes.
+    pub platform_history: Option<Duration>,
+    /// Whether the whole fleet starts for the first time, so that no VM is listed yet.
+    pub is_first_start: bool,
     /// Maximum level of the log lines that are written.
     pub log_level: LevelFilter,
     /// Seed of all random number generators.
@@ -157,6 +163,12 @@
             ),
             extra_permille: permille(&raw.extra_ratio, "--extra-ratio", 0.1, &mut findings),
             extra_slack: whole_calls(&raw.extra_slack, "--extra-slack", 40.0, &mut findings),
+            extra_window: duration(
+                &raw.extra_window_ms,
+                "--extra-window-ms",
+                10_000,
+                &mut findings,
+            ),
             crossing_cost: duration(&raw.crossing_cost_ms, "--crossing-cost-ms", 0, &mut findings),
             processor_millicores: processor_millicores(raw, &mut findings),
             answer_margin: duration(&raw.answer_margin_ms, "--answer-margin-ms", 5, &mut findings),
@@ -168,6 +180,18 @@
                 10_000,
                 &mut findings,
             ),
+            platform_history: optional_duration(
+                &raw.platform_history_ms,
+                "--platform-history-ms",
+                &mut findings,
+            ),
+            is_first_start: parsed(
+                &raw.first_start,
+                "--first-start",
+                false,
+                "true or false",
+                &mut findings,
+            ),
             log_level: parsed(
                 &raw.log_level,
                 "--log-level",
@@ -206,6 +230,7 @@
         writeln!(f, "address-listen={}", text_or_none(self.address_listen))?;
         writeln!(f, "extra-ratio={}", f64::from(self.extra_permille) / ONE_PERMILLE)?;
         writeln!(f, "extra-slack={}", self.extra_slack)?;
+        writeln!(f, "extra-window-ms={}", milliseconds(self.extra_window))?;
         writeln!(f, "crossing-cost-ms={}", milliseconds(self.crossing_cost))?;
         writeln!(f, "processor-millicores={}", self.processor_millicores)?;
         writeln!(f, "answer-margin-ms={}", milliseconds(self.answer_margin))?;
@@ -214,6 +239,9 @@
         let stop_grace = self.stop_grace.map(milliseconds);
         writeln!(f, "stop-grace-ms={}", text_or_none(stop_grace))?;
         writeln!(f, "platform-retry-ms={}", milliseconds(self.platform_retry))?;
+        let history = self.platform_history.map(milliseconds);
+        writeln!(f, "platform-history-ms={}", text_or_none(history))?;
+        writeln!(f, "first-start={}", self.is_first_start)?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
     }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -74,6 +74,10 @@
     /// extra calls beyond that ratio that the fleet may make to a service at once; default: 40
     #[argh(option)]
     pub extra_slack: Option<String>,
+    /// milliseconds of the window in which the extra calls beyond the ratio are counted; default:
+    /// 10000
+    #[argh(option)]
+    pub extra_window_ms: Option<String>,
     /// milliseconds added to the expected wait of targets in other failure domains; default: 0
     #[argh(option)]
     pub crossing_cost_ms: Option<String>,
@@ -95,6 +99,13 @@
     /// maximum milliseconds between two calls to a failing platform; default: 10000
     #[argh(option)]
     pub platform_retry_ms: Option<String>,
+    /// milliseconds for which the platform keeps its history of changes; default: unknown
+    #[argh(option)]
+    pub platform_history_ms: Option<String>,
+    /// whether the whole fleet starts for the first time, so that no VM is listed yet: true or
+    /// false; default: false
+    #[argh(option)]
+    pub first_start: Option<String>,
     /// file with lines of name=value, reloaded on SIGHUP and when it changes; default: none
     #[argh(option)]
     pub settings_file: Option<String>,
@@ -182,6 +193,7 @@
             ("ADDRESS_LISTEN", &mut self.address_listen),
             ("EXTRA_RATIO", &mut self.extra_ratio),
             ("EXTRA_SLACK", &mut self.extra_slack),
+            ("EXTRA_WINDOW_MS", &mut self.extra_window_ms),
             ("CROSSING_COST_MS", &mut self.crossing_cost_ms),
             ("PROCESSOR_CORES", &mut self.processor_cores),
             ("PROCESSOR_SHARE", &mut self.processor_share),
@@ -189,6 +201,8 @@
             ("LAPSE_HOLD_MS", &mut self.lapse_hold_ms),
             ("STOP_GRACE_MS", &mut self.stop_grace_ms),
             ("PLATFORM_RETRY_MS", &mut self.platform_retry_ms),
+            ("PLATFORM_HISTORY_MS", &mut self.platform_history_ms),
+            ("FIRST_START", &mut self.first_start),
             ("SETTINGS_FILE", &mut self.settings_file),
             ("LOG_LEVEL", &mut self.log_level),
             ("SEED", &mut self.seed),
--- a/crates/policy/src/budget/extra_load.rs
+++ b/crates/policy/src/budget/extra_load.rs
@@ -1,34 +1,44 @@
 //! Budget of extra calls of one customer or service.
 
-/// Cost of one extra call in credit, which counts thousandths of a call.
-const CREDIT_PER_CALL: i64 = 1_000;
+use std::time::Instant;
 
-/// Divisor of the full budget that gives the part reserved for retries and refills.
-///
-/// A hedge speeds up a slow answer, whereas a retry saves one that would be lost. The reserve
-/// covers the failed calls after which the targets of a lost failure domain count as failing.
-const RETRY_RESERVE_DIVISOR: i64 = 2;
+use crate::budget::CreditLimits;
+use crate::budget::limits::CREDIT_PER_CALL;
 
 /// Unspent credit for extra calls.
 ///
-/// The budget starts empty, and only primary calls add credit. At any time the extra calls so far
-/// are thus at most the contract's share of the primary calls so far, however slow the targets are.
+/// A customer's budget starts empty, and only primary calls add credit. At any time its extra calls
+/// so far are thus at most the contract's share of the primary calls so far, however slow the
+/// targets are. A service's budget also starts with and regains some of the VM's share of the
+/// slack, see [`CreditLimits`].
 #[derive(Debug)]
 pub(crate) struct ExtraLoadBudget {
     /// Negative while calls that were already sent exceed what was earned.
     credit: i64,
-    max_credit: i64,
+    limits: CreditLimits,
+    refilled_at: Instant,
 }
 
 impl ExtraLoadBudget {
-    /// Returns an empty budget that holds credit for at most `burst_calls` extra calls.
-    pub(crate) fn new(burst_calls: u32) -> ExtraLoadBudget {
-        ExtraLoadBudget { credit: 0, max_credit: i64::from(burst_calls) * CREDIT_PER_CALL }
+    /// Returns a budget that has existed since `begin` without being used.
+    pub(crate) fn new(limits: CreditLimits, begin: Instant) -> ExtraLoadBudget {
+        ExtraLoadBudget { credit: limits.initial, limits, refilled_at: begin }
+    }
+
+    /// Adds the credit that the budget regained since the last refill.
+    pub(crate) fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        let gained = self.limits.gained(elapsed);
+        if gained > 0 {
+            self.add(gained);
+            // The remainder below one unit of credit is kept for the next refill.
+            self.refilled_at += self.limits.time_to_gain(gained);
+        }
     }
 
     /// Adds the credit for one primary call under a contract that allows `extra_load_permille`.
     pub(crate) fn deposit(&mut self, extra_load_permille: u32) {
-        self.credit = (self.credit + i64::from(extra_load_permille)).min(self.max_credit);
+        self.add(i64::from(extra_load_permille));
     }
 
     /// Spends the credit for one extra call; returns whether there was enough.
@@ -55,13 +65,13 @@
 
     /// Returns the credit for an extra call that was never sent.
     pub(crate) fn refund(&mut self) {
-        self.credit = (self.credit + CREDIT_PER_CALL).min(self.max_credit);
+        self.add(CREDIT_PER_CALL);
     }
 
-    /// Sets the number of extra calls that the budget can hold credit for.
-    pub(crate) fn set_burst(&mut self, burst_calls: u32) {
-        self.max_credit = i64::from(burst_calls) * CREDIT_PER_CALL;
-        self.credit = self.credit.min(self.max_credit);
+    /// Changes the limits; the credit held stays within them.
+    pub(crate) fn set_limits(&mut self, limits: CreditLimits) {
+        self.limits = limits;
+        self.credit = self.credit.min(limits.max);
     }
 
     /// Returns the number of extra calls that would be allowed now.
@@ -71,11 +81,15 @@
 
     /// Returns whether a hedge would leave the reserve for retries untouched.
     pub(crate) fn has_hedge_credit(&self) -> bool {
-        self.credit >= self.max_credit / RETRY_RESERVE_DIVISOR + CREDIT_PER_CALL
+        self.credit >= self.limits.retry_reserve + CREDIT_PER_CALL
     }
 
     /// Returns whether an extra call would be allowed now.
     pub(crate) fn has_credit(&self) -> bool {
         self.credit >= CREDIT_PER_CALL
     }
+
+    fn add(&mut self, credit: i64) {
+        self.credit = (self.credit + credit).min(self.limits.max);
+    }
 }
--- a/crates/policy/src/budget/slack.rs
+++ b/crates/policy/src/budget/slack.rs
@@ -21,8 +21,8 @@
         FleetShape { vms, preferred_vms: vms, is_preferred: true }
     }
 
-    /// Returns the burst of extra calls to a service that this VM may hold, out of the fleet's
-    /// `slack`.
+    /// Returns the extra calls to a service that this VM may send in any window beyond the share of
+    /// its primary calls, out of the fleet's `slack`.
     ///
     /// All VMs together stay within the slack even if one VM outside the view uses its share too,
     /// except that each VM gets at least one call. If few VMs serve the traffic, each of the others
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -38,7 +38,7 @@
         let shard = &running.shards[position];
         let is_extra = shard.sends > 0;
         let has_attempts_left = has_attempts_left(running, position);
-        if is_extra && !(has_attempts_left && self.has_retry_credit(running, position)) {
+        if is_extra && !(has_attempts_left && self.has_retry_credit(running, position, now)) {
             let cause = exhausted_cause(running, position);
             return running.give_up_shard(position, cause);
         }
@@ -75,7 +75,7 @@
         if is_shedding
             || is_late
             || !allows_second_call
-            || !self.has_hedge_credit(running, position)
+            || !self.has_hedge_credit(running, position, now)
         {
             return;
         }
@@ -102,7 +102,7 @@
         now: Instant,
         actions: &mut Vec<FanoutAction>,
     ) {
-        if !self.account_for_call(running, position) {
+        if !self.account_for_call(running, position, now) {
             let cause = exhausted_cause(running, position);
             return running.give_up_shard(position, cause);
         }
@@ -193,7 +193,7 @@
         shard.sends = shard.sends.saturating_sub(1);
         shard.unsent += 1;
         running.calls_sent = running.calls_sent.saturating_sub(1);
-        let budget = self.budgets.budget_mut(running.budget(position));
+        let budget = self.budgets.budget_mut(running.budget(position), now);
         match running.shards[position].sends {
             0 => budget.revoke_deposit(running.plan.extra_load_permille),
             _ => {
@@ -296,22 +296,27 @@
         }
     }
 
-    fn has_retry_credit(&mut self, running: &RunningQuery, position: usize) -> bool {
+    fn has_retry_credit(&mut self, running: &RunningQuery, position: usize, now: Instant) -> bool {
         let is_allowed = running.plan.extra_load_permille > 0;
-        is_allowed && self.budgets.budget_mut(running.budget(position)).has_credit()
+        is_allowed && self.budgets.budget_mut(running.budget(position), now).has_credit()
     }
 
-    fn has_hedge_credit(&mut self, running: &RunningQuery, position: usize) -> bool {
+    fn has_hedge_credit(&mut self, running: &RunningQuery, position: usize, now: Instant) -> bool {
         let is_allowed = running.plan.extra_load_permille > 0;
-        is_allowed && self.budgets.budget_mut(running.budget(position)).has_hedge_credit()
+        is_allowed && self.budgets.budget_mut(running.budget(position), now).has_hedge_credit()
     }
 
     /// Accounts for a call in the budget: the first call for a shard adds credit, each extra one
     /// spends it.
     ///
     /// Returns `false` if the credit does not cover an extra call.
-    fn account_for_call(&mut self, running: &mut RunningQuery, position: usize) -> bool {
-        let budget = self.budgets.budget_mut(running.budget(position));
+    fn account_for_call(
+        &mut self,
+        running: &mut RunningQuery,
+        position: usize,
+        now: Instant,
+    ) -> bool {
+        let budget = self.budgets.budget_mut(running.budget(position), now);
         if running.shards[position].sends > 0 {
             if !budget.try_withdraw() {
                 return false;
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -115,7 +115,11 @@
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             targets: TargetTable::new(settings.own_domain.clone(), settings.crossing_cost),
             latencies: LatencyTable::new(settings.hedge.permille(), settings.cold_latency),
-            budgets: BudgetTable::new(settings.customer_burst, settings.service_burst),
+            budgets: BudgetTable::new(
+                settings.customer_burst,
+                settings.service_share,
+                settings.service_window,
+            ),
             queries: HashMap::new(),
             calls: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -260,9 +264,9 @@
         let answer_by = plan.deadline.checked_sub(margin).unwrap_or(plan.deadline);
         let objective_at = plan.objective.map(|at| at.checked_sub(margin).unwrap_or(at));
         let budgets = match &plan.attempt_policy.budget {
-            BudgetOwner::Customer => vec![self.budgets.customer_budget(&plan.customer)],
+            BudgetOwner::Customer => vec![self.budgets.customer_budget(&plan.customer, now)],
             BudgetOwner::Services(services) => {
-                services.iter().map(|service| self.budgets.service_budget(service)).collect()
+                services.iter().map(|service| self.budgets.service_budget(service, now)).collect()
             }
         };
         Box::new(RunningQuery::new(plan, resolved, shards, budgets, answer_by, objective_at))
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -43,9 +43,10 @@
         self.schedule_queue_service(index);
     }
 
-    /// Sets the maximum number of extra calls saved up in each service's budget.
-    pub fn set_service_burst(&mut self, calls: u32) {
-        self.budgets.set_service_burst(calls);
+    /// Sets the number of extra calls that this VM may send to each service in any window, beyond
+    /// the share of its primary calls.
+    pub fn set_service_share(&mut self, calls: u32, now: Instant) {
+        self.budgets.set_service_share(calls, now);
     }
 
     /// Charges a customer for a run whose request is run again: its primary calls become extra
@@ -55,9 +56,10 @@
         customer: &CustomerId,
         result: &FanoutResult,
         extra_load_permille: u32,
+        now: Instant,
     ) {
-        let budget = self.budgets.customer_budget(customer);
-        let budget = self.budgets.budget_mut(budget);
+        let budget = self.budgets.customer_budget(customer, now);
+        let budget = self.budgets.budget_mut(budget, now);
         for _ in result.extra_calls..result.calls_sent {
             budget.charge_primary_call(extra_load_permille);
         }
--- a/crates/policy/src/fanout/settings.rs
+++ b/crates/policy/src/fanout/settings.rs
@@ -65,8 +65,11 @@
     pub answer_margin: Duration,
     /// Maximum extra calls saved up in a customer's budget.
     pub customer_burst: u32,
-    /// Maximum extra calls saved up in a service's budget, for queries charged to services.
-    pub service_burst: u32,
+    /// Extra calls that this VM may send to a service in any window beyond the share of its primary
+    /// calls, for queries charged to services.
+    pub service_share: u32,
+    /// Length of that window.
+    pub service_window: Duration,
     /// Failure domain of this VM. With `None`, all targets count as local.
     pub own_domain: Option<FailureDomainId>,
     /// Penalty added to the expected wait of targets in other failure domains.
@@ -87,7 +90,8 @@
             cold_latency: Duration::from_millis(50),
             answer_margin: Duration::from_millis(5),
             customer_burst: 100,
-            service_burst: 6,
+            service_share: 6,
+            service_window: Duration::from_secs(10),
             own_domain: None,
             crossing_cost: Duration::ZERO,
             queue_limit: 64,
--- a/crates/policy/src/fanout/view.rs
+++ b/crates/policy/src/fanout/view.rs
@@ -1,5 +1,7 @@
 //! State of targets and budgets as shown to operators.
 
+use std::time::Instant;
+
 use crate::FanoutEngine;
 use crate::ServiceId;
 use crate::TargetId;
@@ -28,8 +30,8 @@
     }
 
     /// Returns how many extra calls the service's budget would pay for now.
-    pub fn extra_calls_left(&mut self, service: &ServiceId) -> u64 {
-        let index = self.budgets.service_budget(service);
-        self.budgets.budget_mut(index).calls_left()
+    pub fn extra_calls_left(&mut self, service: &ServiceId, now: Instant) -> u64 {
+        let index = self.budgets.service_budget(service, now);
+        self.budgets.budget_mut(index, now).calls_left()
     }
 }
