--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -57,6 +57,8 @@
     platform: Rc<PlatformService>,
     peers: Rc<PeerService>,
     directory: Rc<DirectoryService>,
+    /// Whether the fleet starts for the first time, so that no VM is listed yet.
+    is_first_start: bool,
     /// When calls to the platform began to fail; `None` while they succeed.
     unreachable_since: Cell<Option<Instant>>,
 }
@@ -72,6 +74,7 @@
             platform: kernel.platform()?,
             peers: kernel.peers()?,
             directory: kernel.directory()?,
+            is_first_start: kernel.settings().is_first_start,
             unreachable_since: Cell::new(None),
         };
         let backoff = WatchBackoff::new(
@@ -140,7 +143,7 @@
     /// Gives up after [`PEER_WAIT_TIMEOUT`].
     async fn wait_for_watch_holders(&self) {
         // The list of a new fleet is empty at first.
-        if !self.list_vms().await {
+        if self.is_first_start || !self.list_vms().await {
             tokio::time::sleep(REGISTRATION_TIME).await;
             self.list_vms().await;
         }
--- a/crates/policy/src/budget/limits.rs
+++ b/crates/policy/src/budget/limits.rs
@@ -13,8 +13,11 @@
 /// Largest reserve of a service's budget. It covers the targets of one shard: one failed call marks
 /// a target as failing.
 const MAX_SERVICE_RESERVE: i64 = 3 * CREDIT_PER_CALL;
-/// Divisor of a VM's share of the slack that gives the credit it may save up.
-const SAVED_SHARE_DIVISOR: i64 = 2;
+/// Part of a VM's share of the slack that it may save up, in thousandths.
+///
+/// A VM with many queries lives on what they earn and needs the rest to outlast a fault. A VM with
+/// few queries needs what it regains, but few calls for each service.
+const SAVED_SHARE_PERMILLE: i64 = 750;
 
 /// Limits of the credit in one budget, in thousandths of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,13 +46,13 @@
     /// Returns the limits of a service's budget on a VM that may send `share_calls` extra calls
     /// beyond the share of its primary calls in any `window`.
     ///
-    /// Half of the share may be saved up, and one call at least. A quarter is regained in each
-    /// window, and a process starts with a quarter. Together they are the share, so that it holds in
+    /// Three quarters of the share may be saved up, and one call at least. An eighth is regained in
+    /// each window, and a process starts with an eighth. Together they are the share, so that it holds in
     /// any window in which the VM is restarted once. Without the last two, a VM with few queries
     /// would take minutes to save up the slack that the contract allows it in each window.
     pub(crate) fn service(share_calls: u32, window: Duration) -> CreditLimits {
         let share = i64::from(share_calls) * CREDIT_PER_CALL;
-        let max = (share / SAVED_SHARE_DIVISOR).max(CREDIT_PER_CALL).min(share);
+        let max = (share * SAVED_SHARE_PERMILLE / 1_000).max(CREDIT_PER_CALL).min(share);
         let initial = (share - max) / 2;
         let refill = share - max - initial;
         let retry_reserve = MAX_SERVICE_RESERVE.min(max / RESERVE_DIVISOR);
