fix(policy): pass changes that were pulled on to the next VM

Cause: a VM that pulls a change within its failure domain, before it is pushed to it, does not push it on, so that the next VM depends on two random draws. Ruled out: VMs that were down or cut (none at that time). Change: what is pulled within the domain is pushed to the next VM.

--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -14,6 +14,8 @@
 
 /// Number of peers to which a VM pushes a change.
 const PUSH_FANOUT: usize = 3;
+/// Number of peers to which a VM pushes a change that it pulled within its failure domain.
+const NEXT_VM_ONLY: usize = 1;
 /// Maximum size of the objects in one message, in bytes; a single larger object is sent alone.
 const MAX_MESSAGE_BYTES: usize = 64 * 1_024;
 /// Consecutive `too_old` replies after which a full listing is pulled.
@@ -112,7 +114,7 @@
         if is_first || new_objects.is_empty() {
             return Vec::new();
         }
-        push_changes(members, &new_objects)
+        push_changes(members, &new_objects, PUSH_FANOUT)
     }
 
     /// Applies changes from a watch or a peer and pushes what was new.
@@ -126,7 +128,7 @@
         if new_objects.is_empty() {
             return Vec::new();
         }
-        push_changes(members, &new_objects)
+        push_changes(members, &new_objects, PUSH_FANOUT)
     }
 
     /// Records that the watches of all kinds have delivered everything up to `revision`.
@@ -227,8 +229,9 @@
 
     /// Applies a page and requests the next one if there is more.
     ///
-    /// Changes pulled from another failure domain are pushed to the peers of this VM's domain, which
-    /// are likely to lack them too.
+    /// Changes pulled from another failure domain are pushed to several peers of this VM's domain,
+    /// which are likely to lack them too. Others are pushed to the next VM only: each VM passes on
+    /// to the next one whatever is new to it, so that none depends on being drawn at random.
     pub fn handle_pull_page(
         &mut self,
         vm: &VmId,
@@ -247,8 +250,9 @@
             None => self.store.apply_delta(after, delta),
         };
         let mut actions = Vec::new();
-        if self.is_cross_domain_pull && !new_objects.is_empty() {
-            actions.extend(push_changes(members, &new_objects));
+        if !new_objects.is_empty() {
+            let fanout = if self.is_cross_domain_pull { PUSH_FANOUT } else { NEXT_VM_ONLY };
+            actions.extend(push_changes(members, &new_objects, fanout));
         }
         self.too_old_replies = if delta.too_old { self.too_old_replies + 1 } else { 0 };
         self.pull_started_at = delta.has_more.then_some(now);
@@ -274,14 +278,16 @@
     }
 }
 
-/// Pushes objects to a few peers of this VM's failure domain, which push what is new to them.
+/// Pushes objects to `fanout` peers of this VM's failure domain, which push what is new to them. The
+/// first is the next VM by name.
 ///
 /// Each failure domain gets changes from its own watches and pulls what it misses.
 fn push_changes(
     members: &mut MembershipEngine,
     objects: &[ConfigurationObject],
+    fanout: usize,
 ) -> Vec<GossipAction> {
-    let peers = members.sample_domain_peers(PUSH_FANOUT);
+    let peers = members.sample_domain_peers(fanout);
     let mut pushes = Vec::new();
     let mut unsent = objects;
     while !unsent.is_empty() {
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -242,6 +242,26 @@
     assert!(handle(true, 3_600).is_some());
 }
 
+/// Pattern: in a storm of changes a VM pulls some of them from a peer before they are pushed to it. The
+/// next VM must still get them from it.
+#[test]
+fn handle_pull_page_pushes_new_changes_to_the_next_vm() {
+    let now = Instant::now();
+    let mut members = MembershipEngine::new(settings(1), serving_record(0), now);
+    let domain: Vec<_> = [3, 6, 9, 12].map(|number| platform_vm(number, 3)).to_vec();
+    members.apply_platform_list(&domain);
+    let (mut gossip, summary) = one_change_behind(&mut members);
+    let mut ahead = gossip.clone();
+    ahead.handle_changes(&[object("b", 2, Some("x"))], &mut members);
+    ahead.handle_watch_progress(2);
+    let peer = platform_vm(9, 3).vm;
+    assert!(gossip.handle_summary(&peer, true, summary, &mut members, now).is_some());
+    let page = ahead.handle_pull(1, false);
+    let actions = gossip.handle_pull_page(&peer, 1, &page, &mut members, now);
+    let objects = vec![object("b", 2, Some("x"))];
+    assert_eq!(actions, [GossipAction::Push { vm: platform_vm(3, 3).vm, objects }]);
+}
+
 /// Pattern: VMs that no push reaches, whether their peers do not know them yet or pushes are lost. The
 /// limits are the users' bounds on the time until a configuration is in force.
 #[test]
