fix(policy): count latency and hedges from the moment a call leaves

Cause: on half a core the calls of a fan-out over 270 shards wait up to 30 ms for the VM's own processor. Change: the driver tells the engine when a call leaves; the hedge timer, the target's latency and its oldest open call count from then on. Test: policy fanout::routes::hedge_is_not_sent_for_a_call_that_waits_for_the_processor (fails before).

--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -184,6 +184,7 @@
     call: ShardCall,
     deadline: Instant,
 ) {
+    fanout.mark_sent(call.call_id);
     let outcome = fanout.targets.search(&target, &call, deadline).await;
     if is_draining(&outcome) {
         fanout.peers.handle_target_drain(&target);
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -56,6 +56,7 @@
         reply_marks.replace(Some(marks));
         is_own
     };
+    fanout.mark_sent(call.call);
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
     let sent = targets.forward(&call.target, message, call.is_idempotent, call.deadline, is_own);
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -129,6 +129,11 @@
         self.timer_changes.notify_one();
     }
 
+    /// Records that a call leaves this VM now.
+    pub(crate) fn mark_sent(&self, call: CallId) {
+        self.engine.borrow_mut().mark_sent(call, Instant::now());
+    }
+
     /// Records that a target announced, to this VM or to a peer, that it is draining.
     pub(crate) fn mark_draining(&self, target: &TargetId) {
         self.engine.borrow_mut().mark_draining(target, Instant::now());
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -54,7 +54,7 @@
 
     /// Sends a hedge for a shard whose call in flight is slow.
     ///
-    /// Sends none if a replica is shedding load, the hedge could not be answered in time, the query
+    /// Waits on if the call was sent later than the engine asked for it. Sends none if a replica is shedding load, the hedge could not be answered in time, the query
     /// is not idempotent, its attempts or the budget are used up, or the chosen target is failing,
     /// no longer listed (lapsed) or overdue.
     pub(crate) fn hedge(
@@ -65,6 +65,9 @@
         now: Instant,
         actions: &mut Vec<FanoutAction>,
     ) {
+        if let Some(due) = self.hedge_due(running, position, now).filter(|due| *due > now) {
+            return self.schedule_hedge(query, running, position, due);
+        }
         let resolved = running.resolved.clone();
         let replicas = &resolved.shards[position].replicas;
         let is_shedding =
@@ -120,24 +123,32 @@
             index_version: running.plan.manifest.index_version,
             deadline: running.answer_by,
         });
+        let is_hedgeable = replicas.len() > 1
+            && running.plan.attempt_policy.is_idempotent
+            && !running.shards[position].has_open_call();
+        let hedge_delay = match is_hedgeable {
+            true => self.hedge_delay(running, position, now),
+            false => None,
+        };
         let open = OpenCall {
             query,
             position: u32::try_from(position).unwrap_or(u32::MAX),
             replica: u32::try_from(replica).unwrap_or(u32::MAX),
             target,
             sent_at: now,
+            is_sent: false,
+            hedge_delay,
         };
         self.calls.insert(call, open);
         let shard = &mut running.shards[position];
-        let is_hedge = shard.has_open_call();
         let free = usize::from(shard.open[0].is_some());
         shard.open[free] = Some(call);
         shard.tried_replicas |= replica_bit(replica);
         shard.sends += 1;
         shard.attempts += 1;
         shard.set_state(ShardState::InFlight);
-        if !is_hedge && replicas.len() > 1 && running.plan.attempt_policy.is_idempotent {
-            self.schedule_hedge(query, running, position, now);
+        if let Some(delay) = hedge_delay {
+            self.schedule_hedge(query, running, position, now + delay);
         }
     }
 
@@ -276,24 +287,42 @@
         self.push_timer(query, position, state_version, retry_at, TimerKind::Retry);
     }
 
+    /// Sets the timer of a hedge, unless it is due too late.
     fn schedule_hedge(
         &mut self,
         query: QueryId,
         running: &RunningQuery,
         position: usize,
-        now: Instant,
+        due: Instant,
     ) {
+        if due < running.answer_by {
+            let state_version = running.shards[position].state_version;
+            self.push_timer(query, position, state_version, due, TimerKind::Hedge);
+        }
+    }
+
+    /// Returns when a hedge of the shard's call in flight is due.
+    fn hedge_due(&self, running: &RunningQuery, position: usize, now: Instant) -> Option<Instant> {
+        let call = running.shards[position].open.iter().flatten().next()?;
+        let open = self.calls.get(call)?;
+        let sent_at = if open.is_sent { open.sent_at } else { now };
+        Some(sent_at + open.hedge_delay?)
+    }
+
+    /// Returns how long after it was sent a call is hedged.
+    fn hedge_delay(
+        &self,
+        running: &RunningQuery,
+        position: usize,
+        sent_at: Instant,
+    ) -> Option<Duration> {
         let latency = running.resolved.shards[position].latency;
         let hedge_latency = self.latencies.estimate(latency).hedge_latency;
-        let Some(delay) = self.settings.hedge.delay(hedge_latency) else { return };
-        let delay = running.objective_at.map_or(delay, |at| {
-            let left = at.saturating_duration_since(now);
+        let delay = self.settings.hedge.delay(hedge_latency)?;
+        Some(running.objective_at.map_or(delay, |at| {
+            let left = at.saturating_duration_since(sent_at);
             delay.min(left * self.settings.max_hedge_delay_permille / PERMILLE_SCALE)
-        });
-        if now + delay < running.answer_by {
-            let state_version = running.shards[position].state_version;
-            self.push_timer(query, position, state_version, now + delay, TimerKind::Hedge);
-        }
+        }))
     }
 
     fn has_retry_credit(&mut self, running: &RunningQuery, position: usize, now: Instant) -> bool {
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -105,7 +105,11 @@
     /// Position of the target among the shard's replicas.
     pub(crate) replica: u32,
     pub(crate) target: TargetIndex,
+    /// When the driver sent the call, or when the engine asked for it if the driver has not yet.
     pub(crate) sent_at: Instant,
+    pub(crate) is_sent: bool,
+    /// How long after it was sent the call is hedged, if it may be.
+    pub(crate) hedge_delay: Option<Duration>,
 }
 
 impl FanoutEngine {
@@ -200,6 +204,18 @@
         self.serve_freed_targets(now, actions);
     }
 
+    /// Records that the driver has begun to send a call; must follow each
+    /// [`FanoutAction::Send`].
+    ///
+    /// Until then the call waits for this VM's own processor, which says nothing about its target:
+    /// the time is not counted as the target's latency, and the call is not hedged.
+    pub fn mark_sent(&mut self, call: CallId, now: Instant) {
+        let Some(open) = self.calls.get_mut(&call) else { return };
+        let asked_at = std::mem::replace(&mut open.sent_at, now);
+        open.is_sent = true;
+        self.targets.state_mut(open.target).restart_call(asked_at, now);
+    }
+
     /// Returns the time at which [`wake`](FanoutEngine::wake) is due next, if a timer is set.
     pub fn next_wake(&self) -> Option<Instant> {
         self.timers.peek().map(|Reverse(timer)| timer.at)
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -250,6 +250,14 @@
         self.selections += 1;
     }
 
+    /// Counts an open call from `now` on instead of from `asked_at`.
+    pub(crate) fn restart_call(&mut self, asked_at: Instant, now: Instant) {
+        if let Some(index) = self.open_calls_sent_at.iter().position(|since| *since == asked_at) {
+            self.open_calls_sent_at.remove(index);
+            self.open_calls_sent_at.push_back(now);
+        }
+    }
+
     /// Removes the call sent at `sent_at` from the open calls.
     pub(crate) fn close_call(&mut self, sent_at: Instant) {
         self.window.release();
--- a/crates/policy/tests/fanout/fake_fleet.rs
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -5,6 +5,7 @@
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -82,6 +83,9 @@
     /// Shards of queries for which a call reached a target.
     reached_shards: HashSet<(QueryId, ShardId)>,
     deadlines: HashMap<QueryId, Instant>,
+    /// How long a call waits for the VM's processor before it is sent.
+    pub(crate) send_backlog: Duration,
+    departures: VecDeque<(Instant, SentCall)>,
     open: HashMap<CallId, SentCall>,
     answers: HashMap<CallId, u64>,
     merged: HashMap<QueryId, u64>,
@@ -146,6 +150,8 @@
             dispatched_shards: HashSet::new(),
             reached_shards: HashSet::new(),
             deadlines: HashMap::new(),
+            send_backlog: Duration::ZERO,
+            departures: VecDeque::new(),
             open: HashMap::new(),
             answers: HashMap::new(),
             merged: HashMap::new(),
@@ -218,11 +224,14 @@
         loop {
             let event = self.completions.peek().map(|Reverse((at, _, _))| *at);
             let wake = self.engine.next_wake();
-            let Some(next) = event.into_iter().chain(wake).min().filter(|at| *at <= until) else {
-                break;
-            };
+            let departure = self.departures.front().map(|(at, _)| *at);
+            let next = event.into_iter().chain(wake).chain(departure).min();
+            let Some(next) = next.filter(|at| *at <= until) else { break };
             self.now = self.now.max(next);
-            if event.is_some_and(|at| at <= self.now) {
+            if departure.is_some_and(|at| at <= self.now) {
+                let Some((_, sent)) = self.departures.pop_front() else { break };
+                self.depart(sent);
+            } else if event.is_some_and(|at| at <= self.now) {
                 let Some(Reverse((_, _, call))) = self.completions.pop() else { break };
                 self.complete(call);
             } else {
@@ -263,7 +272,10 @@
                     let behaviour = self.behaviour_of(&target);
                     let at = self.now;
                     let sent = SentCall { call, query, target, shard, at, behaviour };
-                    self.receive(sent);
+                    match self.send_backlog.is_zero() {
+                        true => self.depart(sent),
+                        false => self.departures.push_back((at + self.send_backlog, sent)),
+                    }
                 }
                 FanoutAction::Merge { query, call } => {
                     assert!(
@@ -274,6 +286,7 @@
                 }
                 FanoutAction::Cancel { call, .. } => {
                     self.cancelled.push(call);
+                    self.departures.retain(|(_, sent)| sent.call != call);
                     self.release(call);
                 }
                 FanoutAction::Finish { query, result } => {
@@ -301,6 +314,12 @@
         if is_shed { Behaviour::Refuse(RefusalCause::Shedding) } else { target.behaviour }
     }
 
+    /// Sends a call that the engine asked for.
+    fn depart(&mut self, sent: SentCall) {
+        self.engine.mark_sent(sent.call, self.now);
+        self.receive(SentCall { at: self.now, ..sent });
+    }
+
     fn receive(&mut self, sent: SentCall) {
         let call = sent.call;
         // The first call for a shard earns budget even if it does not reach its target.
--- a/crates/policy/tests/fanout/routes.rs
+++ b/crates/policy/tests/fanout/routes.rs
@@ -76,6 +76,19 @@
     sent.map(|sent| sent.target.to_string()).collect()
 }
 
+/// Pattern: a fan-out over hundreds of shards on a fraction of a core. Calls wait for the VM's own
+/// processor, and a hedge would only make them wait longer.
+#[test]
+fn hedge_is_not_sent_for_a_call_that_waits_for_the_processor() {
+    let mut fleet = warm_routes(settings(), 4);
+    fleet.send_backlog = ms(30);
+    let extra_calls = fleet.extra_calls;
+    submit_routes(&mut fleet, 1, 40, ms(100));
+    assert_eq!(fleet.extra_calls, extra_calls, "targets answer as fast as before");
+    let whole = (1..41).filter(|query| fleet.result(*query).reason == FinishReason::Complete);
+    assert_eq!(whole.count(), 40);
+}
+
 /// All targets of one shard are silent. The query must not wait for them past its objective.
 #[test]
 fn query_at_its_floor_finishes_a_margin_before_the_objective() {
