revert(policy): pull missing changes from a watch holder of the own failure domain

Cause for the try: VMs that lack changes for 1.5 s pull them from any failure domain. Supposed, not shown: progress was read from the complete revision, which the quietest watch of a holder holds back for 15 s, so that changes counted as missing all through a storm. Kept: what is pulled within a domain is pushed to the next VM, and the proof that a change reaches VMs that no push reaches in time.

--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -16,7 +16,6 @@
 
 use crate::peers::call::PeerCall;
 use crate::peers::service::PeerService;
-use crate::peers::service::PeerState;
 
 /// Sends heartbeats when they are due; runs until it is aborted.
 pub(crate) async fn send_heartbeats(peers: Rc<PeerService>) {
@@ -162,14 +161,12 @@
         let now = Instant::now();
         let action = {
             let mut state = self.state.borrow_mut();
-            let PeerState { contact, readiness, gossip, membership, .. } = &mut *state;
-            contact.record_contact(now);
+            state.contact.record_contact(now);
             if message.sender.phase == MemberPhase::Serving {
-                readiness.record_peer(&message.sender.vm, message.summary.complete_revision);
+                state.readiness.record_peer(&message.sender.vm, message.summary.complete_revision);
             }
             let same_domain = message.sender.failure_domain == self.settings.failure_domain;
-            let sender = &message.sender.vm;
-            gossip.handle_summary(sender, same_domain, message.summary, membership, now)
+            state.gossip.handle_summary(&message.sender.vm, same_domain, message.summary, now)
         };
         self.handle_peer_drains(&raw.drains);
         self.perform_gossip_actions(action);
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -130,27 +130,15 @@
     }
 
     /// Returns whether this VM should hold watches on the platform.
-    pub fn is_watch_holder(&self) -> bool {
-        self.domain_watch_holders().contains(&self.own.vm)
-    }
-
-    /// Returns a random watch holder of this VM's failure domain other than this VM.
-    pub fn sample_domain_watch_holder(&mut self) -> Option<VmId> {
-        let mut holders = self.domain_watch_holders();
-        holders.retain(|vm| *vm != self.own.vm);
-        holders.choose(&mut self.rng).cloned()
-    }
-
-    /// Returns the VMs of this VM's failure domain that should hold watches on the platform.
     ///
     /// A watch holder passes changes on to its peers, which costs processor and bandwidth, so only
-    /// the most capable VMs are considered.
-    fn domain_watch_holders(&self) -> Vec<VmId> {
+    /// the most capable VMs of the failure domain are considered.
+    pub fn is_watch_holder(&self) -> bool {
         let vms: Vec<&MemberRecord> =
             std::iter::once(&self.own).chain(self.domain_peers()).collect();
         let capable = most_capable(&vms).into_iter();
         let capable: Vec<VmId> = capable.map(|record| record.vm.clone()).collect();
-        watch_holders(&self.own.failure_domain, &capable)
+        watch_holders(&self.own.failure_domain, &capable).contains(&self.own.vm)
     }
 
     /// Returns the other serving VMs of this VM's failure domain.
--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -22,16 +22,10 @@
 const TOO_OLD_LIMIT: u32 = 3;
 /// Time after which a pull without a reply is considered lost.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time that a VM waits for pushed changes before it pulls them from a watch holder of its failure
-/// domain.
-const HOLDER_PULL_DELAY: Duration = Duration::from_millis(500);
-/// Minimum time between two such pulls.
-const HOLDER_PULL_INTERVAL: Duration = Duration::from_secs(1);
-/// Time that a watch holder waits for changes from its own failure domain before it pulls from
-/// another one.
+/// Time that a VM waits for changes from its own failure domain before it pulls from another one.
+/// In a fleet of three failure domains it exchanges about one heartbeat with a peer of its own
+/// domain in this time.
 const CROSS_DOMAIN_PULL_DELAY: Duration = Duration::from_millis(1_500);
-/// The same for a VM that holds no watches. Longer, as the watch holders push what they pull.
-const LAST_CROSS_DOMAIN_PULL_DELAY: Duration = Duration::from_secs(3);
 
 /// Network call for the driver to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,7 +51,7 @@
 /// Changes that this VM lacks according to a peer's summary.
 #[derive(Clone, Copy, Debug)]
 struct MissingChanges {
-    /// When the first such summary arrived, or when the last pull brought changes.
+    /// When the first such summary arrived.
     since: Instant,
     /// Revision at which nothing is missing any more.
     revision: Revision,
@@ -69,8 +63,6 @@
     store: ObjectStore,
     /// When the pull in flight was sent; there is at most one.
     pull_started_at: Option<Instant>,
-    /// When the last pull from a watch holder of this VM's failure domain was sent.
-    holder_pulled_at: Option<Instant>,
     /// Changes that peers hold and this VM lacks.
     missing: Option<MissingChanges>,
     /// Whether the pull in flight goes to another failure domain.
@@ -138,16 +130,13 @@
 
     /// Compares a peer's summary with this VM's and starts a pull if changes may be missing.
     ///
-    /// Traffic between failure domains is expensive. If a peer of another domain (`same_domain` is
-    /// false) shows that changes are missing, a watch holder of this VM's domain is asked for them.
-    /// So a VM that no push has reached lags by a bounded time, whatever peers are drawn. The peer
-    /// itself is used only if the changes are still missing after a longer delay.
+    /// Traffic between failure domains is expensive. A peer of another domain (`same_domain` is
+    /// false) is used only if the changes are still missing after a delay.
     pub fn handle_summary(
         &mut self,
         vm: &VmId,
         same_domain: bool,
         peer: ObjectSummary,
-        members: &mut MembershipEngine,
         now: Instant,
     ) -> Option<GossipAction> {
         let held = self.store.summary();
@@ -167,25 +156,12 @@
         };
         let since = self.missing.get_or_insert(missing).since;
         let is_pulling = self.pull_started_at.is_some_and(|since| now < since + PULL_TIMEOUT);
-        if is_pulling {
+        if is_pulling || (!same_domain && now < since + CROSS_DOMAIN_PULL_DELAY) {
             return None;
         }
-        let full = own.complete_revision == 0 || self.too_old_replies >= TOO_OLD_LIMIT;
-        let cross_domain_delay = match members.is_watch_holder() {
-            true => CROSS_DOMAIN_PULL_DELAY,
-            false => LAST_CROSS_DOMAIN_PULL_DELAY,
-        };
         self.is_retry = false;
-        if same_domain || now >= since + cross_domain_delay {
-            return Some(self.begin_pull(vm.clone(), full, !same_domain, now));
-        }
-        let is_recent = self.holder_pulled_at.is_some_and(|at| now < at + HOLDER_PULL_INTERVAL);
-        if is_recent || now < since + HOLDER_PULL_DELAY {
-            return None;
-        }
-        let holder = members.sample_domain_watch_holder()?;
-        self.holder_pulled_at = Some(now);
-        Some(self.begin_pull(holder, full, false, now))
+        let full = own.complete_revision == 0 || self.too_old_replies >= TOO_OLD_LIMIT;
+        Some(self.begin_pull(vm.clone(), full, !same_domain, now))
     }
 
     fn begin_pull(
@@ -241,7 +217,6 @@
         now: Instant,
     ) -> Vec<GossipAction> {
         let full = self.listing.is_some();
-        let complete_before = self.store.summary().complete_revision;
         let new_objects = match self.listing.as_mut() {
             Some(listing) => {
                 listing.add_page(delta);
@@ -264,16 +239,10 @@
             });
             return actions;
         }
+        self.missing = None;
         if let Some(listing) = self.listing.take() {
             self.store.apply_listing(&listing);
         }
-        // A watch holder that is cut off from the platform replies and has nothing new. The changes
-        // then still count as missing since the first summary that showed it.
-        let complete = self.store.summary().complete_revision;
-        self.missing = self.missing.filter(|missing| missing.revision > complete);
-        if let Some(missing) = self.missing.as_mut().filter(|_| complete > complete_before) {
-            missing.since = now;
-        }
         actions
     }
 }
