--- a/crates/policy/src/budget/limits.rs
+++ b/crates/policy/src/budget/limits.rs
@@ -47,21 +47,26 @@
     /// beyond the share of its primary calls in any `window`.
     ///
     /// Three quarters of the share may be saved up, and one call at least. An eighth is regained in
-    /// each window, and a process starts with an eighth. Together they are the share, so that it holds in
-    /// any window in which the VM is restarted once. Without the last two, a VM with few queries
-    /// would take minutes to save up the slack that the contract allows it in each window.
+    /// each window, and a process starts with an eighth. Together they are the share, so that it
+    /// holds in any window in which the VM is restarted once. Without the last two, a VM with few
+    /// queries would take minutes to save up the slack that the contract allows it in each window.
+    ///
+    /// Nothing is regained if `window` is zero.
     pub(crate) fn service(share_calls: u32, window: Duration) -> CreditLimits {
         let share = i64::from(share_calls) * CREDIT_PER_CALL;
         let max = (share * SAVED_SHARE_PERMILLE / 1_000).max(CREDIT_PER_CALL).min(share);
         let initial = (share - max) / 2;
-        let refill = share - max - initial;
+        let refill = if window.is_zero() { 0 } else { share - max - initial };
         let retry_reserve = MAX_SERVICE_RESERVE.min(max / RESERVE_DIVISOR);
         CreditLimits { max, initial, refill, window, retry_reserve }
     }
 
     /// Returns the credit regained in `elapsed`, rounded down.
     pub(crate) fn gained(&self, elapsed: Duration) -> i64 {
-        (self.refill as f64 * elapsed.div_duration_f64(self.window)) as i64
+        match self.refill {
+            0 => 0,
+            refill => (refill as f64 * elapsed.div_duration_f64(self.window)) as i64,
+        }
     }
 
     /// Returns the time in which `credit` is regained.
