--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,10 @@
 # The few commands of each day. `make help` lists them.
 
-.PHONY: help build test bench lint docs demo soak format generate
+.PHONY: help build test bench lint docs demo soak regression format generate
+
+# Deployments of the users that are scored before a landing, see CONTRIBUTING.md.
+REGRESSION_SITES = further/phs-oleander further-grown/phs-oleander-grown \
+	grown/tsog-search-grown grown/haneul-oleander-grown large/haneul-oleander-large
 
 help: ## Lists the commands.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
@@ -29,6 +33,11 @@
 	cargo build --release -p oleanderwind_platform -p oleanderwind_soak
 	target/release/oleanderwind-soak --runs 10
 
+regression: ## Scores the users' deployments; BENCH is their program, SITES the folder of their pages.
+	@for site in $(REGRESSION_SITES); do \
+		$(BENCH) score $(SITES)/$$site.toml --quick --jobs 3 --why "regression run" || exit 1; \
+	done
+
 format: ## Formats every file.
 	cargo fmt --all
 
