refactor(policy): say when the driver reports that a call left

Cause: a reader of FanoutAction::Send could not see that mark_sent must follow. Result: doc comment and a parameter's name; no change of behaviour.

--- a/crates/policy/src/fanout/action.rs
+++ b/crates/policy/src/fanout/action.rs
@@ -12,7 +12,8 @@
 /// An action for the driver. Actions must be executed in the order in which they are returned.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FanoutAction {
-    /// Send a shard's call to a target.
+    /// Send a shard's call to a target, and report with
+    /// [`FanoutEngine::mark_sent`](crate::FanoutEngine::mark_sent) when it leaves.
     Send {
         /// Query that the call belongs to.
         query: QueryId,
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -309,18 +309,18 @@
         Some(sent_at + open.hedge_delay?)
     }
 
-    /// Returns how long after it was sent a call is hedged.
+    /// Returns how long after it left a call that is asked for now is hedged.
     fn hedge_delay(
         &self,
         running: &RunningQuery,
         position: usize,
-        sent_at: Instant,
+        now: Instant,
     ) -> Option<Duration> {
         let latency = running.resolved.shards[position].latency;
         let hedge_latency = self.latencies.estimate(latency).hedge_latency;
         let delay = self.settings.hedge.delay(hedge_latency)?;
         Some(running.objective_at.map_or(delay, |at| {
-            let left = at.saturating_duration_since(sent_at);
+            let left = at.saturating_duration_since(now);
             delay.min(left * self.settings.max_hedge_delay_permille / PERMILLE_SCALE)
         }))
     }
