feat(daemon): log when a target leaves and where the VM learned of it

Log lines could not tell the hypotheses about calls to targets that had left apart: a VM logged nothing when an entry was marked as draining or vanished, only the end of the grace period. Each VM now logs one line a departure with its state (draining, lapsed, removed) and its source (watch, list, peer, edit). No decision changes.

--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -17,6 +17,7 @@
 use oleanderwind_policy::TargetSpec;
 use tokio::sync::watch;
 
+use crate::directory::source::ChangeSource;
 use crate::directory::state::ActiveRoutes;
 use crate::directory::state::ContractEntry;
 use crate::directory::state::DirectoryState;
@@ -56,30 +57,35 @@
     /// Applies an object or its deletion, unless the same or a newer revision was applied before.
     ///
     /// Returns whether the revision was new. An object that can't be parsed is logged and skipped.
-    pub(crate) fn apply(&self, object: &ConfigurationObject) -> bool {
+    pub(crate) fn apply(&self, object: &ConfigurationObject, source: ChangeSource) -> bool {
         let kind = platform_kind(object.key.kind);
         let is_new = match &object.body {
             Some(body) => match serde_json::from_slice(body) {
-                Ok(document) => self.state.borrow_mut().apply(kind, &document),
+                Ok(document) => self.state.borrow_mut().apply(kind, &document, source),
                 Err(error) => {
                     log::error!("object {} is not valid JSON: {error}", object.key.name);
                     false
                 }
             },
-            None => self.state.borrow_mut().remove(kind, &object.key.name, object.revision),
+            None => self.state.borrow_mut().remove(kind, &object.key.name, object.revision, source),
         };
         self.notify_change(kind, is_new);
         is_new
     }
 
     /// Replaces all objects of a kind by these.
-    pub(crate) fn replace_kind(&self, kind: policy::ObjectKind, objects: &[&ConfigurationObject]) {
+    pub(crate) fn replace_kind(
+        &self,
+        kind: policy::ObjectKind,
+        objects: &[&ConfigurationObject],
+        source: ChangeSource,
+    ) {
         let names = objects.iter().map(|object| &*object.key.name).collect();
         let kind = platform_kind(kind);
-        let has_removed = self.state.borrow_mut().retain(kind, &names);
+        let has_removed = self.state.borrow_mut().retain(kind, &names, source);
         self.notify_change(kind, has_removed);
         for object in objects {
-            self.apply(object);
+            self.apply(object, source);
         }
     }
 
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -24,6 +24,7 @@
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_wire::ObjectDocument;
 
+use crate::directory::source::ChangeSource;
 use crate::edge::ObjectKind;
 
 /// Contract with the revision of its object.
@@ -70,14 +71,19 @@
     /// Applies an object unless the same or a newer revision was seen; returns whether it was new.
     ///
     /// An invalid object is logged and leaves the previous one in effect, yet counts as new.
-    pub(crate) fn apply(&mut self, kind: ObjectKind, object: &ObjectDocument) -> bool {
+    pub(crate) fn apply(
+        &mut self,
+        kind: ObjectKind,
+        object: &ObjectDocument,
+        source: ChangeSource,
+    ) -> bool {
         if !self.is_newer(kind, &object.metadata.name, object.revision()) {
             return false;
         }
         match kind {
             ObjectKind::Contracts => self.apply_contract(object),
             ObjectKind::Snapshots => self.apply_snapshot(object),
-            ObjectKind::Targets => self.apply_target(object),
+            ObjectKind::Targets => self.apply_target(object, source),
             ObjectKind::Routes => self.apply_routes(object),
             // Membership holds the VMs, and the ledger service its segments.
             ObjectKind::Vms | ObjectKind::Ledger => {}
@@ -86,7 +92,13 @@
     }
 
     /// Removes an object unless the same or a newer revision was seen; returns whether it was new.
-    pub(crate) fn remove(&mut self, kind: ObjectKind, name: &str, revision: Revision) -> bool {
+    pub(crate) fn remove(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        revision: Revision,
+        source: ChangeSource,
+    ) -> bool {
         if !self.is_newer(kind, name, revision) {
             return false;
         }
@@ -94,7 +106,7 @@
             ObjectKind::Contracts => {
                 self.contracts.remove(name);
             }
-            ObjectKind::Targets => self.unlist_target(name),
+            ObjectKind::Targets => self.unlist_target(name, source),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| key.object_name() != name);
             }
@@ -105,11 +117,16 @@
     }
 
     /// Removes all objects of a kind that are not in `names`; returns whether there were any.
-    pub(crate) fn retain(&mut self, kind: ObjectKind, names: &HashSet<&str>) -> bool {
+    pub(crate) fn retain(
+        &mut self,
+        kind: ObjectKind,
+        names: &HashSet<&str>,
+        source: ChangeSource,
+    ) -> bool {
         let before = self.count(kind);
         match kind {
             ObjectKind::Contracts => self.contracts.retain(|name, _| names.contains(&**name)),
-            ObjectKind::Targets => return self.unlist_missing_targets(names),
+            ObjectKind::Targets => return self.unlist_missing_targets(names, source),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| names.contains(key.object_name().as_str()));
             }
@@ -170,11 +187,16 @@
         }
     }
 
-    fn apply_target(&mut self, object: &ObjectDocument) {
+    fn apply_target(&mut self, object: &ObjectDocument, source: ChangeSource) {
         match serde_json::from_value::<TargetSpec>(object.spec.clone()) {
             Ok(spec) => {
                 self.lapses.target_listed(&spec.target);
-                self.targets.insert(spec.target.clone(), spec);
+                let phase = spec.phase;
+                let before = self.targets.insert(spec.target.clone(), spec);
+                let is_leaving = phase == TargetPhase::Draining;
+                if is_leaving && before.is_some_and(|before| before.phase != phase) {
+                    log_departure(&object.metadata.name, "draining", source);
+                }
             }
             Err(error) => log_invalid_object(object, &error.to_string()),
         }
@@ -211,23 +233,29 @@
 /// Targets that are no longer listed.
 impl DirectoryState {
     /// Lapses or removes a target that is no longer listed.
-    fn unlist_target(&mut self, name: &str) {
+    fn unlist_target(&mut self, name: &str, source: ChangeSource) {
         let Some(spec) = self.targets.get_mut(name) else { return };
         match self.lapses.target_unlisted(&spec.target, spec.phase, Instant::now()) {
-            LapseOutcome::Lapsed => spec.phase = TargetPhase::Lapsed,
-            LapseOutcome::Removed => drop(self.targets.remove(name)),
+            LapseOutcome::Lapsed => {
+                spec.phase = TargetPhase::Lapsed;
+                log_departure(name, "lapsed", source);
+            }
+            LapseOutcome::Removed => {
+                self.targets.remove(name);
+                log_departure(name, "removed", source);
+            }
         }
     }
 
     /// Lapses or removes all targets that are not in `names`; returns whether there were any.
-    fn unlist_missing_targets(&mut self, names: &HashSet<&str>) -> bool {
+    fn unlist_missing_targets(&mut self, names: &HashSet<&str>, source: ChangeSource) -> bool {
         let missing: Vec<TargetId> = self
             .targets
             .keys()
             .filter(|name| !names.contains(&***name) && !self.lapses.is_lapsed(name))
             .cloned()
             .collect();
-        missing.iter().for_each(|name| self.unlist_target(name));
+        missing.iter().for_each(|name| self.unlist_target(name, source));
         !missing.is_empty()
     }
 
@@ -239,6 +267,11 @@
     }
 }
 
+/// Logs that a target leaves or is no longer listed.
+fn log_departure(target: &str, state: &str, source: ChangeSource) {
+    log::info!(target = target, state = state, source = source.as_str(); "target is leaving");
+}
+
 fn log_invalid_object(object: &ObjectDocument, problem: &str) {
     log::error!(
         object = object.metadata.name.as_str(),
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -17,6 +17,7 @@
 use oleanderwind_wire::peer;
 use oleanderwind_wire::peer::FetchObjectsRequest;
 
+use crate::directory::ChangeSource;
 use crate::peers::service::PeerService;
 use crate::peers::service::PeerState;
 
@@ -36,19 +37,23 @@
             readiness.record_platform_listing(gossip.store().summary().complete_revision);
             actions
         };
-        self.replace_directory();
+        self.replace_directory(ChangeSource::List);
         self.perform_gossip_actions(actions);
         self.refresh_derived_state();
     }
 
-    /// Applies changed objects from a watch, a peer or an edit on this VM; gossips what was new.
-    pub(crate) fn apply_changes(self: &Rc<Self>, objects: &[ConfigurationObject]) {
+    /// Applies changed objects and gossips what was new.
+    pub(crate) fn apply_changes(
+        self: &Rc<Self>,
+        objects: &[ConfigurationObject],
+        source: ChangeSource,
+    ) {
         let actions = {
             let mut state = self.state.borrow_mut();
             let PeerState { gossip, membership, .. } = &mut *state;
             gossip.handle_changes(objects, membership)
         };
-        self.apply_to_directory(objects);
+        self.apply_to_directory(objects, source);
         self.perform_gossip_actions(actions);
         self.refresh_derived_state();
     }
@@ -59,7 +64,7 @@
         kind: ObjectKind,
         object: &ObjectDocument,
     ) {
-        self.apply_changes(&[configuration_object(kind, object)]);
+        self.apply_changes(&[configuration_object(kind, object)], ChangeSource::Edit);
     }
 
     /// Records that the watches of all kinds have delivered everything up to `revision`.
@@ -99,7 +104,7 @@
     pub(crate) fn handle_push(self: &Rc<Self>, raw: &[peer::ConfigurationObject]) {
         let objects = raw.iter().map(ConfigurationObject::try_from);
         let objects: Vec<ConfigurationObject> = objects.filter_map(Result::ok).collect();
-        self.apply_changes(&objects);
+        self.apply_changes(&objects, ChangeSource::Peer);
     }
 
     /// Performs actions of the gossip engine.
@@ -146,9 +151,9 @@
             gossip.handle_pull_page(vm, after, delta, membership, now)
         };
         match full {
-            true if !delta.has_more => self.replace_directory(),
+            true if !delta.has_more => self.replace_directory(ChangeSource::Peer),
             true => {}
-            false => self.apply_to_directory(&delta.objects),
+            false => self.apply_to_directory(&delta.objects, ChangeSource::Peer),
         }
         self.perform_gossip_actions(actions);
         self.refresh_derived_state();
@@ -171,14 +176,14 @@
 /// Updates of the directory.
 impl PeerService {
     /// Applies the store's versions of these objects to the directory.
-    fn apply_to_directory(&self, objects: &[ConfigurationObject]) {
+    fn apply_to_directory(&self, objects: &[ConfigurationObject], source: ChangeSource) {
         let mut state = self.state.borrow_mut();
         let PeerState { gossip, membership, .. } = &mut *state;
         for object in objects {
             let held = gossip.store().get(&object.key);
             let is_new = match held {
-                Some(held) => self.directory.apply(held),
-                None if object.body.is_none() => self.directory.apply(object),
+                Some(held) => self.directory.apply(held, source),
+                None if object.body.is_none() => self.directory.apply(object, source),
                 None => false,
             };
             if is_new {
@@ -191,12 +196,12 @@
     }
 
     /// Replaces the contents of the directory by those of the store.
-    fn replace_directory(&self) {
+    fn replace_directory(&self, source: ChangeSource) {
         let mut state = self.state.borrow_mut();
         let PeerState { gossip, membership, .. } = &mut *state;
         for kind in ObjectKind::ALL {
             let objects: Vec<&ConfigurationObject> = gossip.store().iter_kind(kind).collect();
-            self.directory.replace_kind(kind, &objects);
+            self.directory.replace_kind(kind, &objects, source);
         }
         apply_vm_list(membership, gossip.store().iter_kind(ObjectKind::Vms));
     }
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -20,6 +20,7 @@
 use oleanderwind_wire::WatchEvent;
 use oleanderwind_wire::WatchKind;
 
+use crate::directory::ChangeSource;
 use crate::directory::DirectoryService;
 use crate::edge::PlatformError;
 use crate::edge::platform_kind;
@@ -169,7 +170,7 @@
         let objects = list.items.iter();
         let objects: Vec<ConfigurationObject> =
             objects.map(|object| configuration_object(ObjectKind::Vms, object)).collect();
-        self.peers.apply_changes(&objects);
+        self.peers.apply_changes(&objects, ChangeSource::List);
         objects.iter().any(|object| *object.key.name == *self.vm)
     }
 
@@ -283,7 +284,7 @@
             }
         }
         if !changed.is_empty() {
-            self.peers.apply_changes(&changed);
+            self.peers.apply_changes(&changed, ChangeSource::Watch);
         }
         self.report_progress(all);
         result
