--- a/crates/policy/tests/listing.rs
+++ b/crates/policy/tests/listing.rs
@@ -62,6 +62,32 @@
     );
 }
 
+/// Guards against calls to a target that left while watches heard nothing: only a list shows that its
+/// entry is gone, and VMs that hold no watch do not list.
+#[test]
+fn handle_listing_pushes_removals() {
+    let mut members = members();
+    let mut gossip = GossipEngine::default();
+    let objects = [object("main", 8), object("t-1", 9), object("t-2", 10)];
+    gossip.handle_listing(&ObjectListing::from_platform(&objects, 10), &mut members);
+    let listing = ObjectListing::from_platform(&[object("main", 8), object("t-2", 10)], 12);
+    let actions = gossip.handle_listing(&listing, &mut members);
+    assert_eq!(actions.len(), 2, "one push to each peer: {actions:?}");
+    for action in actions {
+        let GossipAction::Push { objects, .. } = action else { panic!("{action:?}") };
+        let names: Vec<&str> = objects.iter().map(|object| &*object.key.name).collect();
+        assert_eq!(names, ["t-1"]);
+        assert!(objects[0].body.is_none() && objects[0].revision > 9, "{objects:?}");
+        // A peer that still holds the target removes it.
+        let mut peer = GossipEngine::default();
+        let held = [object("main", 8), object("t-1", 9), object("t-2", 10)];
+        peer.apply_listing(&ObjectListing::from_platform(&held, 10));
+        peer.handle_changes(&objects, &mut members);
+        assert!(peer.store().get(&object("t-1", 9).key).is_none());
+        assert!(peer.store().get(&object("t-2", 10).key).is_some());
+    }
+}
+
 #[test]
 fn watch_holders_are_all_vms_of_a_small_domain_and_two_of_a_large_one() {
     let names =
