fix(policy): pass on removals that only a list shows

Callers of a VM without a watch were sent to targets that had left, for 5 to 8 s. Cause: a list has no tombstones. The VM that lists removed what the list lacks and pushed nothing; a pull brought nothing either, since both sides are complete up to the same revision.

Each object that a list lacks now becomes a tombstone at the revision of the list, which is pushed like a change. A VM that loses the push pulls a full listing after three pulls that bring nothing while the peer's digest differs; before only replies that the revision is too old counted. It works as the tombstone is newer than any revision of the object that existed when the list was made.

--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -18,8 +18,8 @@
 const NEXT_VM_ONLY: usize = 1;
 /// Maximum size of the objects in one message, in bytes; a single larger object is sent alone.
 const MAX_MESSAGE_BYTES: usize = 64 * 1_024;
-/// Consecutive `too_old` replies after which a full listing is pulled.
-const TOO_OLD_LIMIT: u32 = 3;
+/// Consecutive fruitless pulls after which a full listing is pulled.
+const FRUITLESS_PULL_LIMIT: u32 = 3;
 /// Time after which a pull without a reply is considered lost.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that a VM waits for changes from its own failure domain before it pulls from another one.
@@ -71,8 +71,8 @@
     is_retry: bool,
     /// Pages received of the full listing that is being pulled.
     listing: Option<ObjectListing>,
-    /// Consecutive `too_old` replies to pulls.
-    too_old_replies: u32,
+    /// Consecutive pulls that brought nothing, although the peer held other objects.
+    fruitless_pulls: u32,
 }
 
 impl GossipEngine {
@@ -86,7 +86,7 @@
         self.store.apply_listing(listing);
     }
 
-    /// Applies the platform's lists of every kind and pushes what was new.
+    /// Applies the platform's lists of every kind and pushes what was new or removed.
     ///
     /// Nothing is pushed after the first listing of an empty store: the peers have their own
     /// listings and pulls.
@@ -96,17 +96,17 @@
         members: &mut MembershipEngine,
     ) -> Vec<GossipAction> {
         let is_first = self.store.summary().highest_revision == 0;
-        let new_objects: Vec<ConfigurationObject> = listing
+        let mut changes: Vec<ConfigurationObject> = listing
             .objects
             .values()
             .filter(|object| self.store.is_newer(object))
             .cloned()
             .collect();
-        self.store.apply_listing(listing);
-        if is_first || new_objects.is_empty() {
+        changes.extend(self.store.apply_listing(listing));
+        if is_first || changes.is_empty() {
             return Vec::new();
         }
-        push_changes(members, &new_objects, PUSH_FANOUT)
+        push_changes(members, &changes, PUSH_FANOUT)
     }
 
     /// Applies changes from a watch or a peer and pushes what was new.
@@ -160,7 +160,7 @@
             return None;
         }
         self.is_retry = false;
-        let full = own.complete_revision == 0 || self.too_old_replies >= TOO_OLD_LIMIT;
+        let full = own.complete_revision == 0 || self.fruitless_pulls >= FRUITLESS_PULL_LIMIT;
         Some(self.begin_pull(vm.clone(), full, !same_domain, now))
     }
 
@@ -217,6 +217,7 @@
         now: Instant,
     ) -> Vec<GossipAction> {
         let full = self.listing.is_some();
+        let complete_before = self.store.summary().complete_revision;
         let new_objects = match self.listing.as_mut() {
             Some(listing) => {
                 listing.add_page(delta);
@@ -229,7 +230,12 @@
             let fanout = if self.is_cross_domain_pull { PUSH_FANOUT } else { NEXT_VM_ONLY };
             actions.extend(push_changes(members, &new_objects, fanout));
         }
-        self.too_old_replies = if delta.too_old { self.too_old_replies + 1 } else { 0 };
+        // Objects that the peer has removed by a listing stay here: it has no tombstones of them.
+        let has_progress = !new_objects.is_empty()
+            || self.store.summary().complete_revision > complete_before
+            || delta.has_more
+            || full;
+        self.fruitless_pulls = if has_progress { 0 } else { self.fruitless_pulls + 1 };
         self.pull_started_at = delta.has_more.then_some(now);
         if delta.has_more {
             actions.push(GossipAction::Pull {
--- a/crates/policy/src/objects/object.rs
+++ b/crates/policy/src/objects/object.rs
@@ -68,6 +68,18 @@
 }
 
 impl ConfigurationObject {
+    /// Returns the tombstone of the object, deleted at `revision` at the latest.
+    pub(crate) fn into_tombstone(self, revision: Revision) -> ConfigurationObject {
+        ConfigurationObject { revision, body: None, ..self }
+    }
+
+    /// Returns whether this is newer than `held`, which has the same key.
+    ///
+    /// A tombstone made from a listing may have the revision of the object that it removes.
+    pub(crate) fn is_newer_than(&self, held: &ConfigurationObject) -> bool {
+        (self.revision, self.body.is_none()) > (held.revision, held.body.is_none())
+    }
+
     /// Returns an upper bound of the object's encoded length in the peer protocol, in bytes.
     pub fn max_encoded_len(&self) -> usize {
         let body = self.body.as_ref().map_or(0, Bytes::len);
--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -35,10 +35,10 @@
         self.objects.get(key).filter(|object| object.body.is_some())
     }
 
-    /// Returns whether `object` is newer than the revision held.
+    /// Returns whether `object` is newer than the one held.
     pub fn is_newer(&self, object: &ConfigurationObject) -> bool {
         let held = self.objects.get(&object.key);
-        held.is_none_or(|held| held.revision < object.revision)
+        held.is_none_or(|held| object.is_newer_than(held))
     }
 
     /// Iterates over the existing objects of a kind, by name.
@@ -95,7 +95,7 @@
     /// Applies an object if it is newer than the revision held; returns whether it was.
     pub fn apply(&mut self, object: &ConfigurationObject) -> bool {
         match self.objects.get(&object.key) {
-            Some(held) if held.revision >= object.revision => return false,
+            Some(held) if !object.is_newer_than(held) => return false,
             Some(_) => self.remove(&object.key),
             // The object would be held if this were its newest revision; it was changed or
             // deleted since.
@@ -129,17 +129,23 @@
     }
 
     /// Applies a full listing: objects that it lacks are removed unless they changed after it.
-    pub fn apply_listing(&mut self, listing: &ObjectListing) {
+    ///
+    /// Returns tombstones of the removed objects. They carry the revision of the listing, as those
+    /// of the deletions are not known.
+    pub fn apply_listing(&mut self, listing: &ObjectListing) -> Vec<ConfigurationObject> {
         let is_deleted = |object: &&ConfigurationObject| {
             object.revision <= listing.complete_revision
                 && !listing.objects.contains_key(&object.key)
         };
-        let deleted: Vec<ObjectKey> =
-            self.objects.values().filter(is_deleted).map(|object| object.key.clone()).collect();
-        for key in deleted {
-            self.remove(&key);
-        }
-        for object in listing.objects.values() {
+        let deleted: Vec<ConfigurationObject> =
+            self.objects.values().filter(is_deleted).cloned().collect();
+        deleted.iter().for_each(|object| self.remove(&object.key));
+        let tombstones: Vec<ConfigurationObject> = deleted
+            .into_iter()
+            .filter(|object| object.body.is_some())
+            .map(|object| object.into_tombstone(listing.complete_revision))
+            .collect();
+        for object in tombstones.iter().chain(listing.objects.values()) {
             self.apply(object);
         }
         // A listing contains no tombstones, so deletions before it are not known here.
@@ -147,6 +153,7 @@
             self.advance_complete_revision(listing.complete_revision);
             self.pruned_revision = self.complete_revision;
         }
+        tombstones
     }
 
     /// Records that everything up to `revision` is held.
--- a/crates/policy/tests/listing.rs
+++ b/crates/policy/tests/listing.rs
@@ -88,6 +88,33 @@
     }
 }
 
+/// Guards against targets that stay known to a VM which lost the push of their removal: the peer has
+/// no tombstone after the revision up to which both are complete.
+#[test]
+fn handle_pull_page_pulls_a_full_listing_after_fruitless_pulls() {
+    const MAX_HEARTBEATS: usize = 5;
+    let mut members = members();
+    let held = [object("main", 8), object("t-1", 9), object("t-2", 10)];
+    let listing = ObjectListing::from_platform(&held, 10);
+    let (mut peer, mut own) = (GossipEngine::default(), GossipEngine::default());
+    peer.handle_listing(&listing, &mut members);
+    own.handle_listing(&listing, &mut members);
+    let listing = ObjectListing::from_platform(&[object("main", 8), object("t-2", 10)], 10);
+    peer.handle_listing(&listing, &mut members);
+    let key = object("t-1", 9).key;
+    let now = Instant::now();
+    let mut heartbeats = 0;
+    while own.store().get(&key).is_some() && heartbeats < MAX_HEARTBEATS {
+        heartbeats += 1;
+        let summary = peer.store().summary();
+        let action = own.handle_summary(&"b".into(), true, summary, now);
+        let Some(GossipAction::Pull { after, full, .. }) = action else { panic!("{action:?}") };
+        let delta = peer.handle_pull(after, full);
+        own.handle_pull_page(&"b".into(), after, &delta, &mut members, now);
+    }
+    assert!(own.store().get(&key).is_none(), "still held after {heartbeats} heartbeats");
+}
+
 #[test]
 fn watch_holders_are_all_vms_of_a_small_domain_and_two_of_a_large_one() {
     let names =
