fix(policy,daemon): keep vanished targets only after an outage of the store

Cause: the grace period for entries that expire while the store is away was granted to every vanished entry, from the moment at which a VM noticed.

A removal is now final while the store serves. OutageTracker decides in virtual time: two calls in a row that fail are an outage; until the grace period after it ends, the VMs that list keep what is missing as a last resort and pass no removal on, then a new list shows which entries are back. It works as the decision rests on what makes entries of living targets expire, and is taken once, where the store is heard.

--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -80,7 +80,7 @@
         kernel.register(Service::Outcomes(Rc::new(OutcomeService::new())));
         let platform = PlatformService::new(edges.objects);
         kernel.register(Service::Platform(Rc::new(platform)));
-        kernel.register(Service::Directory(Rc::new(DirectoryService::new(settings.lapse_hold))));
+        kernel.register(Service::Directory(Rc::new(DirectoryService::new())));
         let peers = PeerService::start(&kernel).await?;
         kernel.register(Service::Peers(peers.clone()));
         kernel.register(Service::Admission(AdmissionService::start(&kernel)?));
--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -5,11 +5,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use oleanderwind_policy as policy;
 use oleanderwind_policy::ConfigurationObject;
-use oleanderwind_policy::LapseTracker;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::ServiceId;
@@ -27,29 +25,21 @@
 
 /// Configuration in effect; an object is never replaced by an older revision.
 pub(crate) struct DirectoryService {
-    state: Rc<RefCell<DirectoryState>>,
+    state: RefCell<DirectoryState>,
     is_configured: Cell<bool>,
     is_leaving: Cell<bool>,
-    /// Whether a task that removes lapsed targets is running.
-    is_expiry_scheduled: Rc<Cell<bool>>,
-    target_changes: Rc<watch::Sender<u64>>,
+    target_changes: watch::Sender<u64>,
     contract_changes: watch::Sender<u64>,
 }
 
 impl DirectoryService {
     /// Creates an empty directory.
-    ///
-    /// Targets that are no longer listed lapse for `grace_period`; without one they are removed at
-    /// once.
-    pub(crate) fn new(grace_period: Option<Duration>) -> DirectoryService {
-        let mut state = DirectoryState::default();
-        state.lapses = LapseTracker::new(grace_period);
+    pub(crate) fn new() -> DirectoryService {
         DirectoryService {
-            state: Rc::new(RefCell::new(state)),
+            state: RefCell::new(DirectoryState::default()),
             is_configured: Cell::new(false),
             is_leaving: Cell::new(false),
-            is_expiry_scheduled: Rc::new(Cell::new(false)),
-            target_changes: Rc::new(watch::Sender::new(0)),
+            target_changes: watch::Sender::new(0),
             contract_changes: watch::Sender::new(0),
         }
     }
@@ -89,6 +79,12 @@
         }
     }
 
+    /// Marks targets as lapsed, a last resort: their entries have vanished, but may come back.
+    pub(crate) fn lapse_targets(&self, names: &[Arc<str>], source: ChangeSource) {
+        let has_lapsed = self.state.borrow_mut().lapse(names, source);
+        self.notify_change(ObjectKind::Targets, has_lapsed);
+    }
+
     /// Records that the configuration in effect is proven complete.
     pub(crate) fn mark_configured(&self) {
         self.is_configured.set(true);
@@ -98,47 +94,14 @@
     fn notify_change(&self, kind: ObjectKind, has_changed: bool) {
         let changes = match kind {
             // Routes contain the connection limits of targets.
-            ObjectKind::Targets | ObjectKind::Routes => &*self.target_changes,
+            ObjectKind::Targets | ObjectKind::Routes => &self.target_changes,
             ObjectKind::Contracts => &self.contract_changes,
             ObjectKind::Snapshots | ObjectKind::Vms | ObjectKind::Ledger => return,
         };
         if has_changed {
             changes.send_modify(|count| *count += 1);
-            self.schedule_lapse_expiry();
-        }
-    }
-}
-
-impl DirectoryService {
-    /// Starts the task that removes lapsed targets, if there are any and it is not running.
-    fn schedule_lapse_expiry(&self) {
-        let has_lapsed = self.state.borrow().lapses.next_expiry().is_some();
-        if has_lapsed && !self.is_expiry_scheduled.replace(true) {
-            let (state, changes) = (self.state.clone(), self.target_changes.clone());
-            actix_rt::spawn(expire_lapsed(state, changes, self.is_expiry_scheduled.clone()));
-        }
-    }
-}
-
-/// Removes lapsed targets as their grace periods end; returns when none is lapsed.
-async fn expire_lapsed(
-    state: Rc<RefCell<DirectoryState>>,
-    changes: Rc<watch::Sender<u64>>,
-    is_expiry_scheduled: Rc<Cell<bool>>,
-) {
-    loop {
-        let next_expiry = state.borrow().lapses.next_expiry();
-        let Some(next_expiry) = next_expiry else { break };
-        tokio::time::sleep_until(next_expiry.into()).await;
-        let removed = state.borrow_mut().expire_lapsed();
-        for target in &removed {
-            log::info!(target = target.as_ref(); "removed a target that is no longer listed");
-        }
-        if !removed.is_empty() {
-            changes.send_modify(|count| *count += 1);
         }
     }
-    is_expiry_scheduled.set(false);
 }
 
 /// Queries.
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -5,12 +5,9 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::CustomerId;
-use oleanderwind_policy::LapseOutcome;
-use oleanderwind_policy::LapseTracker;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::RawContract;
 use oleanderwind_policy::RawRouteConfiguration;
@@ -63,7 +60,6 @@
     pub(crate) snapshots: HashMap<SnapshotKey, Arc<SnapshotManifest>>,
     pub(crate) targets: BTreeMap<TargetId, TargetSpec>,
     pub(crate) routes: Option<Rc<ActiveRoutes>>,
-    pub(crate) lapses: LapseTracker,
     pub(crate) highest_revision: Revision,
 }
 
@@ -106,7 +102,7 @@
             ObjectKind::Contracts => {
                 self.contracts.remove(name);
             }
-            ObjectKind::Targets => self.unlist_target(name, source),
+            ObjectKind::Targets => self.remove_target(name, source),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| key.object_name() != name);
             }
@@ -126,7 +122,7 @@
         let before = self.count(kind);
         match kind {
             ObjectKind::Contracts => self.contracts.retain(|name, _| names.contains(&**name)),
-            ObjectKind::Targets => return self.unlist_missing_targets(names, source),
+            ObjectKind::Targets => self.retain_targets(names, source),
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| names.contains(key.object_name().as_str()));
             }
@@ -190,7 +186,6 @@
     fn apply_target(&mut self, object: &ObjectDocument, source: ChangeSource) {
         match serde_json::from_value::<TargetSpec>(object.spec.clone()) {
             Ok(spec) => {
-                self.lapses.target_listed(&spec.target);
                 let phase = spec.phase;
                 let before = self.targets.insert(spec.target.clone(), spec);
                 let is_leaving = phase == TargetPhase::Draining;
@@ -232,38 +227,30 @@
 
 /// Targets that are no longer listed.
 impl DirectoryState {
-    /// Lapses or removes a target that is no longer listed.
-    fn unlist_target(&mut self, name: &str, source: ChangeSource) {
-        let Some(spec) = self.targets.get_mut(name) else { return };
-        match self.lapses.target_unlisted(&spec.target, spec.phase, Instant::now()) {
-            LapseOutcome::Lapsed => {
-                spec.phase = TargetPhase::Lapsed;
-                log_departure(name, "lapsed", source);
-            }
-            LapseOutcome::Removed => {
-                self.targets.remove(name);
-                log_departure(name, "removed", source);
-            }
+    fn remove_target(&mut self, name: &str, source: ChangeSource) {
+        if self.targets.remove(name).is_some() {
+            log_departure(name, "removed", source);
         }
     }
 
-    /// Lapses or removes all targets that are not in `names`; returns whether there were any.
-    fn unlist_missing_targets(&mut self, names: &HashSet<&str>, source: ChangeSource) -> bool {
-        let missing: Vec<TargetId> = self
-            .targets
-            .keys()
-            .filter(|name| !names.contains(&***name) && !self.lapses.is_lapsed(name))
-            .cloned()
-            .collect();
-        missing.iter().for_each(|name| self.unlist_target(name, source));
-        !missing.is_empty()
+    fn retain_targets(&mut self, names: &HashSet<&str>, source: ChangeSource) {
+        let missing = self.targets.extract_if(.., |name, _| !names.contains(&**name));
+        missing.for_each(|(name, _)| log_departure(&name, "removed", source));
     }
 
-    /// Removes and returns the targets whose grace periods have ended.
-    pub(crate) fn expire_lapsed(&mut self) -> Vec<TargetId> {
-        let expired = self.lapses.take_expired(Instant::now());
-        expired.iter().for_each(|name| drop(self.targets.remove(name)));
-        expired
+    /// Marks ready targets as lapsed: their entries have vanished, but may come back. Returns whether
+    /// there were any.
+    pub(crate) fn lapse(&mut self, names: &[Arc<str>], source: ChangeSource) -> bool {
+        let mut has_lapsed = false;
+        for name in names {
+            let target = self.targets.get_mut(name);
+            if let Some(spec) = target.filter(|spec| spec.phase == TargetPhase::Ready) {
+                spec.phase = TargetPhase::Lapsed;
+                log_departure(name, "lapsed", source);
+                has_lapsed = true;
+            }
+        }
+        has_lapsed
     }
 }
 
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -1,6 +1,7 @@
 //! Configuration objects: received, gossiped to peers and applied to the directory.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use oleanderwind_policy::ConfigurationObject;
@@ -38,6 +39,10 @@
             actions
         };
         self.replace_directory(ChangeSource::List);
+        if listing.keeps_missing {
+            let lapsed = self.targets_missing_from(listing);
+            self.directory.lapse_targets(&lapsed, ChangeSource::List);
+        }
         self.perform_gossip_actions(actions);
         self.refresh_derived_state();
     }
@@ -67,6 +72,14 @@
         self.apply_changes(&[configuration_object(kind, object)], ChangeSource::Edit);
     }
 
+    /// Returns the targets held that a listing lacks.
+    fn targets_missing_from(&self, listing: &ObjectListing) -> Vec<Arc<str>> {
+        let state = self.state.borrow();
+        let held = state.gossip.store().iter_kind(ObjectKind::Targets);
+        let missing = held.filter(|object| !listing.objects.contains_key(&object.key));
+        missing.map(|object| object.key.name.clone()).collect()
+    }
+
     /// Records that the watches of all kinds have delivered everything up to `revision`.
     pub(crate) fn record_watch_progress(self: &Rc<Self>, revision: Revision) {
         self.state.borrow_mut().gossip.handle_watch_progress(revision);
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -14,6 +14,7 @@
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
+use oleanderwind_policy::OutageTracker;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WatchBackoff;
@@ -62,6 +63,8 @@
     is_first_start: bool,
     /// When calls to the platform began to fail; `None` while they succeed.
     unreachable_since: Cell<Option<Instant>>,
+    /// Outages of the platform, in which entries of living targets may expire.
+    outages: Cell<OutageTracker>,
 }
 
 /// Revision after which the next watch of each kind starts.
@@ -77,6 +80,7 @@
             directory: kernel.directory()?,
             is_first_start: kernel.settings().is_first_start,
             unreachable_since: Cell::new(None),
+            outages: Cell::new(OutageTracker::new(kernel.settings().lapse_hold)),
         };
         let backoff = WatchBackoff::new(
             kernel.settings().seed,
@@ -118,6 +122,10 @@
                 Some(held) => tokio::select! {
                     result = self.watch_all(held) => result,
                     () = self.wait_for_other_holders() => continue,
+                    () = self.wait_for_removal_check() => {
+                        must_list = true;
+                        continue;
+                    }
                 },
                 None => self.list_all().await,
             };
@@ -185,6 +193,26 @@
         }
     }
 
+    /// Waits until a list has to show which of the entries that vanished in an outage are back.
+    async fn wait_for_removal_check(&self) {
+        match self.outages.get().check_due_at() {
+            Some(at) => tokio::time::sleep_until(at.into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Returns whether entries that vanish are kept, as the platform was away until recently.
+    fn holds_removals(&self) -> bool {
+        self.outages.get().holds_removals(Instant::now())
+    }
+
+    /// Updates the record of outages.
+    fn update_outages(&self, update: impl FnOnce(&mut OutageTracker)) {
+        let mut outages = self.outages.get();
+        update(&mut outages);
+        self.outages.set(outages);
+    }
+
     /// Lists all kinds after a watch's revision has expired; retries until it succeeds.
     async fn list_after_expiry(&self, backoff: &mut WatchBackoff) -> Option<KindRevisions> {
         loop {
@@ -222,7 +250,12 @@
         let revision = lists.iter().map(|list| list.revision).min().unwrap_or(0);
         let objects: Vec<ConfigurationObject> =
             lists.iter().flat_map(|list| list.objects.iter().cloned()).collect();
-        self.peers.apply_listing(&ObjectListing::from_platform(&objects, revision));
+        let mut listing = ObjectListing::from_platform(&objects, revision);
+        listing.keeps_missing = self.holds_removals();
+        self.peers.apply_listing(&listing);
+        if !listing.keeps_missing {
+            self.update_outages(OutageTracker::record_check);
+        }
         Ok(lists.iter().map(|list| (list.kind, list.revision)).collect())
     }
 
@@ -263,6 +296,7 @@
         batch: Vec<Result<WatchEvent, PlatformError>>,
     ) -> Result<(), PlatformError> {
         let mut changed = Vec::new();
+        let mut lapsed = Vec::new();
         let mut result = Ok(());
         for event in batch {
             let event = match event {
@@ -276,6 +310,9 @@
             let mut object = configuration_object(own.kind, &event.object);
             match event.kind {
                 WatchKind::Added | WatchKind::Modified => changed.push(object),
+                WatchKind::Deleted if own.kind == ObjectKind::Targets && self.holds_removals() => {
+                    lapsed.push(object.key.name);
+                }
                 WatchKind::Deleted => {
                     object.body = None;
                     changed.push(object);
@@ -286,6 +323,7 @@
         if !changed.is_empty() {
             self.peers.apply_changes(&changed, ChangeSource::Watch);
         }
+        self.directory.lapse_targets(&lapsed, ChangeSource::Watch);
         self.report_progress(all);
         result
     }
@@ -293,6 +331,7 @@
     /// Records that the platform replied; logs the end of an outage.
     fn record_contact(&self) {
         self.peers.record_platform_contact();
+        self.update_outages(|outages| outages.record_contact(Instant::now()));
         if let Some(since) = self.unreachable_since.take() {
             let outage_ms = milliseconds(since.elapsed());
             log::info!(dependency = "platform", away_ms = outage_ms; "dependency available again");
@@ -301,6 +340,7 @@
 
     /// Records that a call to the platform failed; each outage is logged once.
     fn record_outage(&self, error: &PlatformError, backoff: &WatchBackoff) {
+        self.update_outages(OutageTracker::record_failure);
         if self.unreachable_since.get().is_some() {
             return;
         }
@@ -315,8 +355,12 @@
         );
     }
 
-    /// Reports the lowest revision of all watches, up to which the configuration is complete.
+    /// Reports the lowest revision of all watches, up to which the configuration is complete unless
+    /// entries that vanished are kept.
     fn report_progress(&self, all: &[WatchProgress]) {
+        if self.holds_removals() {
+            return;
+        }
         let lowest = all.iter().map(|kind| kind.revision.get()).min();
         self.peers.record_watch_progress(lowest.unwrap_or(0));
     }
--- a/crates/policy/src/lapse/mod.rs
+++ b/crates/policy/src/lapse/mod.rs
@@ -1,10 +1,9 @@
-//! Grace period for targets that are no longer listed but never announced their departure.
+//! Entries that vanish because of an outage of the platform's store.
 //!
-//! An entry may expire while the platform's store is unavailable and reappear shortly after the
-//! store recovers. Such a target lapses: calls go to it only as a last resort until it is listed
-//! again, and it is removed when the grace period ends.
+//! A target whose entry is removed while the store serves has left. While the store is away, living
+//! targets can't renew their entries: these may expire, and are written again shortly after the
+//! store returns.
 
-mod tracker;
+mod outage;
 
-pub use tracker::LapseOutcome;
-pub use tracker::LapseTracker;
+pub use outage::OutageTracker;
--- a/crates/policy/src/objects/listing.rs
+++ b/crates/policy/src/objects/listing.rs
@@ -15,6 +15,9 @@
     /// Revision at which the listing is complete: it contains every object that existed then and has
     /// not changed since.
     pub complete_revision: Revision,
+    /// Whether objects that it lacks are kept, as they may have expired while the platform's store
+    /// was away. Nothing is then known to be complete.
+    pub keeps_missing: bool,
 }
 
 impl ObjectListing {
--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -128,13 +128,15 @@
         new_objects
     }
 
-    /// Applies a full listing: objects that it lacks are removed unless they changed after it.
+    /// Applies a full listing: objects that it lacks are removed unless they changed after it, or
+    /// the listing keeps them.
     ///
     /// Returns tombstones of the removed objects. They carry the revision of the listing, as those
     /// of the deletions are not known.
     pub fn apply_listing(&mut self, listing: &ObjectListing) -> Vec<ConfigurationObject> {
         let is_deleted = |object: &&ConfigurationObject| {
-            object.revision <= listing.complete_revision
+            !listing.keeps_missing
+                && object.revision <= listing.complete_revision
                 && !listing.objects.contains_key(&object.key)
         };
         let deleted: Vec<ConfigurationObject> =
@@ -149,7 +151,7 @@
             self.apply(object);
         }
         // A listing contains no tombstones, so deletions before it are not known here.
-        if listing.complete_revision > self.complete_revision {
+        if listing.complete_revision > self.complete_revision && !listing.keeps_missing {
             self.advance_complete_revision(listing.complete_revision);
             self.pruned_revision = self.complete_revision;
         }
