--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -78,6 +78,15 @@
     pub load: Option<LoadReport>,
 }
 
+/// What a target says about itself with a reply of any status.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether the target leaves, so that it must get no new calls.
+    pub is_leaving: bool,
+    /// How long the target asks this VM to send it nothing.
+    pub pause: Option<Duration>,
+}
+
 /// Protocol by which callers and targets of opaque requests exchange metadata with the tier.
 pub trait CallerProtocol {
     /// Parses a call from a caller.
@@ -96,6 +105,9 @@
     /// Parses the metadata of a target's reply.
     fn parse_reply_metadata(&self, status: StatusCode, headers: &HeaderMap) -> ReplyMetadata;
 
+    /// Parses what a target's reply says about the target itself.
+    fn parse_target_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice;
+
     /// Returns the headers of a merged answer: the signatures of its parts and the number of
     /// missing shards.
     fn merged_headers(&self, signatures: &[HeaderValue], missing: usize) -> HeaderMap;
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -8,6 +8,7 @@
 pub use callers::IncomingCall;
 pub use callers::OpaqueRequest;
 pub use callers::ReplyMetadata;
+pub use callers::TargetNotice;
 pub use platform::ObjectKind;
 pub use platform::PlatformClient;
 pub use platform::PlatformError;
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -187,7 +187,8 @@
     fanout.mark_sent(call.call_id);
     let outcome = fanout.targets.search(&target, &call, deadline).await;
     if is_draining(&outcome) {
-        fanout.peers.handle_target_drain(&target);
+        // Targets of searches have no incarnation.
+        fanout.peers.handle_target_drain(&target, 0);
     }
     let event = match outcome {
         CallOutcome::Answered(answer) => store_answer(&fanout, answer),
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -59,8 +59,11 @@
     fanout.mark_sent(call.call);
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
-    let sent = targets.forward(&call.target, message, call.is_idempotent, call.deadline, is_own);
+    let may_send = || fanout.engine.borrow().may_send(call.call, Instant::now());
+    let sent =
+        targets.forward(&call.target, message, call.is_idempotent, call.deadline, may_send, is_own);
     let (event, status) = match sent.await {
+        ForwardOutcome::Withdrawn => (FanoutEvent::Withdrawn { call: call.call }, None),
         ForwardOutcome::Unsent => (FanoutEvent::Unsent { call: call.call }, None),
         ForwardOutcome::Failed => (FanoutEvent::Failed { call: call.call }, None),
         ForwardOutcome::Replied(reply) => {
@@ -86,6 +89,7 @@
         FanoutEvent::Refused { cause: RefusalCause::Draining, .. } => "other_target_at_address",
         FanoutEvent::Refused { .. } => "refused_not_run",
         FanoutEvent::Unsent { .. } => "not_sent",
+        FanoutEvent::Withdrawn { .. } => "withdrawn",
         FanoutEvent::Failed { .. } if status.is_some() => "target_failed",
         FanoutEvent::Failed { .. } => "no_whole_reply",
     };
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -26,6 +26,7 @@
 
 use crate::directory::DirectoryService;
 use crate::edge::CallerProtocol;
+use crate::edge::TargetNotice;
 use crate::fanout::FanoutReply;
 use crate::fanout::QueryPayload;
 use crate::fanout::driver::connection_share;
@@ -33,10 +34,13 @@
 use crate::fanout::payload::CallAnswer;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
+use crate::metrics::MetricsService;
 use crate::peers::PeerService;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
+use crate::targets::ReplyObserver;
 use crate::targets::TargetService;
+use crate::time::milliseconds;
 
 /// Interval at which a drain checks for running queries.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -62,6 +66,7 @@
     pub(crate) targets: Rc<TargetService>,
     pub(crate) peers: Rc<PeerService>,
     pub(crate) timer_changes: Notify,
+    metrics: Rc<MetricsService>,
     settings: LiveSettings,
     next_query: Cell<QueryId>,
 }
@@ -86,9 +91,11 @@
             targets: kernel.targets()?,
             peers: kernel.peers()?,
             timer_changes: Notify::new(),
+            metrics: kernel.metrics()?,
             settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
         });
+        fanout.targets.set_reply_observer(notice_observer(&fanout));
         actix_rt::spawn(watch_targets(fanout.clone(), directory));
         actix_rt::spawn(watch_drains(fanout.clone()));
         actix_rt::spawn(run_timers(fanout.clone()));
@@ -140,6 +147,45 @@
         self.timer_changes.notify_one();
     }
 
+    /// Handles a notice that a process of a target gave with a reply.
+    fn handle_target_notice(&self, target: &TargetId, incarnation: u64, notice: TargetNotice) {
+        if notice.is_leaving && self.mark_leaving(target, incarnation, "answer") {
+            self.peers.handle_target_drain(target, incarnation);
+        }
+        if let Some(pause) = notice.pause {
+            let now = Instant::now();
+            let is_listed = self.engine.borrow_mut().pause_target(target, incarnation, pause, now);
+            if is_listed {
+                log::info!(
+                    target = target.as_ref(),
+                    incarnation = incarnation,
+                    pause_ms = milliseconds(pause);
+                    "target asked for a pause"
+                );
+                self.metrics.record_target_notice("pause");
+                self.timer_changes.notify_one();
+            }
+        }
+    }
+
+    /// Records that a process of a target leaves, by its own word; returns whether that is new.
+    fn mark_leaving(&self, target: &TargetId, incarnation: u64, source: &str) -> bool {
+        let is_new = self.engine.borrow_mut().mark_leaving(target, incarnation, Instant::now());
+        if is_new {
+            log::info!(
+                target = target.as_ref(),
+                incarnation = incarnation,
+                state = "draining",
+                source = source;
+                "target is leaving"
+            );
+            self.metrics.record_target_notice("leaving");
+            self.targets.retire(target, incarnation);
+            self.timer_changes.notify_one();
+        }
+        is_new
+    }
+
     /// Charges a run whose request is run again to its customer's budget of extra calls.
     pub(crate) fn charge_repeated_run(&self, contract: &CustomerContract, result: &FanoutResult) {
         let permille = contract.extra_load_permille;
@@ -214,11 +260,25 @@
 /// Marks targets as draining that peers report as draining.
 async fn watch_drains(fanout: Rc<FanoutService>) {
     let Some(mut draining_targets) = fanout.peers.take_peer_drains() else { return };
-    while let Some(target) = draining_targets.recv().await {
-        fanout.mark_draining(&target);
+    while let Some(record) = draining_targets.recv().await {
+        match record.incarnation {
+            0 => fanout.mark_draining(&record.target),
+            incarnation => drop(fanout.mark_leaving(&record.target, incarnation, "peer")),
+        }
     }
 }
 
+/// Returns an observer that reads the notices of targets from the heads of their replies.
+fn notice_observer(fanout: &Rc<FanoutService>) -> ReplyObserver {
+    let fanout = Rc::downgrade(fanout);
+    Rc::new(move |target, incarnation, status, headers| {
+        let Some(fanout) = fanout.upgrade() else { return };
+        let Some(dialect) = &fanout.dialect else { return };
+        let notice = dialect.parse_target_notice(status, headers);
+        fanout.handle_target_notice(target, incarnation, notice);
+    })
+}
+
 /// Updates the engine and the connection pools whenever the targets or the fleet change.
 async fn watch_targets(fanout: Rc<FanoutService>, directory: Rc<DirectoryService>) {
     let mut changes = directory.target_changes();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,6 +35,7 @@
 pub use edge::PlatformClient;
 pub use edge::PlatformError;
 pub use edge::ReplyMetadata;
+pub use edge::TargetNotice;
 pub use edge::WatchStream;
 pub use front::RefusalKind;
 pub use logging::BufferedLines;
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -53,6 +53,7 @@
     route_requests: Counter<u64>,
     route_latency: Histogram<f64>,
     route_calls: Counter<u64>,
+    target_notices: Counter<u64>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
 }
@@ -80,6 +81,7 @@
             route_requests: meter.u64_counter("oleanderwind_route_requests").build(),
             route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
             route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
+            target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
             latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
             coverage: meter
                 .f64_histogram("oleanderwind_request_coverage_permille")
@@ -139,6 +141,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Records a notice of a target: `leaving` or `pause`.
+    pub(crate) fn record_target_notice(&self, kind: &'static str) {
+        self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Returns a reply with all metrics.
     pub(crate) fn reply(&self) -> HttpReply {
         match self.render() {
--- a/crates/daemon/src/peers/drains.rs
+++ b/crates/daemon/src/peers/drains.rs
@@ -14,8 +14,11 @@
 
 impl PeerService {
     /// Handles a drain notice that this VM received from the target; notifies peers at once.
-    pub(crate) fn handle_target_drain(self: &Rc<Self>, target: &TargetId) {
-        let record = policy::DrainRecord { target: target.clone(), sequence: epoch_milliseconds() };
+    ///
+    /// `incarnation` is the process that leaves, or 0 if the notice does not tell.
+    pub(crate) fn handle_target_drain(self: &Rc<Self>, target: &TargetId, incarnation: u64) {
+        let sequence = epoch_milliseconds();
+        let record = policy::DrainRecord { target: target.clone(), incarnation, sequence };
         if self.state.borrow_mut().drains.observe(&record, Instant::now()) {
             log::info!("target {target} announced its departure");
             self.notify(MembershipEngine::NOTIFY_FANOUT);
@@ -33,7 +36,7 @@
             has_new = true;
             log::info!("target {} announced its departure to a peer", record.target);
             // Fails if the fan-out service is not running; it also sees drains in the directory.
-            let _ = self.drain_sender.send(record.target);
+            let _ = self.drain_sender.send(record);
         }
         if has_new {
             self.notify(DrainTable::RELAY_FANOUT);
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -9,6 +9,7 @@
 
 use actix_rt::task::JoinHandle;
 use oleanderwind_policy::ContactTracker;
+use oleanderwind_policy::DrainRecord;
 use oleanderwind_policy::DrainTable;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::GossipEngine;
@@ -17,7 +18,6 @@
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
 use oleanderwind_policy::ReadinessGate;
-use oleanderwind_policy::TargetId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -56,12 +56,12 @@
     pub(crate) clients: PeerClientPool,
     /// Shape of the fleet that shares the targets, in this VM's view.
     pub(crate) fleet_shape: watch::Sender<FleetShape>,
-    /// Sends targets whose drain notices were received by peers.
-    pub(crate) drain_sender: mpsc::UnboundedSender<TargetId>,
+    /// Sends drain notices that were received from peers.
+    pub(crate) drain_sender: mpsc::UnboundedSender<DrainRecord>,
     /// Sends loan requests from peers.
     pub(crate) loan_request_sender: mpsc::UnboundedSender<IncomingLoanRequest>,
     loan_request_receiver: RefCell<Option<mpsc::UnboundedReceiver<IncomingLoanRequest>>>,
-    drain_receiver: RefCell<Option<mpsc::UnboundedReceiver<TargetId>>>,
+    drain_receiver: RefCell<Option<mpsc::UnboundedReceiver<DrainRecord>>>,
     is_starting: Cell<bool>,
     listener: RefCell<Option<PeerListener>>,
     address: SocketAddr,
@@ -119,10 +119,10 @@
         tasks.push(actix_rt::spawn(send_heartbeats(self.clone())));
     }
 
-    /// Takes the receiver of targets whose drain notices were received by peers.
+    /// Takes the receiver of drain notices that were received from peers.
     ///
     /// Returns `None` after the first call.
-    pub(crate) fn take_peer_drains(&self) -> Option<mpsc::UnboundedReceiver<TargetId>> {
+    pub(crate) fn take_peer_drains(&self) -> Option<mpsc::UnboundedReceiver<DrainRecord>> {
         self.drain_receiver.borrow_mut().take()
     }
 
--- a/crates/daemon/src/routes/view.rs
+++ b/crates/daemon/src/routes/view.rs
@@ -10,6 +10,7 @@
 use oleanderwind_wire::UnansweredRequest;
 
 use crate::routes::RouteService;
+use crate::time::milliseconds;
 
 /// Maximum number of unanswered requests kept for operators.
 const MAX_UNANSWERED_REQUESTS: usize = 32;
@@ -53,7 +54,8 @@
 
     fn target_status(&self, spec: &TargetSpec) -> TargetStatus {
         let mut engine = self.fanout.engine.borrow_mut();
-        let view = engine.target_view(&spec.target);
+        let now = Instant::now();
+        let view = engine.target_view(&spec.target, now);
         TargetStatus {
             target: spec.target.clone(),
             service: spec.service.to_string(),
@@ -62,7 +64,9 @@
             open: view.open,
             window: view.window,
             is_failing: view.is_failing,
-            extra_calls_left: engine.extra_calls_left(&spec.service, Instant::now()),
+            is_leaving: view.is_leaving,
+            paused_ms: milliseconds(view.paused_for),
+            extra_calls_left: engine.extra_calls_left(&spec.service, now),
         }
     }
 }
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -11,4 +11,5 @@
 pub(crate) use deadline::ExecuteDeadline;
 pub(crate) use outcome::CallOutcome;
 pub(crate) use service::ForwardOutcome;
+pub(crate) use service::ReplyObserver;
 pub(crate) use service::TargetService;
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -10,6 +10,7 @@
 
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientSettings;
+use oleanderwind_http::HeadObserver;
 use oleanderwind_http::HttpClient;
 use oleanderwind_policy::ConnectionShare;
 use tokio::sync::OwnedSemaphorePermit;
@@ -39,6 +40,9 @@
     /// One permit for each connection in use.
     active_permits: Arc<Semaphore>,
     idle: RefCell<Vec<IdleConnection>>,
+    /// Whether connections are closed after use, as the target leaves.
+    is_retired: Cell<bool>,
+    head_observer: Option<HeadObserver>,
     /// Number of connections opened so far, shared by all pools.
     connects: Rc<Cell<u64>>,
 }
@@ -62,11 +66,12 @@
 }
 
 impl TargetPool {
-    /// Returns a pool without connections.
+    /// Returns a pool without connections; `head_observer` sees the head of each reply.
     pub(crate) fn new(
         address: SocketAddr,
         share: ConnectionShare,
         connects: Rc<Cell<u64>>,
+        head_observer: Option<HeadObserver>,
     ) -> Rc<TargetPool> {
         let permits = |count: u32| Arc::new(Semaphore::new(count as usize));
         Rc::new(TargetPool {
@@ -75,6 +80,8 @@
             total_permits: permits(share.total),
             active_permits: permits(share.active),
             idle: RefCell::new(Vec::new()),
+            is_retired: Cell::new(false),
+            head_observer,
             connects,
         })
     }
@@ -129,6 +136,12 @@
         self.idle.borrow_mut().retain(|idle| idle.last_reply_at >= since);
     }
 
+    /// Closes idle connections, and the others after their calls.
+    pub(crate) fn retire(&self) {
+        self.is_retired.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
     /// Returns a connection to the pool once its late reply has arrived, or drops it after
     /// `LATE_REPLY_TIMEOUT`.
     ///
@@ -145,6 +158,9 @@
     }
 
     fn return_idle(&self, client: HttpClient, permit: OwnedSemaphorePermit) {
+        if self.is_retired.get() {
+            return;
+        }
         self.idle.borrow_mut().push(IdleConnection {
             client,
             permit,
@@ -174,7 +190,13 @@
     }
 
     fn new_client(&self) -> HttpClient {
-        HttpClient::new(self.address, CONNECTION_SETTINGS, self.connects.clone())
+        let observer = self.head_observer.clone();
+        HttpClient::with_head_observer(
+            self.address,
+            CONNECTION_SETTINGS,
+            self.connects.clone(),
+            observer,
+        )
     }
 
     fn check_out(
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -8,12 +8,14 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
 use oleanderwind_http::ClientError;
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientReply;
+use oleanderwind_http::HeadObserver;
 use oleanderwind_policy::CallId;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
@@ -42,11 +44,15 @@
 /// Minimum interval between two probes of all idle connections.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Called with the head of each reply of a target, and the target's incarnation.
+pub(crate) type ReplyObserver = Rc<dyn Fn(&TargetId, u64, StatusCode, &HeaderMap)>;
+
 /// Connection pools of all known targets.
 #[derive(Default)]
 pub(crate) struct TargetService {
     pools: RefCell<HashMap<TargetId, IncarnationPool>>,
     connects: Rc<Cell<u64>>,
+    reply_observer: RefCell<Option<ReplyObserver>>,
     /// Time at which the idle connections were last probed.
     last_probe_at: Cell<Option<Instant>>,
 }
@@ -62,6 +68,8 @@
 pub(crate) enum ForwardOutcome {
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, as the target may get no calls any more.
+    Withdrawn,
     /// A complete reply to this request arrived.
     Replied(ClientReply),
     /// No reply arrived, or it belongs to another request.
@@ -74,6 +82,20 @@
         self.connects.get()
     }
 
+    /// Sets the observer of replies; holds for the pools created later.
+    pub(crate) fn set_reply_observer(&self, observer: ReplyObserver) {
+        *self.reply_observer.borrow_mut() = Some(observer);
+    }
+
+    /// Closes the connections to a process that leaves as they become idle.
+    pub(crate) fn retire(&self, target: &TargetId, incarnation: u64) {
+        let pools = self.pools.borrow();
+        let entry = pools.get(target).filter(|entry| entry.incarnation == incarnation);
+        if let Some(entry) = entry {
+            entry.pool.retire();
+        }
+    }
+
     /// Updates the pools to the current targets.
     ///
     /// Creates a pool for each target that is new or whose incarnation or address changed, and
@@ -94,7 +116,7 @@
                     existing.pool.set_share(share(spec));
                     existing.pool
                 }
-                None => TargetPool::new(spec.address, share(spec), self.connects.clone()),
+                None => self.new_pool(spec, share(spec)),
             };
             updated.insert(
                 spec.target.clone(),
@@ -104,6 +126,17 @@
         *pools = updated;
     }
 
+    fn new_pool(&self, spec: &TargetSpec, share: ConnectionShare) -> Rc<TargetPool> {
+        let head_observer = self.reply_observer.borrow().clone().map(|observe| {
+            let (target, incarnation) = (spec.target.clone(), spec.incarnation);
+            let observer: HeadObserver = Rc::new(move |status, headers: &HeaderMap| {
+                observe(&target, incarnation, status, headers);
+            });
+            observer
+        });
+        TargetPool::new(spec.address, share, self.connects.clone(), head_observer)
+    }
+
     /// Sends a search of one shard to the target.
     pub(crate) async fn search(
         &self,
@@ -158,7 +191,8 @@
         self.read_reply(connection, reply, call.call_id, is_own_reply)
     }
 
-    /// Forwards a request. The connection is reused only if `is_own_reply` accepts the reply.
+    /// Forwards a request if `may_send` still allows it once a connection is free. The connection is
+    /// reused only if `is_own_reply` accepts the reply.
     ///
     /// A request that is not idempotent uses a new connection or one that has replied within
     /// `LIVENESS_WINDOW`. Dropping the future closes the connection, which cancels the request at
@@ -169,6 +203,7 @@
         request: Request<Full<Bytes>>,
         is_idempotent: bool,
         deadline: Instant,
+        may_send: impl Fn() -> bool,
         is_own_reply: impl Fn(&ClientReply) -> bool,
     ) -> ForwardOutcome {
         let Some(pool) = self.pool(target) else { return ForwardOutcome::Unsent };
@@ -178,6 +213,10 @@
         let Some(connection) = pool.acquire(time_until(deadline)).await else {
             return ForwardOutcome::Unsent;
         };
+        if !may_send() {
+            connection.release();
+            return ForwardOutcome::Withdrawn;
+        }
         let sent_at = Instant::now();
         match timeout(time_until(deadline), connection.client().send(request)).await {
             Ok(Ok(reply)) if is_own_reply(&reply) => {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -62,6 +62,9 @@
     Broken,
 }
 
+/// Called with the status and the headers of each reply, before its body is read.
+pub type HeadObserver = Rc<dyn Fn(StatusCode, &HeaderMap)>;
+
 /// A call in progress. It owns the connection until the reply is complete. Dropping it closes the
 /// connection.
 pub type ClientExchange = LocalBoxFuture<'static, Result<ClientReply, ClientError>>;
@@ -88,6 +91,7 @@
     connection: RefCell<Option<ClientConnection>>,
     /// Number of attempts to connect.
     connects: Rc<Cell<u64>>,
+    head_observer: Option<HeadObserver>,
 }
 
 /// An open connection.
@@ -109,9 +113,21 @@
         address: SocketAddr,
         settings: ClientSettings,
         connects: Rc<Cell<u64>>,
+    ) -> HttpClient {
+        HttpClient::with_head_observer(address, settings, connects, None)
+    }
+
+    /// Returns a client like [`HttpClient::new`] that shows the head of each reply to an observer,
+    /// also of a reply whose body is cut or that belongs to another request.
+    pub fn with_head_observer(
+        address: SocketAddr,
+        settings: ClientSettings,
+        connects: Rc<Cell<u64>>,
+        head_observer: Option<HeadObserver>,
     ) -> HttpClient {
         let connection = RefCell::new(None);
-        HttpClient { state: Rc::new(ClientState { address, settings, connection, connects }) }
+        let state = ClientState { address, settings, connection, connects, head_observer };
+        HttpClient { state: Rc::new(state) }
     }
 
     /// Returns whether the connection is open and may be reused.
@@ -168,7 +184,7 @@
         Some(connection) => connection,
         None => connect(&state).await?,
     };
-    let reply = connection.exchange(request, state.settings.max_body_bytes).await?;
+    let reply = connection.exchange(request, &state).await?;
     if connection.is_usable() {
         *state.connection.borrow_mut() = Some(connection);
     }
@@ -210,7 +226,7 @@
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
-        body_bytes: usize,
+        state: &ClientState,
     ) -> Result<ClientReply, ClientError> {
         self.sender.ready().await.map_err(|_| ClientError::NotConnected)?;
         let response = self.sender.try_send_request(request).await.map_err(|error| {
@@ -221,7 +237,10 @@
             }
         })?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, body_bytes).collect().await;
+        if let Some(observe) = &state.head_observer {
+            observe(head.status, &head.headers);
+        }
+        let body = Limited::new(body, state.settings.max_body_bytes).collect().await;
         let body = body.map_err(|_| ClientError::Broken)?.to_bytes();
         self.usable_until = Instant::now() + idle_time(&head.headers);
         Ok(ClientReply { status: head.status, headers: head.headers, body })
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,6 +22,7 @@
 pub use client::ClientExchange;
 pub use client::ClientReply;
 pub use client::ClientSettings;
+pub use client::HeadObserver;
 pub use client::HttpClient;
 pub use idempotency::ATTEMPT_HEADER;
 pub use idempotency::KEY_HEADER;
--- a/crates/policy/src/drain/table.rs
+++ b/crates/policy/src/drain/table.rs
@@ -1,5 +1,6 @@
 //! Drain notices known to one VM.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +22,8 @@
 pub struct DrainRecord {
     /// The target that is leaving.
     pub target: TargetId,
+    /// Process of the target that is leaving; 0 if the notice does not tell.
+    pub incarnation: u64,
     /// When the first VM received the notice, in milliseconds since the Unix epoch by its clock.
     pub sequence: u64,
 }
@@ -28,6 +31,7 @@
 /// A received record.
 #[derive(Clone, Copy, Debug)]
 struct DrainEntry {
+    incarnation: u64,
     sequence: u64,
     received_at: Instant,
 }
@@ -49,13 +53,21 @@
     ///
     /// Many VMs may receive the notice from the target itself, at slightly different times. A
     /// notice less than a minute later than the recorded one therefore refers to the same
-    /// departure.
+    /// departure, unless it is of a later process.
     pub fn observe(&mut self, record: &DrainRecord, now: Instant) -> bool {
-        let old = self.entries.get(&record.target);
-        if old.is_some_and(|old| record.sequence < old.sequence.saturating_add(DEDUP_WINDOW_MS)) {
+        let is_known = |old: &DrainEntry| match record.incarnation.cmp(&old.incarnation) {
+            Ordering::Less => true,
+            Ordering::Equal => record.sequence < old.sequence.saturating_add(DEDUP_WINDOW_MS),
+            Ordering::Greater => false,
+        };
+        if self.entries.get(&record.target).is_some_and(is_known) {
             return false;
         }
-        let entry = DrainEntry { sequence: record.sequence, received_at: now };
+        let entry = DrainEntry {
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            received_at: now,
+        };
         self.entries.insert(record.target.clone(), entry);
         self.evict_oldest();
         true
@@ -70,6 +82,7 @@
         recent.truncate(MAX_RECORDS_PER_HEARTBEAT);
         let record = |(target, entry): (&TargetId, &DrainEntry)| DrainRecord {
             target: target.clone(),
+            incarnation: entry.incarnation,
             sequence: entry.sequence,
         };
         recent.into_iter().map(record).collect()
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::fanout::timer::TimerKind;
 use crate::routing::TargetChoice;
 use crate::routing::TargetIndex;
+use crate::routing::TargetState;
 
 /// Thousandths in one.
 const PERMILLE_SCALE: u32 = 1_000;
@@ -47,7 +48,7 @@
             TargetChoice::Target(target) => {
                 self.send(query, running, position, target, now, actions);
             }
-            TargetChoice::NoCapacity => self.enqueue(query, running, position),
+            TargetChoice::NoCapacity => self.enqueue(query, running, position, now),
             TargetChoice::NoTarget => self.schedule_retry(query, running, position, now),
         }
     }
@@ -271,12 +272,17 @@
     ) {
         let shard = &running.shards[position];
         let replicas = running.resolved.shards[position].replicas.iter().enumerate();
-        let has_usable_replica = replicas
+        let usable = replicas
             .filter(|(replica, _)| shard.excluded_replicas & replica_bit(*replica) == 0)
-            .any(|(_, target)| self.targets.state(*target).is_usable());
+            .map(|(_, target)| self.targets.state(*target))
+            .filter(|state| state.is_usable());
+        let is_paused = |state: &TargetState| state.paused_until(now).is_some();
+        let (paused, open): (Vec<&TargetState>, Vec<&TargetState>) =
+            usable.partition(|state| is_paused(state));
         let retry_at = now + RETRY_DELAY;
-        if !has_usable_replica {
-            return running.give_up_shard(position, shard.last_cause);
+        if open.is_empty() {
+            let cause = if paused.is_empty() { shard.last_cause } else { LossCause::Paused };
+            return running.give_up_shard(position, cause);
         }
         if retry_at > self.latest_start(running, position) {
             return running.give_up_shard(position, LossCause::TooLate);
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -150,7 +150,7 @@
             return;
         }
         let mut running = self.start_query(plan, now);
-        self.give_up_unservable_shards(&mut running);
+        self.give_up_unservable_shards(&mut running, now);
         let mut reason = running.finish_reason(now);
         if reason.is_none() {
             self.push_timer(query, 0, 0, running.answer_by, TimerKind::CheckFinish);
@@ -196,7 +196,9 @@
                 running.calls_not_run += u32::from(proves_not_run(cause));
                 self.retry_refused(&mut running, &open, cause, now, actions);
             }
-            FanoutEvent::Unsent { .. } => self.retry_unsent(&mut running, &open, now, actions),
+            FanoutEvent::Unsent { .. } | FanoutEvent::Withdrawn { .. } => {
+                self.retry_unsent(&mut running, &open, now, actions);
+            }
             FanoutEvent::Failed { .. } => self.retry_failed(&mut running, &open, now, actions),
         }
         let reason = running.finish_reason(now);
--- a/crates/policy/src/fanout/event.rs
+++ b/crates/policy/src/fanout/event.rs
@@ -37,6 +37,11 @@
         /// Call that was not sent.
         call: CallId,
     },
+    /// The driver did not send the call, since its target may get no calls any more.
+    Withdrawn {
+        /// Call that was not sent.
+        call: CallId,
+    },
     /// No answer will arrive: the connection broke, timed out or carried the answer to another
     /// call.
     Failed {
@@ -52,6 +57,7 @@
             FanoutEvent::Answered { call, .. }
             | FanoutEvent::Refused { call, .. }
             | FanoutEvent::Unsent { call }
+            | FanoutEvent::Withdrawn { call }
             | FanoutEvent::Failed { call } => *call,
         }
     }
--- a/crates/policy/src/fanout/finish.rs
+++ b/crates/policy/src/fanout/finish.rs
@@ -3,16 +3,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+
 use crate::FanoutAction;
 use crate::FanoutEngine;
 use crate::FinishReason;
 use crate::QueryId;
+use crate::fanout::query::LossCause;
 use crate::fanout::query::RunningQuery;
 use crate::fanout::timer::TimerKind;
 use crate::routing::CancelledCallTiming;
 
 /// Retry delay suggested to callers when a shard has no usable target.
 const RETRY_AFTER_SHARD_LOST: Duration = Duration::from_secs(1);
+/// Divisor of a pause that gives the time over which callers are spread after it.
+const PAUSE_SPREAD_DIVISOR: u32 = 4;
 /// Shortest retry delay suggested to callers when targets are busy or slow.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -37,7 +42,8 @@
         for position in 0..running.shards.len() {
             self.cancel_calls(&mut running, position, is_timeout, now, actions);
         }
-        let result = running.result(reason, self.retry_after(&running, reason));
+        let retry_after = self.retry_after(&running, reason, now);
+        let result = running.result(reason, retry_after);
         actions.push(FanoutAction::Finish { query, result });
     }
 
@@ -74,7 +80,18 @@
         }
     }
 
-    fn retry_after(&self, running: &RunningQuery, reason: FinishReason) -> Duration {
+    fn retry_after(
+        &mut self,
+        running: &RunningQuery,
+        reason: FinishReason,
+        now: Instant,
+    ) -> Duration {
+        if running.loss == Some(LossCause::Paused)
+            && let Some(pause) = self.longest_shard_pause(running, now)
+        {
+            let spread = MIN_RETRY_AFTER.max(pause / PAUSE_SPREAD_DIVISOR);
+            return pause + spread.mul_f64(self.rng.random());
+        }
         if reason == FinishReason::ShardLost {
             return RETRY_AFTER_SHARD_LOST;
         }
@@ -82,4 +99,19 @@
         let late = shards.map(|shard| self.latencies.estimate(shard.latency).late_threshold).max();
         late.map_or(MIN_RETRY_AFTER, |late| MIN_RETRY_AFTER.max(late * 2))
     }
+
+    /// Returns the time until every shard has a target whose pause is over, if all of some shard's
+    /// targets that serve asked for a pause.
+    fn longest_shard_pause(&self, running: &RunningQuery, now: Instant) -> Option<Duration> {
+        let shards = running.resolved.shards.iter();
+        let ends = shards.filter_map(|shard| {
+            let usable = shard.replicas.iter().map(|target| self.targets.state(*target));
+            let ends = usable.filter(|state| state.is_usable()).map(|state| {
+                let end = state.paused_until(now);
+                end.map_or(Duration::ZERO, |end| end.saturating_duration_since(now))
+            });
+            ends.min()
+        });
+        ends.max().filter(|longest| !longest.is_zero())
+    }
 }
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -1,7 +1,9 @@
 //! Updates of target state from the platform, from peers and from replies.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use crate::CallId;
 use crate::CustomerId;
 use crate::FanoutEngine;
 use crate::FanoutEvent;
@@ -34,6 +36,41 @@
         self.schedule_queue_service(index);
     }
 
+    /// Records that a process of a target announced that it leaves; returns whether that is new.
+    ///
+    /// It gets no new call from then on, whatever the platform lists; a later process does.
+    pub fn mark_leaving(&mut self, target: &TargetId, incarnation: u64, now: Instant) -> bool {
+        self.current_time = Some(now);
+        let index = self.targets.intern(target);
+        let is_new = self.targets.state_mut(index).mark_leaving(incarnation);
+        self.schedule_queue_service(index);
+        is_new
+    }
+
+    /// Records that a process of a target asked for no calls for `pause`, which replaces an earlier
+    /// pause; returns whether it is the listed process.
+    ///
+    /// Calls that wait for the target are sent to others or given up.
+    pub fn pause_target(
+        &mut self,
+        target: &TargetId,
+        incarnation: u64,
+        pause: Duration,
+        now: Instant,
+    ) -> bool {
+        self.current_time = Some(now);
+        let Some(index) = self.targets.index_of(target) else { return false };
+        let is_listed = self.targets.state_mut(index).pause(incarnation, now + pause);
+        self.schedule_queue_service(index);
+        is_listed
+    }
+
+    /// Returns whether a call that has not left yet may still be sent to its target.
+    pub fn may_send(&self, call: CallId, now: Instant) -> bool {
+        let open = self.calls.get(&call);
+        open.is_some_and(|open| self.targets.state(open.target).accepts_calls(now))
+    }
+
     /// Sets how many calls may be in flight to a target at once. Each call uses one connection.
     ///
     /// Until this is set, the connection limit from the target's specification applies.
@@ -80,6 +117,7 @@
                 state.mark_draining_if(*draining || *cause == RefusalCause::Draining);
             }
             FanoutEvent::Unsent { .. } | FanoutEvent::Failed { .. } => state.record_failure(now),
+            FanoutEvent::Withdrawn { .. } => {}
         }
         self.targets.state_mut(open.target).close_call(open.sent_at);
         self.freed_targets.push(open.target);
@@ -93,7 +131,7 @@
         }
     }
 
-    fn record_latency(&mut self, open: &OpenCall, elapsed: std::time::Duration) {
+    fn record_latency(&mut self, open: &OpenCall, elapsed: Duration) {
         if let Some(running) = self.queries.get(&open.query) {
             let latency = running.resolved.shards[open.position as usize].latency;
             self.latencies.record(latency, elapsed);
--- a/crates/policy/src/fanout/query.rs
+++ b/crates/policy/src/fanout/query.rs
@@ -42,6 +42,8 @@
     /// allow no call to another.
     SnapshotUnknownNoRetry,
     NoTarget,
+    /// Every replica that serves asked for a pause.
+    Paused,
     Busy,
     TooLate,
 }
@@ -147,7 +149,7 @@
     shards_answered: u32,
     shards_pending: u32,
     /// First cause, in the order of [`LossCause`], of the shards given up so far.
-    loss: Option<LossCause>,
+    pub(crate) loss: Option<LossCause>,
 }
 
 impl RunningQuery {
@@ -296,7 +298,7 @@
                 FinishReason::SnapshotRetired
             }
             LossCause::NoTarget => FinishReason::ShardLost,
-            LossCause::Busy => FinishReason::TargetsBusy,
+            LossCause::Paused | LossCause::Busy => FinishReason::TargetsBusy,
             LossCause::TooLate => FinishReason::DeadlineNear,
         }
     }
--- a/crates/policy/src/fanout/queue.rs
+++ b/crates/policy/src/fanout/queue.rs
@@ -16,7 +16,13 @@
 
 impl FanoutEngine {
     /// Adds a copy of a shard's call to the queue of each replica that may take it.
-    pub(crate) fn enqueue(&mut self, query: QueryId, running: &mut RunningQuery, position: usize) {
+    pub(crate) fn enqueue(
+        &mut self,
+        query: QueryId,
+        running: &mut RunningQuery,
+        position: usize,
+        now: Instant,
+    ) {
         running.shards[position].set_state(ShardState::Queued);
         let shard = &running.shards[position];
         let waiting = WaitingCall {
@@ -30,7 +36,7 @@
         for (replica, target) in running.resolved.shards[position].replicas.iter().enumerate() {
             let is_skipped =
                 (shard.tried_replicas | shard.excluded_replicas) & replica_bit(replica) != 0;
-            let is_open = !is_skipped && self.targets.state(*target).is_usable();
+            let is_open = !is_skipped && self.targets.state(*target).accepts_calls(now);
             if is_open && self.has_queue_room(*target, waiting.priority) {
                 self.targets.state_mut(*target).queue.push(waiting);
                 copies += 1;
@@ -60,7 +66,7 @@
     /// Gives up shards that no target can serve, before any call is sent.
     ///
     /// This way a query that can't reach its floor sends no calls at all.
-    pub(crate) fn give_up_unservable_shards(&mut self, running: &mut RunningQuery) {
+    pub(crate) fn give_up_unservable_shards(&mut self, running: &mut RunningQuery, now: Instant) {
         let priority = running.plan.priority;
         let resolved = running.resolved.clone();
         for (position, shard) in resolved.shards.iter().enumerate() {
@@ -70,6 +76,10 @@
                 if !state.is_usable() {
                     continue;
                 }
+                if !state.accepts_calls(now) {
+                    cause = cause.map(|cause| cause.max(LossCause::Paused));
+                    continue;
+                }
                 if state.window.has_capacity() || self.has_queue_room(*target, priority) {
                     cause = None;
                     break;
@@ -94,7 +104,7 @@
     fn serve_queue(&mut self, target: TargetIndex, now: Instant, actions: &mut Vec<FanoutAction>) {
         loop {
             let state = self.targets.state_mut(target);
-            let is_usable = state.is_usable();
+            let is_usable = state.accepts_calls(now);
             if is_usable && !state.window.has_capacity() {
                 return;
             }
--- a/crates/policy/src/fanout/result.rs
+++ b/crates/policy/src/fanout/result.rs
@@ -14,7 +14,7 @@
     FloorMet,
     /// The missing shards can't be answered in time.
     DeadlineNear,
-    /// No target had room for the calls of the missing shards.
+    /// No target had room for the calls of the missing shards, or those that serve asked for a pause.
     TargetsBusy,
     /// No usable target holds a missing shard.
     ShardLost,
--- a/crates/policy/src/fanout/view.rs
+++ b/crates/policy/src/fanout/view.rs
@@ -1,5 +1,6 @@
 //! State of targets and budgets as shown to operators.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::FanoutEngine;
@@ -15,17 +16,25 @@
     pub window: u32,
     /// Whether the target's recent calls failed, so that other replicas are preferred.
     pub is_failing: bool,
+    /// Whether the target announced in a reply that it leaves.
+    pub is_leaving: bool,
+    /// Rest of the pause that the target asked for.
+    pub paused_for: Duration,
 }
 
 impl FanoutEngine {
     /// Returns the state of a target. An unknown target has no calls in flight and a window of 0.
-    pub fn target_view(&self, target: &TargetId) -> TargetView {
+    pub fn target_view(&self, target: &TargetId, now: Instant) -> TargetView {
         let Some(index) = self.targets.index_of(target) else { return TargetView::default() };
         let state = self.targets.state(index);
         TargetView {
             open: state.window.open(),
             window: state.window.limit(),
             is_failing: state.backoff.is_failing(),
+            is_leaving: state.is_leaving(),
+            paused_for: state
+                .paused_until(now)
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
         }
     }
 
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -38,7 +38,7 @@
     Target(TargetIndex),
     /// Some replicas are usable, but none has free capacity.
     NoCapacity,
-    /// No replica is usable.
+    /// No replica is usable, or the usable ones asked for a pause.
     NoTarget,
 }
 
@@ -54,7 +54,7 @@
         rng: &mut Pcg64Mcg,
         now: Instant,
     ) -> TargetChoice {
-        let usable = candidates.filter(|index| table.state(*index).is_usable());
+        let usable = candidates.filter(|index| table.state(*index).accepts_calls(now));
         let healthy = usable.clone().filter(|index| {
             let state = table.state(*index);
             !state.backoff.is_failing() && !state.is_lapsed()
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -85,6 +85,10 @@
     process: Option<TargetProcess>,
     listed_phase: Option<TargetPhase>,
     is_draining: bool,
+    /// Newest incarnation that announced in a reply that it leaves.
+    left_incarnation: Option<u64>,
+    /// End of the pause that the process asked for.
+    paused_until: Option<Instant>,
     /// Calls from other callers by the last load report, bounded.
     other_open_calls: u32,
     load_reported_at: Option<Instant>,
@@ -112,6 +116,8 @@
             process: None,
             listed_phase: None,
             is_draining: false,
+            left_incarnation: None,
+            paused_until: None,
             other_open_calls: 0,
             load_reported_at: None,
             last_shed_at: None,
@@ -125,6 +131,9 @@
         let process = TargetProcess { incarnation: spec.incarnation, address: spec.address };
         if self.process.replace(process).is_some_and(|before| before != process) {
             self.reset_observations();
+            // An entry of an earlier process than the one that left is outdated.
+            self.left_incarnation =
+                self.left_incarnation.filter(|left| process.incarnation < *left);
         }
         if self.listed_phase.is_none() {
             self.window.reset_size(spec.slots);
@@ -145,6 +154,7 @@
         self.backoff = FailureBackoff::default();
         self.listed_phase = None;
         self.is_draining = false;
+        self.paused_until = None;
         self.load_reported_at = None;
         self.last_shed_at = None;
         self.unanswered_since = None;
@@ -170,9 +180,52 @@
         self.is_draining |= is_draining;
     }
 
-    /// Returns whether the target may receive new calls.
+    /// Records that a process announced in a reply that it leaves; returns whether that is new.
+    ///
+    /// It holds until a later process is listed, whatever the platform's entry says.
+    pub(crate) fn mark_leaving(&mut self, incarnation: u64) -> bool {
+        let is_new = self.left_incarnation.is_none_or(|left| left < incarnation);
+        if is_new {
+            self.left_incarnation = Some(incarnation);
+        }
+        is_new
+    }
+
+    /// Records that a process asked for no calls until `until`; returns whether it is the listed
+    /// one.
+    ///
+    /// Replaces an earlier pause. After its end the target gets one call at a time at first.
+    pub(crate) fn pause(&mut self, incarnation: u64, until: Instant) -> bool {
+        let is_listed = self.process.is_some_and(|process| process.incarnation == incarnation);
+        if is_listed {
+            self.paused_until = Some(until);
+            self.window.reset_size(1);
+        }
+        is_listed
+    }
+
+    /// Returns the end of the pause that the target asked for, if it is not over.
+    pub(crate) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
+    /// Returns whether the listed process announced in a reply that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let listed = self.process.map(|process| process.incarnation);
+        listed.is_some_and(|listed| self.left_incarnation.is_some_and(|left| listed <= left))
+    }
+
+    /// Returns whether the target serves: it may get new calls unless it asked for a pause.
     pub(crate) fn is_usable(&self) -> bool {
-        self.listed_phase.is_some() && !self.is_draining && self.window.has_connections()
+        self.listed_phase.is_some()
+            && !self.is_draining
+            && !self.is_leaving()
+            && self.window.has_connections()
+    }
+
+    /// Returns whether the target may get a new call now.
+    pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
+        self.is_usable() && self.paused_until(now).is_none()
     }
 
     /// Returns whether the target has lapsed and is used only as a last resort.
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -11,7 +11,7 @@
 const FIRST_NOTICE_MS: u64 = 1_800_000_000_000;
 
 fn record(target: &str, after_ms: u64) -> DrainRecord {
-    DrainRecord { target: target.into(), sequence: FIRST_NOTICE_MS + after_ms }
+    DrainRecord { target: target.into(), incarnation: 0, sequence: FIRST_NOTICE_MS + after_ms }
 }
 
 #[test]
@@ -26,6 +26,18 @@
     assert!(table.observe(&record("a", 120_000), now), "a second departure of the same target");
 }
 
+#[test]
+fn observe_tells_the_processes_of_a_target_apart() {
+    let now = Instant::now();
+    let mut table = DrainTable::default();
+    let of_process = |incarnation| DrainRecord { incarnation, ..record("a", 0) };
+    assert!(table.observe(&of_process(7), now));
+    assert!(!table.observe(&of_process(7), now), "a duplicate");
+    assert!(!table.observe(&of_process(6), now), "an earlier process");
+    assert!(table.observe(&of_process(8), now), "a later process that leaves too");
+    assert_eq!(table.recent_records(now), [of_process(8)]);
+}
+
 #[test]
 fn recent_records_are_bounded_newest_first_and_expire() {
     let start = Instant::now();
--- a/crates/policy/tests/fanout/fake_fleet.rs
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -243,6 +243,17 @@
         self.now = until;
     }
 
+    /// Returns the first call that waits for the VM's processor.
+    pub(crate) fn waiting_call(&self) -> Option<SentCall> {
+        self.departures.front().map(|(_, sent)| sent.clone())
+    }
+
+    /// Reports that a waiting call is not sent.
+    pub(crate) fn withdraw(&mut self, call: CallId) {
+        self.departures.retain(|(_, sent)| sent.call != call);
+        self.handle(FanoutEvent::Withdrawn { call });
+    }
+
     /// Returns the number of a query's calls that are open at targets.
     pub(crate) fn open_calls(&self, query: QueryId) -> usize {
         self.open.values().filter(|sent| sent.query == query).count()
--- a/crates/policy/tests/fanout/routes.rs
+++ b/crates/policy/tests/fanout/routes.rs
@@ -240,7 +240,7 @@
         fleet.set_seed(seed);
         fleet.specs[0].incarnation = 7;
         fleet.engine.apply_targets(fleet.specs.clone(), fleet.now);
-        assert!(!fleet.engine.target_view(&"s0r0".into()).is_failing);
+        assert!(!fleet.engine.target_view(&"s0r0".into(), fleet.now).is_failing);
         let received = fleet.target("s0r0").received;
         submit_routes(&mut fleet, 100, 20, ms(30));
         assert!(targets_of(&fleet, 100, 0).contains(&"s0r0".to_owned()), "seed {seed}");
--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -79,6 +79,166 @@
     assert_eq!(fleet.target("s0r0").received, 2);
 }
 
+/// Pattern: a restored store, or one that this VM can't reach, lists a target as ready that said
+/// itself that it leaves.
+#[test]
+fn leaving_target_gets_no_calls_whatever_the_platform_lists() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    let before = fleet.target("s3r0").received;
+    assert!(fleet.engine.mark_leaving(&"s3r0".into(), 0, fleet.now));
+    assert!(!fleet.engine.mark_leaving(&"s3r0".into(), 0, fleet.now), "known already");
+    let ready = fleet.specs.clone();
+    let mut draining = ready.clone();
+    draining.iter_mut().for_each(|spec| spec.phase = TargetPhase::Draining);
+    let unlisted: Vec<_> = ready.iter().filter(|spec| &*spec.target != "s3r0").cloned().collect();
+    for specs in [&ready, &draining, &ready, &unlisted, &ready] {
+        fleet.engine.apply_targets(specs.clone(), fleet.now);
+    }
+    fleet.submit_every(1, 50, ms(10));
+    assert_eq!(fleet.target("s3r0").received, before);
+    assert!((1..=50).all(|query| fleet.result(query).reason == FinishReason::Complete));
+}
+
+#[test]
+fn leaving_applies_to_one_process_of_a_target() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    let list = |fleet: &mut FakeFleet, incarnation: u64, address: &str| {
+        let mut specs = fleet.specs.clone();
+        let target = specs.iter_mut().find(|spec| &*spec.target == "s3r0").unwrap();
+        (target.incarnation, target.address) = (incarnation, address.parse().unwrap());
+        fleet.engine.apply_targets(specs, fleet.now);
+    };
+    list(&mut fleet, 7, "127.0.0.1:7");
+    fleet.engine.mark_leaving(&"s3r0".into(), 7, fleet.now);
+    list(&mut fleet, 6, "127.0.0.1:6");
+    let before = fleet.target("s3r0").received;
+    fleet.submit_every(1, 20, ms(10));
+    assert_eq!(fleet.target("s3r0").received, before, "an entry of an earlier process");
+    list(&mut fleet, 8, "127.0.0.1:8");
+    fleet.submit_every(100, 20, ms(10));
+    assert!(fleet.target("s3r0").received > before, "a later process serves");
+}
+
+/// Pattern: the one target of a shard leaves. Callers must not wait for it until their deadline.
+#[test]
+fn leaving_last_target_of_a_shard_is_left_out_at_once() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 4, 1);
+    fleet.engine.mark_leaving(&"s3r0".into(), 0, fleet.now);
+    let plan = fleet.plan();
+    fleet.submit(1, plan);
+    fleet.advance(ms(100));
+    assert_eq!(fleet.result(1).shards_answered, 3);
+    let mut plan = fleet.plan();
+    plan.coverage_floor_permille = 1_000;
+    let sent = fleet.sent.len();
+    fleet.submit(2, plan);
+    assert_eq!(fleet.result(2).ran, RunState::No, "refused in the same step");
+    assert!(fleet.result(2).retry_after.is_some());
+    assert_eq!(fleet.sent.len(), sent);
+}
+
+/// Pattern: a call waits for a connection while its target begins to leave or asks for a pause.
+#[test]
+fn may_send_withdraws_a_call_that_waits_while_its_target_leaves() {
+    for is_pause in [false, true] {
+        let mut fleet = FakeFleet::new(FanoutSettings::default(), 1, 2);
+        fleet.send_backlog = ms(50);
+        let plan = fleet.plan();
+        fleet.submit(1, plan);
+        let call = fleet.waiting_call().unwrap();
+        let target = call.target.clone();
+        assert!(fleet.engine.may_send(call.call, fleet.now));
+        match is_pause {
+            true => drop(fleet.engine.pause_target(&target, 0, ms(2_000), fleet.now)),
+            false => drop(fleet.engine.mark_leaving(&target, 0, fleet.now)),
+        }
+        assert!(!fleet.engine.may_send(call.call, fleet.now));
+        fleet.withdraw(call.call);
+        fleet.advance(ms(150));
+        assert_eq!(fleet.target(&target).received, 0);
+        assert_eq!(fleet.result(1).outcome, RequestOutcome::Answered);
+        assert!(!fleet.engine.target_view(&target, fleet.now).is_failing);
+    }
+}
+
+/// Pattern: a target refuses a call and asks for a pause.
+#[test]
+fn pause_stops_calls_hedges_and_probes_until_its_end() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    // A failing target is probed, and a slow replica is hedged.
+    fleet.target("s3r0").behaviour = Behaviour::Fail;
+    fleet.submit_every(1, 20, ms(10));
+    fleet.target("s3r0").behaviour = Behaviour::Serve;
+    fleet.target("s3r1").base_time = ms(60);
+    let before = fleet.target("s3r0").received;
+    assert!(fleet.engine.pause_target(&"s3r0".into(), 0, ms(3_000), fleet.now));
+    fleet.submit_every(100, 200, ms(10));
+    assert_eq!(fleet.target("s3r0").received, before);
+    assert!(!fleet.engine.target_view(&"s3r0".into(), fleet.now).paused_for.is_zero());
+    fleet.advance(ms(1_000));
+    fleet.submit_every(10_000, 100, ms(10));
+    assert!(fleet.target("s3r0").received > before, "it gets calls again");
+}
+
+#[test]
+fn pause_is_replaced_by_a_later_one_and_ends_with_its_process() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 1, 1);
+    let is_paused = |fleet: &FakeFleet| {
+        !fleet.engine.target_view(&"s0r0".into(), fleet.now).paused_for.is_zero()
+    };
+    fleet.engine.pause_target(&"s0r0".into(), 0, ms(5_000), fleet.now);
+    fleet.engine.pause_target(&"s0r0".into(), 0, ms(100), fleet.now);
+    fleet.advance(ms(150));
+    assert!(!is_paused(&fleet), "the later pause is shorter");
+    fleet.engine.pause_target(&"s0r0".into(), 0, ms(5_000), fleet.now);
+    assert!(is_paused(&fleet));
+    let mut specs = fleet.specs.clone();
+    specs[0].incarnation = 1;
+    fleet.engine.apply_targets(specs, fleet.now);
+    assert!(!is_paused(&fleet), "another process");
+    assert!(!fleet.engine.pause_target(&"s0r0".into(), 0, ms(5_000), fleet.now));
+    assert!(!is_paused(&fleet), "a late reply of the earlier process");
+}
+
+/// Pattern: all targets of a shard ask for a pause. Callers are told at once when to come back, and
+/// not all at the same moment.
+#[test]
+fn pause_of_all_targets_of_a_shard_refuses_at_once_with_the_shortest_rest() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 4, 2);
+    fleet.engine.pause_target(&"s3r0".into(), 0, ms(4_000), fleet.now);
+    fleet.engine.pause_target(&"s3r1".into(), 0, ms(2_000), fleet.now);
+    fleet.advance(ms(500));
+    let mut delays = Vec::new();
+    for query in 1..=20 {
+        let mut plan = fleet.plan();
+        plan.coverage_floor_permille = 1_000;
+        fleet.submit(query, plan);
+        let result = fleet.result(query);
+        assert_eq!((result.reason, result.ran), (FinishReason::TargetsBusy, RunState::No));
+        delays.push(result.retry_after.unwrap());
+    }
+    assert!(fleet.sent.is_empty());
+    assert!(delays.iter().all(|delay| (ms(1_500)..ms(2_000)).contains(delay)), "{delays:?}");
+    delays.sort_unstable();
+    delays.dedup();
+    assert!(delays.len() > 10, "callers return at the same moment: {delays:?}");
+}
+
+/// Pattern: many queries wait when a pause ends. The target gets one call at first.
+#[test]
+fn pause_ends_with_one_call_at_a_time() {
+    let mut fleet = FakeFleet::new(FanoutSettings::default(), 1, 1);
+    fleet.engine.pause_target(&"s0r0".into(), 0, ms(1_000), fleet.now);
+    fleet.advance(ms(1_001));
+    for query in 1..=6 {
+        let plan = fleet.plan();
+        fleet.submit(query, plan);
+    }
+    assert_eq!(fleet.target("s0r0").received, 1);
+    fleet.advance(ms(400));
+    assert!(fleet.target("s0r0").received > 1, "the others follow");
+}
+
 #[test]
 fn reported_load_alone_does_not_stop_calls_to_a_target() {
     for misreporting in [vec!["s3r0"], vec!["s3r0", "s3r1"]] {
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -64,6 +64,12 @@
     pub window: u32,
     /// Whether the latest calls to the target failed, so that other targets are preferred.
     pub is_failing: bool,
+    /// Whether the target announced in a reply that it leaves, so that it gets no new calls.
+    #[serde(default)]
+    pub is_leaving: bool,
+    /// Rest of the pause that the target asked for, in milliseconds.
+    #[serde(default)]
+    pub paused_ms: u64,
     /// Extra calls left in the budget of the target's service.
     pub extra_calls_left: u64,
 }
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -130,13 +130,21 @@
 
 impl From<&policy::DrainRecord> for DrainRecord {
     fn from(record: &policy::DrainRecord) -> DrainRecord {
-        DrainRecord { target: record.target.to_string(), sequence: record.sequence }
+        DrainRecord {
+            target: record.target.to_string(),
+            sequence: record.sequence,
+            incarnation: record.incarnation,
+        }
     }
 }
 
 impl From<&DrainRecord> for policy::DrainRecord {
     fn from(record: &DrainRecord) -> policy::DrainRecord {
-        policy::DrainRecord { target: record.target.as_str().into(), sequence: record.sequence }
+        policy::DrainRecord {
+            target: record.target.as_str().into(),
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+        }
     }
 }
 
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -57,6 +57,9 @@
     pub target: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub sequence: u64,
+    /// Process of the target, as in its entry; 0 if unknown.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
 }
 /// Heartbeat, or the reply to one.
 #[derive(Clone, PartialEq, ::prost::Message)]
