feat(policy,daemon,platform): survive a store that is restored from a copy

A store that comes back from a copy gives revisions out again. On the code before, callers were served by targets that had left and stood in the copy as ready, targets that the copy lacked were dropped, changes at lower revisions were never read, and no VM wrote its own entry again.

Revisions hold the era of the store above its number, so that every order over objects, messages and watches is one over eras. Objects have a version of their content (the number of the routes; process of a target and whether it drains): content of an earlier era whose version is ahead stays at the revision of the copy's object and is passed on. What the copy lacks is kept for 10 s. The era is read from every answer of the store; late answers of an earlier one change nothing.

Found by the property test on the way, each by a minimal history: a tombstone dropped by a list let a copy's entry back in; a late deletion without content took the version of a later process; a carried object could not be deleted at its own revision.

--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::Era;
 use oleanderwind_policy::GossipAction;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::ObjectDelta;
@@ -14,6 +15,7 @@
 use oleanderwind_policy::PlatformVm;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
+use oleanderwind_policy::era_of;
 use oleanderwind_wire::ObjectDocument;
 use oleanderwind_wire::peer;
 use oleanderwind_wire::peer::FetchObjectsRequest;
@@ -86,6 +88,12 @@
         self.refresh_derived_state();
     }
 
+    /// Returns the newest era of the platform's store that this VM has heard of, from the store or
+    /// from peers.
+    pub(crate) fn store_era(&self) -> Era {
+        era_of(self.state.borrow().gossip.store().summary().highest_revision)
+    }
+
     /// Returns the revision up to which every object is held.
     pub(crate) fn complete_revision(&self) -> Revision {
         self.state.borrow().gossip.store().summary().complete_revision
@@ -259,6 +267,23 @@
     ConfigurationObject {
         key: oleanderwind_policy::ObjectKey { kind, name: object.metadata.name.as_str().into() },
         revision: object.revision(),
+        version: content_version(kind, object),
         body: Some(object.to_bytes()),
     }
 }
+
+/// Returns the position of an object's content in its history, which a restore of the store does not
+/// turn back: the number of the routes, or the process of a target and whether it drains.
+///
+/// The lowest bit is set for content after which only another process, or nothing, can follow.
+fn content_version(kind: ObjectKind, object: &ObjectDocument) -> u64 {
+    let number = |field: &str| object.spec[field].as_u64().unwrap_or(0);
+    match kind {
+        ObjectKind::Routes => number("version") << 1,
+        ObjectKind::Targets => {
+            let is_draining = object.spec["phase"] == "draining";
+            number("incarnation") << 1 | u64::from(is_draining)
+        }
+        ObjectKind::Contracts | ObjectKind::Snapshots | ObjectKind::Vms => 0,
+    }
+}
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -12,12 +12,14 @@
 use futures_util::StreamExt;
 use futures_util::future::try_join_all;
 use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::Era;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::OutageTracker;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WatchBackoff;
+use oleanderwind_policy::era_of;
 use oleanderwind_wire::WatchEvent;
 use oleanderwind_wire::WatchKind;
 
@@ -65,6 +67,8 @@
     unreachable_since: Cell<Option<Instant>>,
     /// Outages of the platform, in which entries of living targets may expire.
     outages: Cell<OutageTracker>,
+    /// Era of the platform's store at the last list.
+    listed_era: Cell<Option<Era>>,
 }
 
 /// Revision after which the next watch of each kind starts.
@@ -81,6 +85,7 @@
             is_first_start: kernel.settings().is_first_start,
             unreachable_since: Cell::new(None),
             outages: Cell::new(OutageTracker::new(kernel.settings().lapse_hold)),
+            listed_era: Cell::new(None),
         };
         let backoff = WatchBackoff::new(
             kernel.settings().seed,
@@ -248,14 +253,26 @@
         let lists = try_join_all(lists).await?;
         self.record_contact();
         let revision = lists.iter().map(|list| list.revision).min().unwrap_or(0);
+        let era = era_of(revision);
+        if lists.iter().any(|list| era_of(list.revision) != era) {
+            return Err(PlatformError::Expired);
+        }
+        // What this VM holds may be of an earlier era, be it from a list or from peers.
+        let complete_revision = self.peers.complete_revision();
+        let is_restored = complete_revision > 0 && era > era_of(complete_revision)
+            || self.listed_era.get().is_some_and(|listed| era > listed);
+        self.listed_era.set(Some(era));
+        if is_restored {
+            self.update_outages(|outages| outages.record_restore(Instant::now()));
+        }
         let objects: Vec<ConfigurationObject> =
             lists.iter().flat_map(|list| list.objects.iter().cloned()).collect();
         let mut listing = ObjectListing::from_platform(&objects, revision);
-        listing.keeps_missing = self.holds_removals();
+        let now = Instant::now();
+        listing.keeps_earlier_eras = self.outages.get().holds_earlier_eras(now);
+        listing.keeps_missing = self.holds_removals() && !listing.keeps_earlier_eras;
         self.peers.apply_listing(&listing);
-        if !listing.keeps_missing {
-            self.update_outages(OutageTracker::record_check);
-        }
+        self.update_outages(|outages| outages.record_check(now));
         Ok(lists.iter().map(|list| (list.kind, list.revision)).collect())
     }
 
--- a/crates/daemon/src/sync/registration.rs
+++ b/crates/daemon/src/sync/registration.rs
@@ -1,4 +1,7 @@
 //! Registration of this VM in the platform's VM list, for platforms where each VM registers itself.
+//!
+//! A store that is restored from a copy may have forgotten the entry. Each VM then checks its own, at
+//! a random time.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,6 +10,9 @@
 use oleanderwind_policy::WatchBackoff;
 use oleanderwind_wire::ObjectDocument;
 use oleanderwind_wire::ObjectMetadata;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
 use crate::edge::ObjectKind;
@@ -20,6 +26,12 @@
 /// Wait for the first list, which shows whether the entry of an earlier process is still valid.
 const FIRST_LIST_DELAY: Duration = Duration::from_millis(300);
 
+/// Interval at which a VM checks whether it has heard of a restore of the store.
+const ERA_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time over which the VMs of a fleet check their entries after a restore. With 300 VMs that is 150
+/// calls a second.
+const CHECK_SPREAD: Duration = Duration::from_secs(2);
+
 /// Task that registers this VM.
 pub(crate) struct RegistrationTask {
     settings: DaemonSettings,
@@ -37,25 +49,44 @@
         })
     }
 
-    /// Registers the VM; retries with backoff until it succeeds.
+    /// Registers the VM, and again after each restore of the store that has forgotten the entry.
     pub(crate) async fn run(self) {
         tokio::time::sleep(FIRST_LIST_DELAY).await;
-        let retry = self.settings.platform_retry;
-        let mut backoff = WatchBackoff::new(self.settings.seed, retry, Instant::now());
+        if !self.peers.is_vm_listed(&self.entry()) {
+            self.register().await;
+        }
+        let mut era = self.peers.store_era();
+        let mut generator = Pcg64Mcg::seed_from_u64(self.settings.seed);
         loop {
-            let entry = self.entry();
-            if self.peers.is_vm_listed(&entry) {
-                return;
-            }
-            match self.write_entry(&entry).await {
-                Ok(()) => return log::info!(vm = &*self.settings.vm; "registered in the VM list"),
-                Err(error) => {
-                    backoff.record_failure(Instant::now());
-                    log::warn!("failed to register in the VM list, will retry: {error}");
-                }
+            tokio::time::sleep(ERA_POLL_INTERVAL).await;
+            let newest = self.peers.store_era();
+            if newest > era {
+                era = newest;
+                tokio::time::sleep(CHECK_SPREAD.mul_f64(generator.random())).await;
+                self.check_entry().await;
             }
+        }
+    }
+
+    /// Registers the VM if the store does not have its entry.
+    async fn check_entry(&self) {
+        let entry = self.entry();
+        match self.platform.get(ObjectKind::Vms, &entry.metadata.name).await {
+            Ok(held) if held.spec == entry.spec => {}
+            Ok(_) | Err(_) => self.register().await,
+        }
+    }
+
+    /// Writes the entry; retries with backoff until it succeeds.
+    async fn register(&self) {
+        let retry = self.settings.platform_retry;
+        let mut backoff = WatchBackoff::new(self.settings.seed, retry, Instant::now());
+        while let Err(error) = self.write_entry(&self.entry()).await {
+            backoff.record_failure(Instant::now());
+            log::warn!("failed to register in the VM list, will retry: {error}");
             tokio::time::sleep_until(backoff.next_call().into()).await;
         }
+        log::info!(vm = &*self.settings.vm; "registered in the VM list");
     }
 
     /// Writes the entry; replaces that of an earlier process.
--- a/crates/policy/benches/control_fleet/mod.rs
+++ b/crates/policy/benches/control_fleet/mod.rs
@@ -123,5 +123,5 @@
 
 fn object(kind: ObjectKind, name: &str, revision: u64, body: Vec<u8>) -> ConfigurationObject {
     let key = ObjectKey { kind, name: name.into() };
-    ConfigurationObject { key, revision, body: Some(body.into()) }
+    ConfigurationObject { key, revision, version: 0, body: Some(body.into()) }
 }
--- a/crates/policy/src/lapse/outage.rs
+++ b/crates/policy/src/lapse/outage.rs
@@ -7,6 +7,10 @@
 /// that wait, and one answer may be lost.
 const OUTAGE_FAILURES: u32 = 2;
 
+/// How long after a restore of the store entries that its copy lacks are kept: the targets write
+/// them again at their own pace.
+const RESTORE_HOLD: Duration = Duration::from_secs(10);
+
 /// Decides whether entries that vanish may still belong to living targets.
 ///
 /// # Examples
@@ -31,6 +35,7 @@
     hold: Option<Duration>,
     failures: u32,
     held_until: Option<Instant>,
+    restore_held_until: Option<Instant>,
 }
 
 impl OutageTracker {
@@ -52,6 +57,18 @@
         self.failures = 0;
     }
 
+    /// Records that the store was restored from a copy.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.held_until = self.hold.map(|hold| now + hold);
+        self.restore_held_until = self.hold.map(|hold| now + hold.max(RESTORE_HOLD));
+    }
+
+    /// Returns whether entries that were written before the last restore, and not since, are kept
+    /// for now.
+    pub fn holds_earlier_eras(&self, now: Instant) -> bool {
+        self.restore_held_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether entries that vanish are kept for now.
     pub fn holds_removals(&self, now: Instant) -> bool {
         self.hold.is_some() && (self.is_away() || self.held_until.is_some_and(|until| now < until))
@@ -59,12 +76,13 @@
 
     /// Returns when a new list has to show which of the kept entries are back, if any may be kept.
     pub fn check_due_at(&self) -> Option<Instant> {
-        self.held_until
+        self.held_until.or(self.restore_held_until)
     }
 
-    /// Records that a list was applied from which no entry was kept.
-    pub fn record_check(&mut self) {
-        self.held_until = None;
+    /// Records that a list was applied at `now`, which ends the holds that are over.
+    pub fn record_check(&mut self, now: Instant) {
+        self.held_until = self.held_until.filter(|until| now < *until);
+        self.restore_held_until = self.restore_held_until.filter(|until| now < *until);
     }
 
     fn is_away(&self) -> bool {
--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -11,6 +11,7 @@
 use crate::ObjectSummary;
 use crate::Revision;
 use crate::VmId;
+use crate::objects::era::era_of;
 
 /// Number of peers to which a VM pushes a change.
 const PUSH_FANOUT: usize = 3;
@@ -96,14 +97,15 @@
         members: &mut MembershipEngine,
     ) -> Vec<GossipAction> {
         let is_first = self.store.summary().highest_revision == 0;
-        let mut changes: Vec<ConfigurationObject> = listing
-            .objects
-            .values()
-            .filter(|object| self.store.is_newer(object))
-            .cloned()
-            .collect();
-        changes.extend(self.store.apply_listing(listing));
-        if is_first || changes.is_empty() {
+        let changes = self.store.apply_listing(listing);
+        if is_first {
+            // A copy may lack what peers hold, and no revision shows it.
+            if era_of(listing.complete_revision) > 0 {
+                self.fruitless_pulls = FRUITLESS_PULL_LIMIT;
+            }
+            return Vec::new();
+        }
+        if changes.is_empty() {
             return Vec::new();
         }
         push_changes(members, &changes, PUSH_FANOUT)
@@ -116,7 +118,7 @@
         members: &mut MembershipEngine,
     ) -> Vec<GossipAction> {
         let new_objects: Vec<ConfigurationObject> =
-            objects.iter().filter(|object| self.store.apply(object)).cloned().collect();
+            objects.iter().filter_map(|object| self.store.merge(object)).collect();
         if new_objects.is_empty() {
             return Vec::new();
         }
--- a/crates/policy/src/objects/listing.rs
+++ b/crates/policy/src/objects/listing.rs
@@ -18,6 +18,9 @@
     /// Whether objects that it lacks are kept, as they may have expired while the platform's store
     /// was away. Nothing is then known to be complete.
     pub keeps_missing: bool,
+    /// Whether objects that it lacks are kept if they are of an earlier era of the store: they may
+    /// have been written after the copy from which it was restored.
+    pub keeps_earlier_eras: bool,
 }
 
 impl ObjectListing {
@@ -42,7 +45,7 @@
     /// Adds an object unless the listing contains the same or a newer revision of it.
     fn add(&mut self, object: &ConfigurationObject) {
         let held = self.objects.get(&object.key);
-        if held.is_none_or(|held| held.revision < object.revision) {
+        if held.is_none_or(|held| object.is_newer_than(held)) {
             self.objects.insert(object.key.clone(), object.clone());
         }
     }
--- a/crates/policy/src/objects/mod.rs
+++ b/crates/policy/src/objects/mod.rs
@@ -6,9 +6,16 @@
 //! is rumor mongering backed by anti-entropy, after A. Demers et al., "Epidemic algorithms for
 //! replicated database maintenance" (PODC 1987). The revision of an object never decreases, so the
 //! order of messages does not matter.
+//!
+//! A store that is restored from a copy gives revisions out again in a new [`Era`]; a [`Revision`]
+//! orders objects over all eras. What the copy has forgotten is carried over: see
+//! [`ObjectStore::merge`].
+//!
+//! [`Revision`]: crate::Revision
 
 mod contact;
 mod delta;
+mod era;
 mod gossip;
 mod listing;
 mod object;
@@ -19,6 +26,10 @@
 pub use contact::ContactState;
 pub use contact::ContactTracker;
 pub use delta::ObjectDelta;
+pub use era::Era;
+pub use era::era_of;
+pub use era::revision_in_era;
+pub use era::revision_number;
 pub use gossip::GossipAction;
 pub use gossip::GossipEngine;
 pub use listing::ObjectListing;
--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -11,6 +11,10 @@
 use crate::ObjectListing;
 use crate::ObjectSummary;
 use crate::Revision;
+use crate::objects::era::carried;
+use crate::objects::era::era_of;
+use crate::objects::era::revision_in_era;
+use crate::objects::object::TOMBSTONE_MARK;
 
 /// Maximum number of tombstones kept.
 const MAX_TOMBSTONES: usize = 10_000;
@@ -35,12 +39,6 @@
         self.objects.get(key).filter(|object| object.body.is_some())
     }
 
-    /// Returns whether `object` is newer than the one held.
-    pub fn is_newer(&self, object: &ConfigurationObject) -> bool {
-        let held = self.objects.get(&object.key);
-        held.is_none_or(|held| object.is_newer_than(held))
-    }
-
     /// Iterates over the existing objects of a kind, by name.
     pub fn iter_kind(&self, kind: ObjectKind) -> impl Iterator<Item = &ConfigurationObject> {
         let start = ObjectKey { kind, name: "".into() };
@@ -92,70 +90,86 @@
 
 /// Updates.
 impl ObjectStore {
-    /// Applies an object if it is newer than the revision held; returns whether it was.
+    /// Applies an object if it is newer than the one held; returns whether anything changed.
     pub fn apply(&mut self, object: &ConfigurationObject) -> bool {
-        match self.objects.get(&object.key) {
-            Some(held) if !object.is_newer_than(held) => return false,
-            Some(_) => self.remove(&object.key),
-            // The object would be held if this were its newest revision; it was changed or
-            // deleted since.
-            None if object.revision <= self.complete_revision => return false,
-            None => {}
-        }
-        let entry = (object.revision, object.key.clone());
-        self.digest ^= object.digest();
-        self.highest_revision = self.highest_revision.max(object.revision);
-        if object.body.is_none() {
-            self.tombstones.insert(entry.clone());
-        }
-        self.by_revision.insert(entry);
-        self.objects.insert(object.key.clone(), object.clone());
+        self.merge(object).is_some()
+    }
+
+    /// Applies an object if it is newer than the one held; returns what the store holds then, if
+    /// that changed.
+    ///
+    /// Content of an earlier era whose version is ahead of that of the newer object is kept, at the
+    /// newer object's revision: the platform's store has forgotten it. This gives the same result in
+    /// any order.
+    pub fn merge(&mut self, object: &ConfigurationObject) -> Option<ConfigurationObject> {
+        // The object would be held if this were its newest revision; it was changed or deleted since.
+        let is_outdated = object.revision <= self.complete_revision
+            && self.get(&object.key).is_none()
+            && (object.body.is_some() || !self.objects.contains_key(&object.key));
+        if is_outdated { None } else { self.merge_listed(object) }
+    }
+
+    /// Applies an object like [`ObjectStore::merge`], even if everything up to its revision was taken
+    /// to be held: a watch may have withheld it.
+    fn merge_listed(&mut self, object: &ConfigurationObject) -> Option<ConfigurationObject> {
+        let merged = match self.objects.get(&object.key) {
+            Some(held) => merge_objects(held, object)?,
+            None => object.clone(),
+        };
+        self.remove(&object.key);
+        self.insert(merged.clone());
         self.prune_tombstones();
-        true
+        Some(merged)
     }
 
-    /// Applies a page that was requested with `after`; returns the objects that were new.
+    /// Applies a page that was requested with `after`; returns the objects that changed here.
     pub fn apply_delta(
         &mut self,
         after: Revision,
         delta: &ObjectDelta,
     ) -> Vec<ConfigurationObject> {
-        let new_objects: Vec<ConfigurationObject> =
-            delta.objects.iter().filter(|object| self.apply(object)).cloned().collect();
+        let changes: Vec<ConfigurationObject> =
+            delta.objects.iter().filter_map(|object| self.merge(object)).collect();
         if after <= self.complete_revision && !delta.too_old {
             self.advance_complete_revision(delta.scanned_revision.min(delta.complete_revision));
         }
-        new_objects
+        changes
     }
 
     /// Applies a full listing: objects that it lacks are removed unless they changed after it, or
-    /// the listing keeps them.
+    /// the listing keeps them. Returns what changed here.
     ///
-    /// Returns tombstones of the removed objects. They carry the revision of the listing, as those
-    /// of the deletions are not known.
+    /// Tombstones of removed objects carry the revision of the listing, as those of the deletions
+    /// are not known.
     pub fn apply_listing(&mut self, listing: &ObjectListing) -> Vec<ConfigurationObject> {
-        let is_deleted = |object: &&ConfigurationObject| {
-            !listing.keeps_missing
-                && object.revision <= listing.complete_revision
+        let revision = listing.complete_revision;
+        let is_missing = |object: &&ConfigurationObject| {
+            object.body.is_some()
+                && object.revision <= carried(revision)
                 && !listing.objects.contains_key(&object.key)
         };
-        let deleted: Vec<ConfigurationObject> =
-            self.objects.values().filter(is_deleted).cloned().collect();
-        deleted.iter().for_each(|object| self.remove(&object.key));
-        let tombstones: Vec<ConfigurationObject> = deleted
-            .into_iter()
-            .filter(|object| object.body.is_some())
-            .map(|object| object.into_tombstone(listing.complete_revision))
-            .collect();
-        for object in tombstones.iter().chain(listing.objects.values()) {
-            self.apply(object);
-        }
+        let missing: Vec<ConfigurationObject> = match listing.keeps_missing {
+            true => Vec::new(),
+            false => self.objects.values().filter(is_missing).cloned().collect(),
+        };
+        let era_start = carried(revision_in_era(era_of(revision), 0));
+        let remnants = missing.into_iter().map(|object| {
+            let is_unwritten = object.revision <= era_start && era_of(revision) > 0;
+            match listing.keeps_earlier_eras && is_unwritten {
+                true => object.carried_over(era_start),
+                false => object.into_tombstone(revision),
+            }
+        });
+        let remnants: Vec<ConfigurationObject> = remnants.collect();
+        let objects = remnants.iter().chain(listing.objects.values());
+        let changes: Vec<ConfigurationObject> =
+            objects.filter_map(|object| self.merge_listed(object)).collect();
         // A listing contains no tombstones, so deletions before it are not known here.
-        if listing.complete_revision > self.complete_revision && !listing.keeps_missing {
-            self.advance_complete_revision(listing.complete_revision);
+        if revision > self.complete_revision && !listing.keeps_missing {
+            self.advance_complete_revision(revision);
             self.pruned_revision = self.complete_revision;
         }
-        tombstones
+        changes
     }
 
     /// Records that everything up to `revision` is held.
@@ -166,6 +180,18 @@
         self.complete_revision = self.complete_revision.max(revision.min(self.highest_revision));
     }
 
+    /// Adds an object whose key is not held.
+    fn insert(&mut self, object: ConfigurationObject) {
+        let entry = (object.revision, object.key.clone());
+        self.digest ^= object.digest();
+        self.highest_revision = self.highest_revision.max(object.revision);
+        if object.body.is_none() {
+            self.tombstones.insert(entry.clone());
+        }
+        self.by_revision.insert(entry);
+        self.objects.insert(object.key.clone(), object);
+    }
+
     /// Removes an object without leaving a tombstone.
     fn remove(&mut self, key: &ObjectKey) {
         if let Some(held) = self.objects.remove(key) {
@@ -189,3 +215,22 @@
         }
     }
 }
+
+/// Returns the object that replaces `held` once `object` of the same key is known; `None` if `held`
+/// stays.
+fn merge_objects(
+    held: &ConfigurationObject,
+    object: &ConfigurationObject,
+) -> Option<ConfigurationObject> {
+    let mut object = object.clone();
+    if object.body.is_none() && object.version == 0 && object.revision > held.revision {
+        // A watch reports a deletion without the content, which is the one held.
+        object.version = held.version | TOMBSTONE_MARK;
+    }
+    let (older, newer) = if object.is_newer_than(held) { (held, &object) } else { (&object, held) };
+    let merged = match older.outlasts(newer) {
+        true => older.carried_over(newer.revision),
+        false => newer.clone(),
+    };
+    (merged != *held).then_some(merged)
+}
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -112,7 +112,7 @@
 pub(crate) fn object(name: &str, revision: Revision, body: Option<&str>) -> ConfigurationObject {
     let body = body.map(|text| text.as_bytes().to_vec().into());
     let key = ObjectKey { kind: ObjectKind::Contracts, name: name.into() };
-    ConfigurationObject { key, revision, body }
+    ConfigurationObject { key, revision, version: 0, body }
 }
 
 impl Fleet {
--- a/crates/policy/tests/listing.rs
+++ b/crates/policy/tests/listing.rs
@@ -19,7 +19,7 @@
 
 fn object(name: &str, revision: u64) -> ConfigurationObject {
     let key = ObjectKey { kind: ObjectKind::Routes, name: name.into() };
-    ConfigurationObject { key, revision, body: Some("{}".into()) }
+    ConfigurationObject { key, revision, version: 0, body: Some("{}".into()) }
 }
 
 fn vm(name: &str) -> PlatformVm {
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -154,6 +154,7 @@
             kind: object.key.kind.as_str().to_owned(),
             name: object.key.name.to_string(),
             revision: object.revision,
+            version: object.version,
             deleted: object.body.is_none(),
             body: object.body.as_deref().unwrap_or_default().to_vec(),
         }
@@ -179,6 +180,7 @@
                 name: object.name.as_str().into(),
             },
             revision: object.revision,
+            version: object.version,
             body,
         })
     }
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -105,6 +105,9 @@
     /// JSON of the object.
     #[prost(bytes = "vec", tag = "5")]
     pub body: ::prost::alloc::vec::Vec<u8>,
+    /// Position of the content in the object's history; 0 if there is none.
+    #[prost(uint64, tag = "6")]
+    pub version: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchObjectsRequest {
