feat(ctl): show why a target gets no requests

oleanderctl routing lists whether a target leaves by its own word and what is left of the pause that it asked for; the admin API told both already.

--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -32,8 +32,14 @@
         );
         for target in &self.targets {
             let failing = if target.is_failing { ", failing" } else { "" };
+            let leaving = if target.is_leaving { ", leaving by its own word" } else { "" };
+            let paused = match target.paused_ms {
+                0 => String::new(),
+                rest => format!(", paused for {rest} ms"),
+            };
             text += &format!(
-                "{} {} in {}: {:?}{failing}, {} of {} calls open, {} extra calls left\n",
+                "{} {} in {}: {:?}{failing}{leaving}{paused}, {} of {} calls open, \
+                 {} extra calls left\n",
                 target.service,
                 target.target,
                 target.failure_domain,
