feat(daemon,ctl): show the age of the platform's last word by kind

The log could not tell a call that was sent into an outage from one whose answer was lost, and nothing showed that a VM had no word of a kind. 'watch failed', 'dependency unavailable' and 'available again' now say silent_ms, a gauge and 'oleanderctl fleet' show the age by kind.

--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -95,6 +95,9 @@
                 member.phase,
                 member.revision
             );
+            for (kind, age_ms) in &member.word_ages_ms {
+                write_line!(text, "  last word about {kind:<12} {age_ms:>7} ms ago");
+            }
         }
         text
     }
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use oleanderwind_policy::ConfigurationObject;
@@ -26,9 +27,24 @@
 
 /// Updates from the platform.
 impl PeerService {
-    /// Records that the platform replied.
-    pub(crate) fn record_platform_contact(&self) {
-        self.state.borrow_mut().contact.record_contact(Instant::now());
+    /// Records that the platform answered about these kinds.
+    pub(crate) fn record_platform_word(&self, kinds: &[ObjectKind]) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        state.contact.record_contact(now);
+        for kind in kinds {
+            state.news.record_word(*kind, now);
+        }
+    }
+
+    /// Records that this VM watches the platform no more.
+    pub(crate) fn forget_platform_words(&self) {
+        self.state.borrow_mut().news.forget();
+    }
+
+    /// Returns the age of the platform's last word about the kind that has waited longest.
+    pub(crate) fn oldest_word_age(&self) -> Option<Duration> {
+        self.state.borrow().news.oldest_age(Instant::now())
     }
 
     /// Applies a full listing from the platform and gossips the objects that were new.
--- a/crates/daemon/src/peers/metrics.rs
+++ b/crates/daemon/src/peers/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics of the control plane.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::ContactState;
 use oleanderwind_policy::MemberState;
@@ -32,6 +35,7 @@
     revision: Gauge<u64>,
     members: Gauge<u64>,
     contact: Gauge<u64>,
+    word_age: Gauge<f64>,
 }
 
 impl PeerMetrics {
@@ -45,6 +49,7 @@
             revision: meter.u64_gauge("oleanderwind_revision").build(),
             members: meter.u64_gauge("oleanderwind_members").build(),
             contact: meter.u64_gauge("oleanderwind_contact").build(),
+            word_age: meter.f64_gauge("oleanderwind_platform_word_age_ms").build(),
         }
     }
 
@@ -62,6 +67,14 @@
         self.propagation.record(epoch_milliseconds().saturating_sub(edited_ms) as f64, &[]);
     }
 
+    /// Records the ages of the platform's last words by kind.
+    pub(crate) fn record_word_ages(&self, ages: &BTreeMap<ObjectKind, Duration>) {
+        for (kind, age) in ages {
+            let kind = KeyValue::new("kind", kind.as_str());
+            self.word_age.record(age.as_secs_f64() * 1_000.0, &[kind]);
+        }
+    }
+
     /// Records the state of the fleet in this VM's view.
     pub(crate) fn record_fleet(
         &self,
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -17,6 +17,7 @@
 use oleanderwind_policy::MemberRecord;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
+use oleanderwind_policy::NewsTracker;
 use oleanderwind_policy::ReadinessGate;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -44,6 +45,7 @@
     pub(crate) gossip: GossipEngine,
     pub(crate) readiness: ReadinessGate,
     pub(crate) contact: ContactTracker,
+    pub(crate) news: NewsTracker,
     pub(crate) drains: DrainTable,
 }
 
@@ -214,6 +216,7 @@
         gossip: GossipEngine::default(),
         readiness: ReadinessGate::default(),
         contact: ContactTracker::new(now),
+        news: NewsTracker::default(),
         drains: DrainTable::default(),
     }
 }
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -1,5 +1,6 @@
 //! This VM's view of the fleet.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -23,6 +24,7 @@
 use crate::peers::metrics::member_state_label;
 use crate::peers::service::PeerService;
 use crate::peers::service::PeerState;
+use crate::time::milliseconds;
 
 /// Queries by other services.
 impl PeerService {
@@ -57,12 +59,16 @@
     pub(crate) fn fleet(&self) -> Vec<FleetMember> {
         let state = self.state.borrow();
         let revision = state.gossip.store().summary().highest_revision;
+        let ages = state.news.ages(Instant::now()).into_iter();
+        let word_ages_ms =
+            ages.map(|(kind, age)| (kind.as_str().to_owned(), milliseconds(age))).collect();
         let member = |record: &MemberRecord, phase: &str, held: u64| FleetMember {
             vm: record.vm.to_string(),
             failure_domain: record.failure_domain.to_string(),
             phase: phase.to_owned(),
             revision: held,
             is_lagging: held < revision,
+            word_ages_ms: BTreeMap::new(),
         };
         let own = state.membership.own();
         let own_phase = match own.phase {
@@ -73,7 +79,8 @@
         let others = state.membership.table().iter();
         let others = others
             .map(|(record, state)| member(record, member_state_label(state), record.revision));
-        std::iter::once(member(own, own_phase, revision)).chain(others).collect()
+        let own = FleetMember { word_ages_ms, ..member(own, own_phase, revision) };
+        std::iter::once(own).chain(others).collect()
     }
 
     /// Returns how far this VM's configuration can be trusted to be current.
@@ -167,6 +174,7 @@
             state.membership.table().iter().map(|(_, member_state)| member_state).collect();
         let revision = state.gossip.store().summary().highest_revision;
         self.metrics.record_fleet(revision, contact, &member_states);
+        self.metrics.record_word_ages(&state.news.ages(Instant::now()));
     }
 }
 
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -118,6 +118,7 @@
             if self.directory.is_configured() && !self.peers.is_watch_holder() {
                 // Gossip keeps the store up to date; the next watch starts at its revision.
                 revisions = None;
+                self.peers.forget_platform_words();
                 tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
                 continue;
             }
@@ -179,7 +180,7 @@
                 return true;
             }
         };
-        self.record_contact();
+        self.record_contact(&[ObjectKind::Vms]);
         let objects = list.items.iter();
         let objects: Vec<ConfigurationObject> =
             objects.map(|object| configuration_object(ObjectKind::Vms, object)).collect();
@@ -251,7 +252,7 @@
             Ok::<_, PlatformError>(KindListing { kind, revision, objects: objects.collect() })
         });
         let lists = try_join_all(lists).await?;
-        self.record_contact();
+        self.record_contact(self.platform.kinds());
         let revision = lists.iter().map(|list| list.revision).min().unwrap_or(0);
         let era = era_of(revision);
         if lists.iter().any(|list| era_of(list.revision) != era) {
@@ -293,11 +294,15 @@
         let events = self.platform.watch(platform_kind(kind), after).await?;
         let mut batches = events.ready_chunks(MAX_BATCH_EVENTS);
         while let Some(batch) = batches.next().await {
-            self.record_contact();
+            // The last item of a batch may be the failure that ends the watch.
+            if batch.first().is_some_and(Result::is_ok) {
+                self.record_contact(&[kind]);
+            }
             self.apply_batch(own, all, batch).inspect_err(|error| {
                 log::info!(
                     kind = kind.as_str(),
-                    after = own.revision.get();
+                    after = own.revision.get(),
+                    silent_ms = self.word_age_ms();
                     "watch failed: {error}"
                 );
             })?;
@@ -345,13 +350,19 @@
         result
     }
 
-    /// Records that the platform replied; logs the end of an outage.
-    fn record_contact(&self) {
-        self.peers.record_platform_contact();
+    /// Records that the platform answered about these kinds; logs the end of an outage.
+    fn record_contact(&self, kinds: &[ObjectKind]) {
+        let silent_ms = self.word_age_ms();
+        self.peers.record_platform_word(kinds);
         self.update_outages(|outages| outages.record_contact(Instant::now()));
         if let Some(since) = self.unreachable_since.take() {
             let outage_ms = milliseconds(since.elapsed());
-            log::info!(dependency = "platform", away_ms = outage_ms; "dependency available again");
+            log::info!(
+                dependency = "platform",
+                away_ms = outage_ms,
+                silent_ms = silent_ms;
+                "dependency available again"
+            );
         }
     }
 
@@ -367,11 +378,17 @@
         log::warn!(
             dependency = "platform",
             revision = self.peers.complete_revision(),
+            silent_ms = self.word_age_ms(),
             next_try_ms = milliseconds(wait);
             "dependency unavailable: {error}"
         );
     }
 
+    /// Returns the age of the platform's last word about the kind that has waited longest.
+    fn word_age_ms(&self) -> u64 {
+        milliseconds(self.peers.oldest_word_age().unwrap_or_default())
+    }
+
     /// Reports the lowest revision of all watches, up to which the configuration is complete unless
     /// entries that vanished are kept.
     fn report_progress(&self, all: &[WatchProgress]) {
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -1,5 +1,7 @@
 //! Status of VMs, contracts and routes.
 
+use std::collections::BTreeMap;
+
 use oleanderwind_policy::CustomerId;
 use oleanderwind_policy::IndexVersion;
 use oleanderwind_policy::Revision;
@@ -102,6 +104,10 @@
     pub revision: Revision,
     /// Whether `revision` is below that of the responding VM.
     pub is_lagging: bool,
+    /// Age of the platform's last word by kind of object, in milliseconds, of the responding VM if
+    /// it watches the platform. A VM knows only its own.
+    #[serde(default)]
+    pub word_ages_ms: BTreeMap<String, u64>,
 }
 
 /// Results of one request class on the responding VM, measured against the contract.
