fix(policy,daemon,platform): end the calls of watches in turn, within the limit of a change

A lone VM whose open watch call is lost, by whatever fault, heard nothing for the rest of its wait, 26 s with an unknown history. All VMs wake by the same change, so all their calls wait over the same time.

Now a watch call waits n times the limit (change-limit-ms, leave-limit-ms, less a second for the answer) among n watch holders, and ends at the VM's turn by the time of day: a call about each kind ends once in each limit, and what one VM hears reaches the others as gossip. A VM that hears no peer takes itself for alone and begins its watches anew. The VM list keeps its long waits: it has no limit of its own.

Test: news::lost_watch_of_a_lone_vm_is_replaced_within_the_change_limit fails before ('condition not met within 15s'); policy news::pace_* show the turns for fleets of 1 to 32 holders. idle_vm_makes_no_calls_beyond_its_waiting_watches counted on waits that never end within 2 s, which is not so any more. It now takes two windows of 2 s, of which one has no call and both together at most one a kind; a VM that polls in 2 s or less fails it as before.

--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -12,6 +12,7 @@
 pub use platform::ObjectKind;
 pub use platform::PlatformClient;
 pub use platform::PlatformError;
+pub use platform::WatchHold;
 pub use platform::WatchStream;
 pub(crate) use platform::platform_kind;
 pub(crate) use reply::announced_length;
--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -1,6 +1,8 @@
 //! Interface to the platform's Object API.
 
 use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
@@ -107,6 +109,9 @@
 /// Events of a watch; ends when the platform closes the watch or the connection breaks.
 pub type WatchStream = LocalBoxStream<'static, Result<WatchEvent, PlatformError>>;
 
+/// Returns how long the platform may hold the next call of a watch open while nothing changes.
+pub type WatchHold = Rc<dyn Fn() -> Duration>;
+
 /// Client of the Object API.
 pub trait PlatformClient {
     /// Returns the kinds of configuration objects that the platform stores.
@@ -144,10 +149,12 @@
         object: &'a ObjectDocument,
     ) -> LocalBoxFuture<'a, Result<ObjectDocument, PlatformError>>;
 
-    /// Watches the changes after a revision.
+    /// Watches the changes after a revision. A watch that waits for changes in one call after the
+    /// other asks `hold` before each; one whose calls have a fixed duration need not.
     fn watch(
         &self,
         kind: ObjectKind,
         after: Revision,
+        hold: WatchHold,
     ) -> LocalBoxFuture<'_, Result<WatchStream, PlatformError>>;
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 pub use edge::PlatformError;
 pub use edge::ReplyMetadata;
 pub use edge::TargetNotice;
+pub use edge::WatchHold;
 pub use edge::WatchStream;
 pub use front::RefusalKind;
 pub use logging::BufferedLines;
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -42,6 +42,12 @@
         self.state.borrow_mut().news.forget();
     }
 
+    /// Returns the age of the platform's last word about the kind that has waited longest of those whose
+    /// changes have a limit.
+    pub(crate) fn oldest_limited_word_age(&self) -> Option<Duration> {
+        self.state.borrow().news.oldest_limited_age(Instant::now())
+    }
+
     /// Returns the age of the platform's last word about the kind that has waited longest.
     pub(crate) fn oldest_word_age(&self) -> Option<Duration> {
         self.state.borrow().news.oldest_age(Instant::now())
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -162,6 +162,7 @@
         let action = {
             let mut state = self.state.borrow_mut();
             state.contact.record_contact(now);
+            state.news.record_peer(now);
             if message.sender.phase == MemberPhase::Serving {
                 state.readiness.record_peer(&message.sender.vm, message.summary.complete_revision);
             }
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -11,6 +11,7 @@
 use oleanderwind_policy::MemberState;
 use oleanderwind_policy::ShardPlacement;
 use oleanderwind_policy::VmId;
+use oleanderwind_policy::WatchPosition;
 use oleanderwind_policy::most_capable;
 use oleanderwind_policy::rank_holders_for_caller;
 use oleanderwind_policy::select_vms_for_caller;
@@ -129,6 +130,15 @@
         self.contact_state() != ContactState::Fresh
             || self.state.borrow().membership.is_watch_holder()
     }
+
+    /// Returns this VM's place among the watch holders, alone while it hears no peer.
+    pub(crate) fn watch_position(&self) -> WatchPosition {
+        let state = self.state.borrow();
+        match state.news.hears_peers(Instant::now()) {
+            true => state.membership.watch_position(),
+            false => WatchPosition::ALONE,
+        }
+    }
 }
 
 /// Queries within this service.
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -25,6 +25,7 @@
 use crate::edge::ObjectKind;
 use crate::edge::PlatformClient;
 use crate::edge::PlatformError;
+use crate::edge::WatchHold;
 use crate::edge::WatchStream;
 use crate::edge::announced_length;
 use crate::platform::watch_events::WatchEventDecoder;
@@ -151,6 +152,7 @@
         &self,
         kind: ObjectKind,
         after: Revision,
+        _hold: WatchHold,
     ) -> LocalBoxFuture<'_, Result<WatchStream, PlatformError>> {
         let url = format!(
             "{}/{}?watch=1&resourceVersion={after}&timeoutSeconds={}",
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -32,6 +32,8 @@
 /// Part of the shutdown grace period that is reserved for the last message to peers and the exit
 /// of the process.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which any change of the platform's objects takes effect by default, in milliseconds.
+const DEFAULT_NEWS_LIMIT_MS: u32 = 13_000;
 /// Fraction of the shutdown grace period in which requests are still accepted.
 const NOTICE_FRACTION: f64 = 0.6;
 /// The number one, in thousandths.
@@ -96,6 +98,10 @@
     pub platform_retry: Duration,
     /// How long the platform keeps its history of changes.
     pub platform_history: Option<Duration>,
+    /// Time in which a change of configuration takes effect.
+    pub change_limit: Duration,
+    /// Time after which a target that has told the platform that it leaves gets no calls.
+    pub leave_limit: Duration,
     /// Whether the whole fleet starts for the first time, so that no VM is listed yet.
     pub is_first_start: bool,
     /// Maximum level of the log lines that are written.
@@ -185,6 +191,18 @@
                 "--platform-history-ms",
                 &mut findings,
             ),
+            change_limit: duration(
+                &raw.change_limit_ms,
+                "--change-limit-ms",
+                DEFAULT_NEWS_LIMIT_MS,
+                &mut findings,
+            ),
+            leave_limit: duration(
+                &raw.leave_limit_ms,
+                "--leave-limit-ms",
+                DEFAULT_NEWS_LIMIT_MS,
+                &mut findings,
+            ),
             is_first_start: parsed(
                 &raw.first_start,
                 "--first-start",
@@ -241,6 +259,8 @@
         writeln!(f, "platform-retry-ms={}", milliseconds(self.platform_retry))?;
         let history = self.platform_history.map(milliseconds);
         writeln!(f, "platform-history-ms={}", text_or_none(history))?;
+        writeln!(f, "change-limit-ms={}", milliseconds(self.change_limit))?;
+        writeln!(f, "leave-limit-ms={}", milliseconds(self.leave_limit))?;
         writeln!(f, "first-start={}", self.is_first_start)?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_lowercase())?;
         writeln!(f, "seed={}", self.seed)
@@ -248,6 +268,11 @@
 }
 
 impl DaemonSettings {
+    /// Returns the time in which any change of the platform's objects has to take effect.
+    pub fn news_limit(&self) -> Duration {
+        self.change_limit.min(self.leave_limit)
+    }
+
     /// Returns how long a shutdown goes on serving, and how long it then waits for open requests.
     ///
     /// Until all VMs know that this one is leaving, callers still get its address, and they use it
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -103,6 +103,13 @@
     /// milliseconds for which the platform keeps its history of changes; default: unknown
     #[argh(option)]
     pub platform_history_ms: Option<String>,
+    /// milliseconds in which a change of configuration takes effect; default: 13000
+    #[argh(option)]
+    pub change_limit_ms: Option<String>,
+    /// milliseconds after which a target that has told the platform that it leaves gets no calls;
+    /// default: 13000
+    #[argh(option)]
+    pub leave_limit_ms: Option<String>,
     /// whether the whole fleet starts for the first time, so that no VM is listed yet: true or
     /// false; default: false
     #[argh(option)]
@@ -203,6 +210,8 @@
             ("STOP_GRACE_MS", &mut self.stop_grace_ms),
             ("PLATFORM_RETRY_MS", &mut self.platform_retry_ms),
             ("PLATFORM_HISTORY_MS", &mut self.platform_history_ms),
+            ("CHANGE_LIMIT_MS", &mut self.change_limit_ms),
+            ("LEAVE_LIMIT_MS", &mut self.leave_limit_ms),
             ("FIRST_START", &mut self.first_start),
             ("SETTINGS_FILE", &mut self.settings_file),
             ("LOG_LEVEL", &mut self.log_level),
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -19,6 +19,8 @@
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WatchBackoff;
+use oleanderwind_policy::WatchPace;
+use oleanderwind_policy::WatchPosition;
 use oleanderwind_policy::era_of;
 use oleanderwind_wire::WatchEvent;
 use oleanderwind_wire::WatchKind;
@@ -26,6 +28,7 @@
 use crate::directory::ChangeSource;
 use crate::directory::DirectoryService;
 use crate::edge::PlatformError;
+use crate::edge::WatchHold;
 use crate::edge::platform_kind;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
@@ -33,6 +36,7 @@
 use crate::peers::configuration_object;
 use crate::platform::PlatformService;
 use crate::sync::registration::RegistrationTask;
+use crate::time::epoch_milliseconds;
 use crate::time::milliseconds;
 
 /// Interval at which a VM checks whether it should hold watches.
@@ -61,6 +65,7 @@
     platform: Rc<PlatformService>,
     peers: Rc<PeerService>,
     directory: Rc<DirectoryService>,
+    pace: WatchPace,
     /// Whether the fleet starts for the first time, so that no VM is listed yet.
     is_first_start: bool,
     /// When calls to the platform began to fail; `None` while they succeed.
@@ -82,6 +87,10 @@
             platform: kernel.platform()?,
             peers: kernel.peers()?,
             directory: kernel.directory()?,
+            pace: WatchPace::new(
+                kernel.settings().news_limit(),
+                kernel.settings().platform_history,
+            ),
             is_first_start: kernel.settings().is_first_start,
             unreachable_since: Cell::new(None),
             outages: Cell::new(OutageTracker::new(kernel.settings().lapse_hold)),
@@ -132,6 +141,8 @@
                         must_list = true;
                         continue;
                     }
+                    // The watches begin anew with calls that do not wait.
+                    () = self.wait_for_lone_silence() => continue,
                 },
                 None => self.list_all().await,
             };
@@ -207,6 +218,16 @@
         }
     }
 
+    /// Waits until this VM hears no peer, and the platform has been silent for longer than the calls
+    /// of a lone VM wait. Its open calls may wait longer, as they began among peers.
+    async fn wait_for_lone_silence(&self) {
+        let limit = self.pace.lone_silence_limit();
+        let is_silent = || self.peers.oldest_limited_word_age().is_some_and(|age| age > limit);
+        while !(self.peers.watch_position() == WatchPosition::ALONE && is_silent()) {
+            tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns whether entries that vanish are kept, as the platform was away until recently.
     fn holds_removals(&self) -> bool {
         self.outages.get().holds_removals(Instant::now())
@@ -284,6 +305,15 @@
         Ok(progress.iter().map(|own| (own.kind, own.revision.get())).collect())
     }
 
+    /// Returns how long the platform may hold the next call of a watch open.
+    fn watch_hold(&self, kind: ObjectKind) -> WatchHold {
+        let (pace, peers) = (self.pace, self.peers.clone());
+        Rc::new(move || {
+            let time_of_day = Duration::from_millis(epoch_milliseconds());
+            pace.hold(kind, peers.watch_position(), time_of_day)
+        })
+    }
+
     /// Watches one kind until its watch ends or fails.
     async fn watch_one(
         &self,
@@ -291,7 +321,7 @@
         all: &[WatchProgress],
     ) -> Result<(), PlatformError> {
         let (kind, after) = (own.kind, own.revision.get());
-        let events = self.platform.watch(platform_kind(kind), after).await?;
+        let events = self.platform.watch(platform_kind(kind), after, self.watch_hold(kind)).await?;
         let mut batches = events.ready_chunks(MAX_BATCH_EVENTS);
         while let Some(batch) = batches.next().await {
             // The last item of a batch may be the failure that ends the watch.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -142,6 +142,8 @@
         stop-grace-ms=(none)
         platform-retry-ms=10000
         platform-history-ms=(none)
+        change-limit-ms=13000
+        leave-limit-ms=13000
         first-start=false
         log-level=info
         seed=4858201782971753306
@@ -153,7 +155,7 @@
 fn from_args_explains_every_flag() {
     let help = RawSettings::from_args(&["oleanderwindd"], &["--help"]).unwrap_err().output;
     expect![[r#"
-        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
+        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
 
         Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 
@@ -214,6 +216,10 @@
           --platform-history-ms
                             milliseconds for which the platform keeps its history of
                             changes; default: unknown
+          --change-limit-ms milliseconds in which a change of configuration takes
+                            effect; default: 13000
+          --leave-limit-ms  milliseconds after which a target that has told the platform
+                            that it leaves gets no calls; default: 13000
           --first-start     whether the whole fleet starts for the first time, so that
                             no VM is listed yet: true or false; default: false
           --settings-file   file with lines of name=value, reloaded on SIGHUP and when
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -102,6 +102,8 @@
 pub use membership::PlatformVm;
 pub use membership::ProbePlan;
 pub use news::NewsTracker;
+pub use news::WatchPace;
+pub use news::WatchPosition;
 pub use objects::ConfigurationObject;
 pub use objects::ContactState;
 pub use objects::ContactTracker;
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -12,6 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::ExchangeMessage;
+use crate::FailureDomainId;
 use crate::MemberPhase;
 use crate::MemberRecord;
 use crate::MemberState;
@@ -21,6 +22,7 @@
 use crate::PlatformVm;
 use crate::ProbePlan;
 use crate::VmId;
+use crate::WatchPosition;
 use crate::membership::update_queue::UpdateQueue;
 use crate::most_capable;
 use crate::watch_holders;
@@ -141,6 +143,27 @@
         watch_holders(&self.own.failure_domain, &capable).contains(&self.own.vm)
     }
 
+    /// Returns this VM's place among the watch holders of all failure domains.
+    ///
+    /// A VM that should hold no watch is in the place of the first.
+    pub fn watch_position(&self) -> WatchPosition {
+        let mut domains: BTreeMap<&FailureDomainId, Vec<&MemberRecord>> = BTreeMap::new();
+        let serving = self.table.iter().filter(|(_, state)| *state == MemberState::Serving);
+        for record in serving.map(|(record, _)| record).chain([&self.own]) {
+            domains.entry(&record.failure_domain).or_default().push(record);
+        }
+        let holders_of = |(domain, vms): (&FailureDomainId, Vec<&MemberRecord>)| {
+            let capable = most_capable(&vms).into_iter();
+            let capable: Vec<VmId> = capable.map(|record| record.vm.clone()).collect();
+            let mut holders = watch_holders(domain, &capable);
+            holders.sort_unstable();
+            holders
+        };
+        let holders: Vec<VmId> = domains.into_iter().flat_map(holders_of).collect();
+        let rank = holders.iter().position(|vm| *vm == self.own.vm).unwrap_or(0);
+        WatchPosition { rank, holders: holders.len().max(1) }
+    }
+
     /// Returns the other serving VMs of this VM's failure domain.
     fn domain_peers(&self) -> impl Iterator<Item = &MemberRecord> {
         let serving = self.table.iter().filter(|(record, state)| {
--- a/crates/policy/src/news/mod.rs
+++ b/crates/policy/src/news/mod.rs
@@ -3,6 +3,10 @@
 //! A watch that waits in vain looks like a quiet platform. What tells them apart is the age of the
 //! platform's last word about a kind of object: any answer about it, also one without changes.
 
+mod pace;
+mod position;
 mod tracker;
 
+pub use pace::WatchPace;
+pub use position::WatchPosition;
 pub use tracker::NewsTracker;
--- a/crates/policy/src/news/tracker.rs
+++ b/crates/policy/src/news/tracker.rs
@@ -6,10 +6,15 @@
 
 use crate::ObjectKind;
 
+/// Time without a word from any peer after which a VM takes itself for alone. In this time it sends
+/// and gets six heartbeats.
+const PEER_SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Tracks when the platform last answered about each kind of object, while this VM asks it.
 #[derive(Clone, Debug, Default)]
 pub struct NewsTracker {
     words: BTreeMap<ObjectKind, Instant>,
+    peer_heard_at: Option<Instant>,
 }
 
 impl NewsTracker {
@@ -18,6 +23,16 @@
         self.words.insert(kind, now);
     }
 
+    /// Records a message of a peer.
+    pub fn record_peer(&mut self, now: Instant) {
+        self.peer_heard_at = Some(now);
+    }
+
+    /// Returns whether peers tell this VM what they hear.
+    pub fn hears_peers(&self, now: Instant) -> bool {
+        self.peer_heard_at.is_some_and(|at| now < at + PEER_SILENCE_LIMIT)
+    }
+
     /// Forgets all words, as this VM does not ask the platform any more.
     pub fn forget(&mut self) {
         self.words.clear();
@@ -29,6 +44,13 @@
         self.words.iter().map(|(kind, at)| (*kind, age(at))).collect()
     }
 
+    /// Returns the age of the last word about the kind that has waited longest, among the kinds whose
+    /// changes have to take effect within a limit.
+    pub fn oldest_limited_age(&self, now: Instant) -> Option<Duration> {
+        let limited = self.ages(now).into_iter().filter(|(kind, _)| *kind != ObjectKind::Vms);
+        limited.map(|(_, age)| age).max()
+    }
+
     /// Returns the age of the last word about the kind that has waited longest.
     pub fn oldest_age(&self, now: Instant) -> Option<Duration> {
         self.ages(now).into_values().max()
