fix(policy,daemon): begin watches anew when peers are ahead of them

The summaries of peers show that they hold changes that this VM's own watches should have brought. Once that lasts 500 ms, longer than a watch pauses after changes, the watches begin anew, with calls that do not wait; once for each revision, as no watch brings what only peers hold.

--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -110,6 +110,12 @@
         self.refresh_derived_state();
     }
 
+    /// Returns the revision up to which peers hold changes that this VM's watches should have brought,
+    /// once for each revision.
+    pub(crate) fn begin_watch_check(&self) -> Option<Revision> {
+        self.state.borrow_mut().gossip.begin_watch_check(Instant::now())
+    }
+
     /// Returns the newest era of the platform's store that this VM has heard of, from the store or
     /// from peers.
     pub(crate) fn store_era(&self) -> Era {
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -143,6 +143,7 @@
                     }
                     // The watches begin anew with calls that do not wait.
                     () = self.wait_for_lone_silence() => continue,
+                    () = self.wait_for_lead_of_peers() => continue,
                 },
                 None => self.list_all().await,
             };
@@ -228,6 +229,23 @@
         }
     }
 
+    /// Waits until peers hold changes that this VM's watches should have brought.
+    async fn wait_for_lead_of_peers(&self) {
+        loop {
+            if let Some(revision) = self.peers.begin_watch_check() {
+                let held = self.peers.complete_revision();
+                log::info!(
+                    revision = revision,
+                    held = held,
+                    silent_ms = self.word_age_ms();
+                    "peers are ahead of the watches, which begin anew"
+                );
+                return;
+            }
+            tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns whether entries that vanish are kept, as the platform was away until recently.
     fn holds_removals(&self) -> bool {
         self.outages.get().holds_removals(Instant::now())
--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -28,6 +28,10 @@
 /// domain in this time.
 const CROSS_DOMAIN_PULL_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time for which peers may hold changes that this VM's own watches have not brought, before these
+/// count as lost. A watch pauses for less after changes.
+const PEER_LEAD_LIMIT: Duration = Duration::from_millis(500);
+
 /// Network call for the driver to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GossipAction {
@@ -74,6 +78,8 @@
     listing: Option<ObjectListing>,
     /// Consecutive pulls that brought nothing, although the peer held other objects.
     fruitless_pulls: u32,
+    /// Revision for which the watches were checked last.
+    checked_revision: Revision,
 }
 
 impl GossipEngine {
@@ -130,6 +136,18 @@
         self.store.advance_complete_revision(revision);
     }
 
+    /// Returns the revision up to which a peer holds changes that this VM lacks, once this VM's watches
+    /// should have brought them: they may be lost and have to begin anew.
+    ///
+    /// Returns each revision once, as no watch brings what only peers hold.
+    pub fn begin_watch_check(&mut self, now: Instant) -> Option<Revision> {
+        let missing = self.missing.filter(|missing| {
+            now >= missing.since + PEER_LEAD_LIMIT && missing.revision > self.checked_revision
+        })?;
+        self.checked_revision = missing.revision;
+        Some(missing.revision)
+    }
+
     /// Compares a peer's summary with this VM's and starts a pull if changes may be missing.
     ///
     /// Traffic between failure domains is expensive. A peer of another domain (`same_domain` is
--- a/crates/policy/tests/faults.rs
+++ b/crates/policy/tests/faults.rs
@@ -72,6 +72,25 @@
     }
 }
 
+/// Guards against a VM that is alone in its failure domain, whose watch is lost, and that learns of a
+/// departure only by the slow pulls between failure domains.
+#[test]
+fn lost_watch_of_the_only_vm_of_a_domain_is_replaced_when_peers_are_ahead() {
+    const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+    const LONE_VM: usize = 3;
+    for seed in 0..40 {
+        let mut settings = MembershipSettings::default();
+        settings.seed = seed;
+        let mut fleet = Fleet::with_domains(7, 4, settings);
+        fleet.run(Duration::from_secs(20));
+        fleet.nodes[LONE_VM].is_watch_lost = true;
+        let revision = fleet.write("late", Some("{}"));
+        let time = propagation_time(&mut fleet, "late", revision);
+        let is_in_time = time.is_some_and(|time| time <= LEAVE_LIMIT);
+        assert!(is_in_time, "seed {seed}: {time:?}, limit {LEAVE_LIMIT:?}");
+    }
+}
+
 #[test]
 fn watch_is_taken_over_when_its_holders_are_lost() {
     let mut fleet = fleet(70);
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -65,6 +65,8 @@
     generation: u64,
     backoff: WatchBackoff,
     watching_until: Option<Instant>,
+    /// Whether the open watch brings nothing more.
+    pub(crate) is_watch_lost: bool,
     next_holder_check: Instant,
 }
 
@@ -167,6 +169,7 @@
             generation,
             backoff: WatchBackoff::new(seed, Duration::from_secs(10), self.now),
             watching_until: None,
+            is_watch_lost: false,
             next_holder_check: self.now,
         }
     }
@@ -216,7 +219,8 @@
         let written = object(name, self.platform.revision, body);
         self.platform.log.push(written.clone());
         for node in 0..self.nodes.len() {
-            let is_open = self.nodes[node].watching_until.is_some();
+            let is_open =
+                self.nodes[node].watching_until.is_some() && !self.nodes[node].is_watch_lost;
             if is_open && self.nodes[node].alive && self.can_reach_platform(node) {
                 let (at, revision) = (self.delivery_time(), written.revision);
                 self.schedule(
@@ -332,6 +336,9 @@
             return;
         }
         let actions = node.members.tick(node.gossip.store().summary(), now);
+        if node.watching_until.is_some() && node.gossip.begin_watch_check(now).is_some() {
+            node.watching_until = None;
+        }
         self.send_membership(number, actions);
         self.schedule_tick(number);
         self.watch(number);
@@ -360,6 +367,7 @@
             return;
         }
         node.backoff.record_success(now);
+        node.is_watch_lost = false;
         node.watching_until = Some(now + node.backoff.watch_duration());
         let after = node.gossip.store().summary().complete_revision;
         let missed = self.platform.log.iter().filter(|object| object.revision > after);
