fix(http,daemon): bound what a message without an end may cost

The limits on bodies and heads did not hold everywhere.

A connection counts the bytes that it reads, whatever the parser accepts in that place: 32 KiB before a body, then 32 KiB and twice the body; at a listener twice the largest body and 512 KiB a call. Past that it is closed. Bodies of all targets' unfinished replies share 16 MiB beyond 4 KiB each.

--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use oleanderwind_http::ClientContext;
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientSettings;
-use oleanderwind_http::HeadObserver;
 use oleanderwind_http::HttpClient;
 use oleanderwind_policy::ConnectionShare;
+use oleanderwind_policy::TargetId;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
@@ -20,6 +21,8 @@
 /// Maximum wait for a late reply. After this time a target no longer counts an unresponsive
 /// connection.
 const LATE_REPLY_TIMEOUT: Duration = Duration::from_secs(35);
+/// Minimum interval between two log lines about one target's replies over their limit.
+const OVER_LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Settings of each connection. A reachable target accepts a connection within a few milliseconds,
 /// and the network latency is of the same order.
 const CONNECTION_SETTINGS: ClientSettings = ClientSettings {
@@ -42,9 +45,9 @@
     idle: RefCell<Vec<IdleConnection>>,
     /// Whether connections are closed after use, as the target leaves.
     is_retired: Cell<bool>,
-    head_observer: Option<HeadObserver>,
-    /// Number of connections opened so far, shared by all pools.
-    connects: Rc<Cell<u64>>,
+    context: ClientContext,
+    /// Time at which a reply over its limit was logged last.
+    over_limit_logged_at: Cell<Option<Instant>>,
 }
 
 /// A connection that is not in use.
@@ -66,12 +69,11 @@
 }
 
 impl TargetPool {
-    /// Returns a pool without connections; `head_observer` sees the head of each reply.
+    /// Returns a pool without connections, which share `context` with those of other pools.
     pub(crate) fn new(
         address: SocketAddr,
         share: ConnectionShare,
-        connects: Rc<Cell<u64>>,
-        head_observer: Option<HeadObserver>,
+        context: ClientContext,
     ) -> Rc<TargetPool> {
         let permits = |count: u32| Arc::new(Semaphore::new(count as usize));
         Rc::new(TargetPool {
@@ -81,8 +83,8 @@
             active_permits: permits(share.active),
             idle: RefCell::new(Vec::new()),
             is_retired: Cell::new(false),
-            head_observer,
-            connects,
+            context,
+            over_limit_logged_at: Cell::new(None),
         })
     }
 
@@ -136,6 +138,19 @@
         self.idle.borrow_mut().retain(|idle| idle.last_reply_at >= since);
     }
 
+    /// Logs that a reply exceeded its limit, once in [`OVER_LIMIT_LOG_INTERVAL`].
+    pub(crate) fn log_over_limit(&self, target: &TargetId) {
+        let now = Instant::now();
+        let is_recent = |at: Instant| now < at + OVER_LIMIT_LOG_INTERVAL;
+        if !self.over_limit_logged_at.get().is_some_and(is_recent) {
+            self.over_limit_logged_at.set(Some(now));
+            log::warn!(
+                target = target.as_ref();
+                "reply exceeds its limit, its connection is closed"
+            );
+        }
+    }
+
     /// Closes idle connections, and the others after their calls.
     pub(crate) fn retire(&self) {
         self.is_retired.set(true);
@@ -190,13 +205,7 @@
     }
 
     fn new_client(&self) -> HttpClient {
-        let observer = self.head_observer.clone();
-        HttpClient::with_head_observer(
-            self.address,
-            CONNECTION_SETTINGS,
-            self.connects.clone(),
-            observer,
-        )
+        HttpClient::with_context(self.address, CONNECTION_SETTINGS, self.context.clone())
     }
 
     fn check_out(
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -12,10 +12,12 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
+use oleanderwind_http::ClientContext;
 use oleanderwind_http::ClientError;
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientReply;
 use oleanderwind_http::HeadObserver;
+use oleanderwind_http::ReplyMemory;
 use oleanderwind_policy::CallId;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
@@ -41,6 +43,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum time since the last reply for which a connection is assumed to be alive.
 const LIVENESS_WINDOW: Duration = Duration::from_millis(500);
+/// Maximum memory of the bodies of unfinished replies beyond 4 KiB each, of all targets, in bytes. The
+/// smallest VMs have 160 MB.
+const REPLY_MEMORY_BYTES: usize = 16 * 1_024 * 1_024;
 /// Minimum interval between two probes of all idle connections.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -48,10 +53,10 @@
 pub(crate) type ReplyObserver = Rc<dyn Fn(&TargetId, u64, StatusCode, &HeaderMap)>;
 
 /// Connection pools of all known targets.
-#[derive(Default)]
 pub(crate) struct TargetService {
     pools: RefCell<HashMap<TargetId, IncarnationPool>>,
     connects: Rc<Cell<u64>>,
+    memory: Rc<ReplyMemory>,
     reply_observer: RefCell<Option<ReplyObserver>>,
     /// Time at which the idle connections were last probed.
     last_probe_at: Cell<Option<Instant>>,
@@ -76,6 +81,18 @@
     Failed,
 }
 
+impl Default for TargetService {
+    fn default() -> TargetService {
+        TargetService {
+            pools: RefCell::default(),
+            connects: Rc::default(),
+            memory: Rc::new(ReplyMemory::new(REPLY_MEMORY_BYTES)),
+            reply_observer: RefCell::default(),
+            last_probe_at: Cell::default(),
+        }
+    }
+}
+
 impl TargetService {
     /// Returns the number of connections to targets opened so far.
     pub(crate) fn connects(&self) -> u64 {
@@ -134,7 +151,12 @@
             });
             observer
         });
-        TargetPool::new(spec.address, share, self.connects.clone(), head_observer)
+        let context = ClientContext {
+            connects: self.connects.clone(),
+            head_observer,
+            memory: Some(self.memory.clone()),
+        };
+        TargetPool::new(spec.address, share, context)
     }
 
     /// Sends a search of one shard to the target.
@@ -229,6 +251,10 @@
                 ForwardOutcome::Failed
             }
             Ok(Err(ClientError::Broken)) => ForwardOutcome::Failed,
+            Ok(Err(ClientError::OverLimit)) => {
+                pool.log_over_limit(target);
+                ForwardOutcome::Failed
+            }
             Err(_) => {
                 // The cause of an unresponsive connection often affects other connections as well.
                 pool.close_idle(sent_at);
@@ -302,7 +328,7 @@
         let reply = match reply {
             Ok(reply) => reply,
             Err(ClientError::NotConnected) => return CallOutcome::NotSent,
-            Err(ClientError::Broken) => return CallOutcome::Failed,
+            Err(ClientError::Broken | ClientError::OverLimit) => return CallOutcome::Failed,
         };
         let outcome = match reply.status {
             StatusCode::OK => match serde_json::from_slice::<A>(&reply.body) {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use http::HeaderMap;
@@ -22,7 +23,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -32,6 +33,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::metered_stream::ByteMeter;
+use crate::metered_stream::MeteredStream;
+use crate::reply_memory::ReplyMemory;
+use crate::reply_memory::ReplyReservation;
+
 /// Maximum time for which an idle connection is reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Safety margin before the idle timeout that a server announces. The server's timer started
@@ -40,6 +46,14 @@
 /// Size of the read buffer; most replies are a few kilobytes.
 const READ_BUFFER_BYTES: usize = 16 * 1_024;
 
+/// Maximum number of bytes before the body of a reply, interim replies included.
+const MAX_HEAD_BYTES: usize = 32 * 1_024;
+/// Bytes that the framing of a body may take beyond [`WIRE_BYTES_PER_BODY_BYTE`]: what is read ahead,
+/// chunk sizes and extensions, trailers.
+const FRAMING_BYTES: usize = 32 * 1_024;
+/// Bytes on the wire for each byte of a body. Chunks of 16 bytes, one record each, take 1.4.
+const WIRE_BYTES_PER_BODY_BYTE: usize = 2;
+
 /// Settings of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientSettings {
@@ -60,6 +74,9 @@
     NotConnected,
     /// The connection broke after part of the request may have been sent.
     Broken,
+    /// The reply was longer than it may be, in its head, its framing or its body, or there was no memory
+    /// for it. The connection is closed.
+    OverLimit,
 }
 
 /// Called with the status and the headers of each reply, before its body is read.
@@ -85,18 +102,28 @@
     state: Rc<ClientState>,
 }
 
+/// What a client shares with others.
+#[derive(Clone, Default)]
+pub struct ClientContext {
+    /// Number of attempts to connect.
+    pub connects: Rc<Cell<u64>>,
+    /// Sees the head of each reply, also of one whose body is cut or that belongs to another request.
+    pub head_observer: Option<HeadObserver>,
+    /// Bound of the memory for bodies.
+    pub memory: Option<Rc<ReplyMemory>>,
+}
+
 struct ClientState {
     address: SocketAddr,
     settings: ClientSettings,
     connection: RefCell<Option<ClientConnection>>,
-    /// Number of attempts to connect.
-    connects: Rc<Cell<u64>>,
-    head_observer: Option<HeadObserver>,
+    context: ClientContext,
 }
 
 /// An open connection.
 struct ClientConnection {
     sender: SendRequest<Full<Bytes>>,
+    meter: Rc<ByteMeter>,
     driver: JoinHandle<()>,
     usable_until: Instant,
 }
@@ -114,19 +141,18 @@
         settings: ClientSettings,
         connects: Rc<Cell<u64>>,
     ) -> HttpClient {
-        HttpClient::with_head_observer(address, settings, connects, None)
+        let context = ClientContext { connects, ..ClientContext::default() };
+        HttpClient::with_context(address, settings, context)
     }
 
-    /// Returns a client like [`HttpClient::new`] that shows the head of each reply to an observer,
-    /// also of a reply whose body is cut or that belongs to another request.
-    pub fn with_head_observer(
+    /// Returns a client like [`HttpClient::new`] with all that it may share with others.
+    pub fn with_context(
         address: SocketAddr,
         settings: ClientSettings,
-        connects: Rc<Cell<u64>>,
-        head_observer: Option<HeadObserver>,
+        context: ClientContext,
     ) -> HttpClient {
         let connection = RefCell::new(None);
-        let state = ClientState { address, settings, connection, connects, head_observer };
+        let state = ClientState { address, settings, connection, context };
         HttpClient { state: Rc::new(state) }
     }
 
@@ -192,19 +218,22 @@
 }
 
 async fn connect(state: &ClientState) -> Result<ClientConnection, ClientError> {
-    state.connects.set(state.connects.get() + 1);
+    let connects = &state.context.connects;
+    connects.set(connects.get() + 1);
     let connected =
         timeout(state.settings.connect_timeout, TcpStream::connect(state.address)).await;
     let Ok(Ok(stream)) = connected else { return Err(ClientError::NotConnected) };
     if let Err(error) = set_options(&stream, &state.settings) {
         log::debug!("failed to set socket options of the connection to {}: {error}", state.address);
     }
-    let handshake =
-        http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+    let meter = Rc::new(ByteMeter::default());
+    meter.begin(MAX_HEAD_BYTES);
+    let stream = TokioIo::new(MeteredStream::new(stream, meter.clone()));
+    let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream);
     let (sender, connection) = handshake.await.map_err(|_| ClientError::NotConnected)?;
     // An error of the connection is reported by the exchange in progress.
     let driver = actix_rt::spawn(async move { drop(connection.await) });
-    Ok(ClientConnection { sender, driver, usable_until: Instant::now() + IDLE_TIMEOUT })
+    Ok(ClientConnection { sender, meter, driver, usable_until: Instant::now() + IDLE_TIMEOUT })
 }
 
 fn set_options(stream: &TcpStream, settings: &ClientSettings) -> std::io::Result<()> {
@@ -229,24 +258,57 @@
         state: &ClientState,
     ) -> Result<ClientReply, ClientError> {
         self.sender.ready().await.map_err(|_| ClientError::NotConnected)?;
+        self.meter.begin(MAX_HEAD_BYTES);
         let response = self.sender.try_send_request(request).await.map_err(|error| {
             // hyper returns the request if no part of it was written.
             match error.message() {
                 Some(_) => ClientError::NotConnected,
-                None => ClientError::Broken,
+                None => self.reply_error(),
             }
         })?;
         let (head, body) = response.into_parts();
-        if let Some(observe) = &state.head_observer {
+        self.meter.begin(FRAMING_BYTES);
+        if let Some(observe) = &state.context.head_observer {
             observe(head.status, &head.headers);
         }
-        let body = Limited::new(body, state.settings.max_body_bytes).collect().await;
-        let body = body.map_err(|_| ClientError::Broken)?.to_bytes();
+        let body = self.read_body(body, state).await?;
+        self.meter.begin(MAX_HEAD_BYTES);
         self.usable_until = Instant::now() + idle_time(&head.headers);
         Ok(ClientReply { status: head.status, headers: head.headers, body })
     }
 }
 
+impl ClientConnection {
+    /// Reads a body into memory of its own, so that no read buffer is kept with it.
+    async fn read_body(
+        &self,
+        mut incoming: Incoming,
+        state: &ClientState,
+    ) -> Result<Bytes, ClientError> {
+        let mut body = BytesMut::new();
+        let mut reservation = ReplyReservation::new(state.context.memory.clone());
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| self.reply_error())?;
+            let Ok(data) = frame.into_data() else { continue };
+            self.meter.extend(data.len().saturating_mul(WIRE_BYTES_PER_BODY_BYTE));
+            let length = body.len() + data.len();
+            if length > state.settings.max_body_bytes || !reservation.grow_to(length) {
+                return Err(ClientError::OverLimit);
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Returns the reason that a reply broke off.
+    fn reply_error(&self) -> ClientError {
+        match self.meter.is_exceeded() {
+            true => ClientError::OverLimit,
+            false => ClientError::Broken,
+        }
+    }
+}
+
 /// Returns how long the connection may stay idle after a reply with these headers.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -15,7 +15,7 @@
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
-use actix_rt::net::ActixStream;
+use actix_rt::net::TcpStream;
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
@@ -31,10 +31,16 @@
 use crate::body::BodyError;
 use crate::body::read_body;
 use crate::is_first_attempt;
+use crate::metered_stream::ByteMeter;
+use crate::metered_stream::MeteredStream;
 use crate::registry::ConnectionCalls;
 
 /// Interval at which a draining connection checks whether it is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Bytes on the wire for each byte of a body.
+const WIRE_BYTES_PER_BODY_BYTE: usize = 2;
+/// Bytes that a call may take beyond its body: the largest head, twice, and the framing of the body.
+const MAX_OTHER_BYTES: usize = 512 * 1_024;
 /// Time to flush the last reply after its call has ended.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
@@ -72,14 +78,18 @@
 }
 
 /// Serves `stream` until it closes, is evicted or, during a drain, becomes idle.
-pub(crate) async fn serve_connection<T: ActixStream + 'static>(
-    stream: T,
+pub(crate) async fn serve_connection(
+    stream: TcpStream,
     peer: SocketAddr,
     limits: Rc<HttpLimits>,
     handler: HttpHandler,
     calls: Rc<ConnectionCalls>,
     mut phase: watch::Receiver<DrainPhase>,
 ) {
+    let meter = Rc::new(ByteMeter::default());
+    let call_bytes = max_call_bytes(&limits);
+    meter.begin(call_bytes);
+    let stream = MeteredStream::new(stream, meter.clone());
     let factory = {
         let calls = calls.clone();
         let limits = limits.clone();
@@ -87,6 +97,8 @@
         let head_timeout = limits.head_timeout;
         let keep_alive = limits.keep_alive;
         let service = fn_service(move |request: Request| {
+            // Each call begins a new allowance.
+            meter.begin(call_bytes);
             serve_call(request, peer, limits.clone(), handler.clone(), calls.clone(), phase.clone())
         });
         HttpService::build()
@@ -111,6 +123,12 @@
     select(serving, closing).await;
 }
 
+/// Returns the number of bytes that may arrive from one call to the next: a body with its framing, what
+/// a caller still sends after a refusal, and the next head.
+fn max_call_bytes(limits: &HttpLimits) -> usize {
+    limits.max_body_bytes.saturating_mul(WIRE_BYTES_PER_BODY_BYTE).saturating_add(MAX_OTHER_BYTES)
+}
+
 /// Waits until the listener drains and no call has been open for [`FLUSH_TIME`].
 async fn wait_until_idle(phase: &mut watch::Receiver<DrainPhase>, calls: &ConnectionCalls) {
     let has_listener = phase.wait_for(|phase| *phase == DrainPhase::Draining).await.is_ok();
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -179,3 +179,47 @@
     drop(stalled);
     expect_recovered(&listener).await;
 }
+
+/// Bytes that a caller can write before it notices that nobody reads: buffers of both sockets.
+const MAX_BUFFERED_BYTES: usize = 8 * 1_024 * 1_024;
+
+/// Sends `prefix`, then `pattern` until the listener closes the connection; returns the bytes sent.
+async fn flood(listener: &HttpListener, prefix: &str, pattern: &str) -> usize {
+    let mut stream = TcpStream::connect(listener.address()).await.unwrap();
+    stream.write_all(prefix.as_bytes()).await.unwrap();
+    let block = pattern.repeat(16 * 1_024 / pattern.len() + 1);
+    let mut sent = 0;
+    let write = async {
+        while let Ok(bytes) = stream.write(block.as_bytes()).await {
+            sent += bytes;
+            // Yields to the listener, which runs on the same thread.
+            tokio::task::yield_now().await;
+            assert!(sent <= 4 * MAX_BUFFERED_BYTES, "the listener goes on reading: {pattern:?}");
+        }
+    };
+    timeout(TEST_TIMEOUT, write).await.expect("the listener closes the connection");
+    sent
+}
+
+/// Guards against requests without an end, in any place of a request.
+#[actix_rt::test]
+async fn serve_closes_connections_whose_requests_have_no_end() {
+    const POST: &str = "POST /echo HTTP/1.1\r\nhost: vm\r\n";
+    let chunked = format!("{POST}transfer-encoding: chunked\r\n\r\n");
+    let floods = [
+        ("GET /".to_owned(), "a"),
+        (format!("{POST}x: "), "a"),
+        (POST.to_owned(), "x: a\r\n"),
+        (format!("{POST}content-length: 900000000\r\n\r\n"), "a"),
+        (chunked.clone(), "4\r\nabcd\r\n"),
+        (format!("{chunked}1;"), "a"),
+        (chunked.clone(), "0"),
+        (format!("{chunked}0\r\n"), "x: a\r\n"),
+    ];
+    let listener = bind().await;
+    for (prefix, pattern) in floods {
+        let sent = flood(&listener, &prefix, pattern).await;
+        assert!(sent <= MAX_BUFFERED_BYTES, "{sent} bytes after {prefix:?}");
+        expect_recovered(&listener).await;
+    }
+}
