fix(http): serve connections that wait to be accepted when a listener drains

A caller's connection that was established, with its request sent, when the listener stopped to accept was reset without an answer: the accept loop returned on the drain without taking those that wait. Callers see a lost request while a VM stops for maintenance.

Now a drain first accepts until none has come for 5 ms, 50 ms at most, and counts as done only after that.

--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -11,6 +11,7 @@
 use actix_rt::net::TcpListener;
 use actix_rt::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::HttpHandler;
 use crate::HttpLimits;
@@ -21,6 +22,10 @@
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without a new connection after which a drain takes none to be waiting.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(5);
+/// Maximum time for which a drain accepts connections that wait.
+const MAX_LAST_ACCEPT_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a drain checks for open connections.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -36,9 +41,17 @@
     over_limit: Cell<u64>,
     limits: RefCell<Rc<HttpLimits>>,
     phase: watch::Sender<DrainPhase>,
+    /// Whether new connections may still be served.
     is_accepting: Cell<bool>,
 }
 
+impl ListenerState {
+    /// Returns whether the listener still accepts or a connection is open.
+    fn has_work(&self) -> bool {
+        self.is_accepting.get() || self.connections.len() > 0
+    }
+}
+
 impl HttpListener {
     /// Binds `address` and starts to serve on the current thread.
     ///
@@ -94,10 +107,9 @@
     /// Returns the number of connections that are still open after the timeout; 0 if the drain is
     /// complete.
     pub async fn drain(&self, timeout: Duration) -> usize {
-        self.state.is_accepting.set(false);
         self.state.phase.send_replace(DrainPhase::Draining);
         let deadline = Instant::now() + timeout;
-        while self.state.connections.len() > 0 && Instant::now() < deadline {
+        while self.state.has_work() && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.state.connections.len()
@@ -110,7 +122,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == DrainPhase::Draining) => return,
+            _ = phase.wait_for(|phase| *phase == DrainPhase::Draining) => break,
         };
         match accepted {
             Ok((stream, peer)) => admit(stream, peer, &handler, &state),
@@ -120,6 +132,24 @@
             }
         }
     }
+    accept_waiting(&listener, &handler, &state).await;
+    state.is_accepting.set(false);
+}
+
+/// Accepts the connections that are established already, whose callers may have sent a request. They
+/// would be reset when the listener closes.
+async fn accept_waiting(listener: &TcpListener, handler: &HttpHandler, state: &Rc<ListenerState>) {
+    let end = Instant::now() + MAX_LAST_ACCEPT_TIME;
+    while Instant::now() < end {
+        match timeout(LAST_ACCEPT_TIME, listener.accept()).await {
+            Ok(Ok((stream, peer))) => admit(stream, peer, handler, state),
+            Ok(Err(error)) => {
+                log::warn!("failed to accept a last connection: {error}");
+                return;
+            }
+            Err(_) => return,
+        }
+    }
 }
 
 /// Serves one connection.
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -223,3 +223,26 @@
         expect_recovered(&listener).await;
     }
 }
+
+/// Guards against connections that were established, and whose requests had arrived, when the listener
+/// stopped to accept: they were reset without an answer.
+#[actix_rt::test]
+async fn drain_serves_connections_that_wait_to_be_accepted() {
+    for _ in 0..20 {
+        let listener = bind().await;
+        // No task of the listener runs while these block.
+        let streams: Vec<std::net::TcpStream> = (0..MAX_CONNECTIONS)
+            .map(|_| {
+                let mut stream = std::net::TcpStream::connect(listener.address()).unwrap();
+                std::io::Write::write_all(&mut stream, VALID_REQUEST.as_bytes()).unwrap();
+                stream.set_nonblocking(true).unwrap();
+                stream
+            })
+            .collect();
+        assert_eq!(listener.drain(TEST_TIMEOUT).await, 0);
+        for stream in streams {
+            let reply = read_to_close(&mut TcpStream::from_std(stream).unwrap()).await;
+            assert!(reply.starts_with("HTTP/1.1 200"), "no answer: {reply:?}");
+        }
+    }
+}
