fix(policy): take a deletion for that of the newest process held

A tombstone takes its version from the VM that first applied it. Where that VM held an older process of the target, a late entry of a process in between outlasted the tombstone on a VM that had known the newest one: a target that had left got calls again after a restore of the store.

Within an era a deletion now takes at least the version of the content before it. Test: restore::merge_takes_a_deletion_for_that_of_the_newest_process_held, which fails before ('process 50 is older than 60, which has left').

--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -228,9 +228,13 @@
         object.version = held.version | TOMBSTONE_MARK;
     }
     let (older, newer) = if object.is_newer_than(held) { (held, &object) } else { (&object, held) };
-    let merged = match older.outlasts(newer) {
+    let mut merged = match older.outlasts(newer) {
         true => older.carried_over(newer.revision),
         false => newer.clone(),
     };
+    if merged.body.is_none() && era_of(older.revision) == era_of(newer.revision) {
+        // The deletion ends all content before it, also what the VM that told of it did not know.
+        merged.version = merged.version.max(older.version | TOMBSTONE_MARK);
+    }
     (merged != *held).then_some(merged)
 }
--- a/crates/policy/tests/restore.rs
+++ b/crates/policy/tests/restore.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// Pattern: a VM that holds an older process of a target learns of a deletion, and names that process
+/// when it passes the deletion on. An entry of a process in between arrives late, after a restore.
+#[test]
+fn merge_takes_a_deletion_for_that_of_the_newest_process_held() {
+    let key = target_key(0);
+    let deletion = |revision: Revision, version: u64| ConfigurationObject {
+        key: key.clone(),
+        revision,
+        version,
+        body: None,
+    };
+    let mut store = ObjectStore::default();
+    store.apply(&entry(0, revision_in_era(1, 8), 60, false));
+    store.apply(&deletion(revision_in_era(1, 9), 40 << 1 | 1));
+    assert_eq!(held_version(&store, &key), None);
+    store.apply(&entry(0, revision_in_era(2, 4), 50, false));
+    assert_eq!(held_version(&store, &key), None, "process 50 is older than 60, which has left");
+    store.apply(&entry(0, revision_in_era(2, 5), 70, false));
+    assert_eq!(held_version(&store, &key), Some(140), "a later process");
+}
+
 /// Pattern: a target that started after the copy is missing from it until it writes its entry again.
 #[test]
 fn apply_listing_keeps_what_the_copy_lacks_until_the_hold_ends() {
