fix(policy): order carried content by version against what it meets

Content that a VM carried over a newer object of a restored store has that object's revision and a mark above it. So it replaced a deletion at the same revision on a VM that had known a later process: a target that had left got calls again.

The revision of carried content says nothing about the content. Its version now decides in both directions, as it did where the other side was carried. Test: restore::merge_keeps_a_departure_against_what_another_vm_carried_over fails before ('process 30 is older than 40, which has left').

--- a/crates/policy/src/objects/object.rs
+++ b/crates/policy/src/objects/object.rs
@@ -101,14 +101,15 @@
         order(self) > order(held)
     }
 
-    /// Returns whether this content of an earlier era is ahead of `newer`, which the store has from
-    /// a copy.
+    /// Returns whether this content is ahead of `newer`, although that has the higher revision: the
+    /// store has it from a copy, or VMs carried it over.
     pub(crate) fn outlasts(&self, newer: &ConfigurationObject) -> bool {
-        let is_of_earlier_era =
-            era_of(self.revision) < era_of(newer.revision) || is_carried(self.revision);
+        let is_ordered_by_version = era_of(self.revision) < era_of(newer.revision)
+            || is_carried(self.revision)
+            || is_carried(newer.revision);
         // A deletion whose content is not known may be that of a later process.
         let is_known = newer.version > 0 || newer.body.is_some();
-        is_of_earlier_era && is_known && self.version > newer.version
+        is_ordered_by_version && is_known && self.version > newer.version
     }
 
     /// Returns an upper bound of the object's encoded length in the peer protocol, in bytes.
--- a/crates/policy/tests/restore.rs
+++ b/crates/policy/tests/restore.rs
@@ -137,6 +137,28 @@
     assert_eq!(held_version(&store, &key), Some(140), "a later process");
 }
 
+/// Pattern: a VM carries an older process over a deletion, as it never knew the one that was deleted.
+/// Another VM knew it.
+#[test]
+fn merge_keeps_a_departure_against_what_another_vm_carried_over() {
+    let key = target_key(0);
+    let deletion = ConfigurationObject {
+        key: key.clone(),
+        revision: revision_in_era(2, 5),
+        version: 0,
+        body: None,
+    };
+    let mut behind = ObjectStore::default();
+    behind.apply(&entry(0, revision_in_era(1, 3), 20, false));
+    behind.apply(&deletion);
+    let carried = behind.merge(&entry(0, revision_in_era(1, 5), 30, false)).unwrap();
+    let mut store = ObjectStore::default();
+    store.apply(&entry(0, revision_in_era(2, 3), 40, false));
+    store.apply(&deletion);
+    store.apply(&carried);
+    assert_eq!(held_version(&store, &key), None, "process 30 is older than 40, which has left");
+}
+
 /// Pattern: a target that started after the copy is missing from it until it writes its entry again.
 #[test]
 fn apply_listing_keeps_what_the_copy_lacks_until_the_hold_ends() {
