refactor(policy,daemon): one piece for what the last changes wrote twice

Cause: read again as a newcomer would. keeps_missing and keeps_earlier_eras of a listing excluded each other; the watch holders of a failure domain were computed in two places; that the VM list has no change limit stood in two matches; a retry collected two lists to ask whether either is empty; each answer of the platform computed the ages of all kinds for a log line that only the end of an outage writes; and a watch holder computed the holders of the whole fleet, with a hash a VM, every 250 ms only to know whether it is the only one.

Change: MissingObjects, chosen by OutageTracker; capable_watch_holders; ObjectKind::has_change_limit; any() in schedule_retry; the age is read when an outage ends; has_other_watch_holders, which ends at the first serving VM of another failure domain.

Result: no behaviour changed but one state that lasts two seconds at most: a VM that should hold no watch, and sees one holder besides, no longer counts as the only one. Policy tests pass, with watch_position_counts_the_holders_of_all_ failure_domains new; those of restore use the enum in place of the two flags.

--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -9,6 +9,7 @@
 use oleanderwind_policy::Era;
 use oleanderwind_policy::GossipAction;
 use oleanderwind_policy::MembershipEngine;
+use oleanderwind_policy::MissingObjects;
 use oleanderwind_policy::ObjectDelta;
 use oleanderwind_policy::ObjectKey;
 use oleanderwind_policy::ObjectKind;
@@ -63,7 +64,7 @@
             actions
         };
         self.replace_directory(ChangeSource::List);
-        if listing.keeps_missing {
+        if listing.missing == MissingObjects::Keep {
             let lapsed = self.targets_missing_from(listing);
             self.directory.lapse_targets(&lapsed, ChangeSource::List);
         }
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -131,6 +131,12 @@
             || self.state.borrow().membership.is_watch_holder()
     }
 
+    /// Returns whether no other VM that this one hears should hold watches.
+    pub(crate) fn is_only_watch_holder(&self) -> bool {
+        let state = self.state.borrow();
+        !state.news.hears_peers(Instant::now()) || !state.membership.has_other_watch_holders()
+    }
+
     /// Returns this VM's place among the watch holders, alone while it hears no peer.
     pub(crate) fn watch_position(&self) -> WatchPosition {
         let state = self.state.borrow();
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -20,7 +20,6 @@
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WatchBackoff;
 use oleanderwind_policy::WatchPace;
-use oleanderwind_policy::WatchPosition;
 use oleanderwind_policy::era_of;
 use oleanderwind_wire::WatchEvent;
 use oleanderwind_wire::WatchKind;
@@ -224,7 +223,7 @@
     async fn wait_for_lone_silence(&self) {
         let limit = self.pace.lone_silence_limit();
         let is_silent = || self.peers.oldest_limited_word_age().is_some_and(|age| age > limit);
-        while !(self.peers.watch_position() == WatchPosition::ALONE && is_silent()) {
+        while !(self.peers.is_only_watch_holder() && is_silent()) {
             tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
         }
     }
@@ -309,8 +308,7 @@
             lists.iter().flat_map(|list| list.objects.iter().cloned()).collect();
         let mut listing = ObjectListing::from_platform(&objects, revision);
         let now = Instant::now();
-        listing.keeps_earlier_eras = self.outages.get().holds_earlier_eras(now);
-        listing.keeps_missing = self.holds_removals() && !listing.keeps_earlier_eras;
+        listing.missing = self.outages.get().missing_objects(now);
         self.peers.apply_listing(&listing);
         self.update_outages(|outages| outages.record_check(now));
         Ok(lists.iter().map(|list| (list.kind, list.revision)).collect())
@@ -400,18 +398,16 @@
 
     /// Records that the platform answered about these kinds; logs the end of an outage.
     fn record_contact(&self, kinds: &[ObjectKind]) {
-        let silent_ms = self.word_age_ms();
-        self.peers.record_platform_word(kinds);
-        self.update_outages(|outages| outages.record_contact(Instant::now()));
         if let Some(since) = self.unreachable_since.take() {
-            let outage_ms = milliseconds(since.elapsed());
             log::info!(
                 dependency = "platform",
-                away_ms = outage_ms,
-                silent_ms = silent_ms;
+                away_ms = milliseconds(since.elapsed()),
+                silent_ms = self.word_age_ms();
                 "dependency available again"
             );
         }
+        self.peers.record_platform_word(kinds);
+        self.update_outages(|outages| outages.record_contact(Instant::now()));
     }
 
     /// Records that a call to the platform failed; each outage is logged once.
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -16,7 +16,6 @@
 use crate::fanout::timer::TimerKind;
 use crate::routing::TargetChoice;
 use crate::routing::TargetIndex;
-use crate::routing::TargetState;
 
 /// Thousandths in one.
 const PERMILLE_SCALE: u32 = 1_000;
@@ -272,18 +271,17 @@
     ) {
         let shard = &running.shards[position];
         let replicas = running.resolved.shards[position].replicas.iter().enumerate();
-        let usable = replicas
+        let mut usable = replicas
             .filter(|(replica, _)| shard.excluded_replicas & replica_bit(*replica) == 0)
             .map(|(_, target)| self.targets.state(*target))
-            .filter(|state| state.is_usable());
-        let is_paused = |state: &TargetState| state.paused_until(now).is_some();
-        let (paused, open): (Vec<&TargetState>, Vec<&TargetState>) =
-            usable.partition(|state| is_paused(state));
-        let retry_at = now + RETRY_DELAY;
-        if open.is_empty() {
-            let cause = if paused.is_empty() { shard.last_cause } else { LossCause::Paused };
+            .filter(|state| state.is_usable())
+            .peekable();
+        let has_usable = usable.peek().is_some();
+        if !usable.any(|state| state.paused_until(now).is_none()) {
+            let cause = if has_usable { LossCause::Paused } else { shard.last_cause };
             return running.give_up_shard(position, cause);
         }
+        let retry_at = now + RETRY_DELAY;
         if retry_at > self.latest_start(running, position) {
             return running.give_up_shard(position, LossCause::TooLate);
         }
--- a/crates/policy/src/lapse/outage.rs
+++ b/crates/policy/src/lapse/outage.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::MissingObjects;
+
 /// Consecutive failed calls that make an outage. A single one shows less: the store closes watches
 /// that wait, and one answer may be lost.
 const OUTAGE_FAILURES: u32 = 2;
@@ -63,9 +65,20 @@
         self.restore_held_until = self.hold.map(|hold| now + hold.max(RESTORE_HOLD));
     }
 
+    /// Returns what becomes of objects that a list of `now` lacks.
+    pub fn missing_objects(&self, now: Instant) -> MissingObjects {
+        if self.holds_earlier_eras(now) {
+            return MissingObjects::KeepEarlierEras;
+        }
+        match self.holds_removals(now) {
+            true => MissingObjects::Keep,
+            false => MissingObjects::Remove,
+        }
+    }
+
     /// Returns whether entries that were written before the last restore, and not since, are kept
     /// for now.
-    pub fn holds_earlier_eras(&self, now: Instant) -> bool {
+    fn holds_earlier_eras(&self, now: Instant) -> bool {
         self.restore_held_until.is_some_and(|until| now < until)
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -110,6 +110,7 @@
 pub use objects::Era;
 pub use objects::GossipAction;
 pub use objects::GossipEngine;
+pub use objects::MissingObjects;
 pub use objects::ObjectDelta;
 pub use objects::ObjectKey;
 pub use objects::ObjectKind;
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -132,15 +132,16 @@
     }
 
     /// Returns whether this VM should hold watches on the platform.
-    ///
-    /// A watch holder passes changes on to its peers, which costs processor and bandwidth, so only
-    /// the most capable VMs of the failure domain are considered.
     pub fn is_watch_holder(&self) -> bool {
-        let vms: Vec<&MemberRecord> =
-            std::iter::once(&self.own).chain(self.domain_peers()).collect();
-        let capable = most_capable(&vms).into_iter();
-        let capable: Vec<VmId> = capable.map(|record| record.vm.clone()).collect();
-        watch_holders(&self.own.failure_domain, &capable).contains(&self.own.vm)
+        self.own_domain_holders().contains(&self.own.vm)
+    }
+
+    /// Returns whether other VMs should hold watches, of any failure domain.
+    pub fn has_other_watch_holders(&self) -> bool {
+        // Every failure domain with a serving VM has a holder.
+        let mut serving = self.serving_members();
+        serving.any(|record| record.failure_domain != self.own.failure_domain)
+            || self.own_domain_holders().iter().any(|vm| *vm != self.own.vm)
     }
 
     /// Returns this VM's place among the watch holders of all failure domains.
@@ -148,14 +149,11 @@
     /// A VM that should hold no watch is in the place of the first.
     pub fn watch_position(&self) -> WatchPosition {
         let mut domains: BTreeMap<&FailureDomainId, Vec<&MemberRecord>> = BTreeMap::new();
-        let serving = self.table.iter().filter(|(_, state)| *state == MemberState::Serving);
-        for record in serving.map(|(record, _)| record).chain([&self.own]) {
+        for record in self.serving_members().chain([&self.own]) {
             domains.entry(&record.failure_domain).or_default().push(record);
         }
         let holders_of = |(domain, vms): (&FailureDomainId, Vec<&MemberRecord>)| {
-            let capable = most_capable(&vms).into_iter();
-            let capable: Vec<VmId> = capable.map(|record| record.vm.clone()).collect();
-            let mut holders = watch_holders(domain, &capable);
+            let mut holders = capable_watch_holders(domain, &vms);
             holders.sort_unstable();
             holders
         };
@@ -166,12 +164,22 @@
 
     /// Returns the other serving VMs of this VM's failure domain.
     fn domain_peers(&self) -> impl Iterator<Item = &MemberRecord> {
-        let serving = self.table.iter().filter(|(record, state)| {
-            *state == MemberState::Serving && record.failure_domain == self.own.failure_domain
-        });
+        self.serving_members().filter(|record| record.failure_domain == self.own.failure_domain)
+    }
+
+    /// Returns the other serving VMs.
+    fn serving_members(&self) -> impl Iterator<Item = &MemberRecord> {
+        let serving = self.table.iter().filter(|(_, state)| *state == MemberState::Serving);
         serving.map(|(record, _)| record)
     }
 
+    /// Returns the watch holders of this VM's failure domain.
+    fn own_domain_holders(&self) -> Vec<VmId> {
+        let vms: Vec<&MemberRecord> =
+            std::iter::once(&self.own).chain(self.domain_peers()).collect();
+        capable_watch_holders(&self.own.failure_domain, &vms)
+    }
+
     /// Returns the members whose state satisfies `predicate`.
     fn vms_by_state(&self, predicate: impl Fn(MemberState) -> bool) -> Vec<VmId> {
         let members = self.table.iter().filter(|(_, state)| predicate(*state));
@@ -419,3 +427,13 @@
 fn is_heartbeat_target(state: MemberState) -> bool {
     matches!(state, MemberState::Serving | MemberState::Suspect | MemberState::Leaving)
 }
+
+/// Returns the VMs of a failure domain that hold watches.
+///
+/// A watch holder passes changes on to its peers, which costs processor and bandwidth, so only the
+/// most capable VMs are considered.
+fn capable_watch_holders(domain: &FailureDomainId, vms: &[&MemberRecord]) -> Vec<VmId> {
+    let capable = most_capable(vms).into_iter();
+    let capable: Vec<VmId> = capable.map(|record| record.vm.clone()).collect();
+    watch_holders(domain, &capable)
+}
--- a/crates/policy/src/news/pace.rs
+++ b/crates/policy/src/news/pace.rs
@@ -55,15 +55,10 @@
     }
 
     /// Returns the time between the ends of two calls of one VM about a kind that bring no changes.
-    ///
-    /// The list of VMs has no limit of its own: membership follows the VMs' messages.
     pub fn period(&self, kind: ObjectKind, holders: usize) -> Duration {
-        match kind {
-            ObjectKind::Vms => self.max_hold,
-            ObjectKind::Contracts
-            | ObjectKind::Snapshots
-            | ObjectKind::Targets
-            | ObjectKind::Routes => self.limited_period(holders),
+        match kind.has_change_limit() {
+            true => self.limited_period(holders),
+            false => self.max_hold,
         }
     }
 
--- a/crates/policy/src/news/tracker.rs
+++ b/crates/policy/src/news/tracker.rs
@@ -47,7 +47,7 @@
     /// Returns the age of the last word about the kind that has waited longest, among the kinds whose
     /// changes have to take effect within a limit.
     pub fn oldest_limited_age(&self, now: Instant) -> Option<Duration> {
-        let limited = self.ages(now).into_iter().filter(|(kind, _)| *kind != ObjectKind::Vms);
+        let limited = self.ages(now).into_iter().filter(|(kind, _)| kind.has_change_limit());
         limited.map(|(_, age)| age).max()
     }
 
--- a/crates/policy/src/objects/listing.rs
+++ b/crates/policy/src/objects/listing.rs
@@ -15,12 +15,22 @@
     /// Revision at which the listing is complete: it contains every object that existed then and has
     /// not changed since.
     pub complete_revision: Revision,
-    /// Whether objects that it lacks are kept, as they may have expired while the platform's store
-    /// was away. Nothing is then known to be complete.
-    pub keeps_missing: bool,
-    /// Whether objects that it lacks are kept if they are of an earlier era of the store: they may
-    /// have been written after the copy from which it was restored.
-    pub keeps_earlier_eras: bool,
+    /// What becomes of held objects that it lacks.
+    pub missing: MissingObjects,
+}
+
+/// What becomes of held objects that a listing lacks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum MissingObjects {
+    /// They are removed.
+    #[default]
+    Remove,
+    /// They are kept, as they may have expired while the platform's store was away. Nothing is then
+    /// known to be complete.
+    Keep,
+    /// Those of an earlier era of the store are kept: they may have been written after the copy from
+    /// which it was restored. The others are removed.
+    KeepEarlierEras,
 }
 
 impl ObjectListing {
--- a/crates/policy/src/objects/object.rs
+++ b/crates/policy/src/objects/object.rs
@@ -41,6 +41,18 @@
         ObjectKind::Routes,
     ];
 
+    /// Returns whether changes of this kind have to take effect within a limit. The list of VMs has
+    /// none: membership follows the VMs' messages.
+    pub(crate) fn has_change_limit(self) -> bool {
+        match self {
+            ObjectKind::Contracts
+            | ObjectKind::Snapshots
+            | ObjectKind::Targets
+            | ObjectKind::Routes => true,
+            ObjectKind::Vms => false,
+        }
+    }
+
     /// Returns the name of the kind in the Object API.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/policy/src/objects/store.rs
+++ b/crates/policy/src/objects/store.rs
@@ -5,6 +5,7 @@
 use std::ops::Bound;
 
 use crate::ConfigurationObject;
+use crate::MissingObjects;
 use crate::ObjectDelta;
 use crate::ObjectKey;
 use crate::ObjectKind;
@@ -148,14 +149,16 @@
                 && object.revision <= carried(revision)
                 && !listing.objects.contains_key(&object.key)
         };
-        let missing: Vec<ConfigurationObject> = match listing.keeps_missing {
-            true => Vec::new(),
-            false => self.objects.values().filter(is_missing).cloned().collect(),
+        let missing: Vec<ConfigurationObject> = match listing.missing {
+            MissingObjects::Keep => Vec::new(),
+            MissingObjects::Remove | MissingObjects::KeepEarlierEras => {
+                self.objects.values().filter(is_missing).cloned().collect()
+            }
         };
         let era_start = carried(revision_in_era(era_of(revision), 0));
         let remnants = missing.into_iter().map(|object| {
             let is_unwritten = object.revision <= era_start && era_of(revision) > 0;
-            match listing.keeps_earlier_eras && is_unwritten {
+            match listing.missing == MissingObjects::KeepEarlierEras && is_unwritten {
                 true => object.carried_over(era_start),
                 false => object.into_tombstone(revision),
             }
@@ -165,7 +168,7 @@
         let changes: Vec<ConfigurationObject> =
             objects.filter_map(|object| self.merge_listed(object)).collect();
         // A listing contains no tombstones, so deletions before it are not known here.
-        if revision > self.complete_revision && !listing.keeps_missing {
+        if revision > self.complete_revision && listing.missing != MissingObjects::Keep {
             self.advance_complete_revision(revision);
             self.pruned_revision = self.complete_revision;
         }
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -16,6 +16,7 @@
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
 use oleanderwind_policy::ObjectSummary;
+use oleanderwind_policy::WatchPosition;
 use oleanderwind_wire::peer;
 use prost::Message;
 
@@ -122,3 +123,30 @@
         "received heartbeats must not postpone the next one beyond 4 s"
     );
 }
+
+/// Returns the engine of VM 0, which knows `others` as serving VMs of four failure domains.
+fn engine_with(others: &[usize]) -> MembershipEngine {
+    let now = Instant::now();
+    let mut engine = MembershipEngine::new(MembershipSettings::default(), record(0, 1, 0), now);
+    for number in others {
+        let sender = record(*number, 1, 0);
+        let message =
+            ExchangeMessage { sender, members: Vec::new(), summary: ObjectSummary::default() };
+        engine.handle_heartbeat(&message, ObjectSummary::default(), now);
+    }
+    engine
+}
+
+#[test]
+fn watch_position_counts_the_holders_of_all_failure_domains() {
+    let alone = engine_with(&[]);
+    assert_eq!(alone.watch_position(), WatchPosition::ALONE);
+    assert!(!alone.has_other_watch_holders());
+    // VM 4 is of the own failure domain, VM 1 of another one.
+    for others in [vec![4], vec![1]] {
+        let engine = engine_with(&others);
+        assert_eq!(engine.watch_position(), WatchPosition { rank: 0, holders: 2 });
+        assert!(engine.has_other_watch_holders(), "{others:?}");
+    }
+    assert_eq!(engine_with(&[1, 2, 3, 4, 5, 6]).watch_position().holders, 7);
+}
--- a/crates/policy/tests/restore.rs
+++ b/crates/policy/tests/restore.rs
@@ -5,6 +5,7 @@
 
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::Era;
+use oleanderwind_policy::MissingObjects;
 use oleanderwind_policy::ObjectKey;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
@@ -44,7 +45,9 @@
 }
 
 fn listing(objects: &[ConfigurationObject], revision: Revision) -> ObjectListing {
-    ObjectListing { keeps_earlier_eras: true, ..ObjectListing::from_platform(objects, revision) }
+    let mut listing = ObjectListing::from_platform(objects, revision);
+    listing.missing = MissingObjects::KeepEarlierEras;
+    listing
 }
 
 /// Returns the version that a store holds of an object.
@@ -165,7 +168,7 @@
     let started = entry(1, revision_in_era(1, 30), 70, false);
     let mut store = ObjectStore::default();
     store.apply_listing(&listing(std::slice::from_ref(&started), revision_in_era(1, 30)));
-    let copy = ObjectListing { keeps_earlier_eras: true, ..listing(&[], revision_in_era(2, 6)) };
+    let copy = listing(&[], revision_in_era(2, 6));
     store.apply_listing(&copy);
     store.apply_listing(&copy);
     assert_eq!(held_version(&store, &target_key(1)), Some(140), "kept in each list of the hold");
@@ -386,7 +389,7 @@
         }
         world.step(&Step::Rewrite, &mut vms);
         // The hold after a restore is over.
-        let list = ObjectListing { keeps_earlier_eras: false, ..world.list() };
+        let list = ObjectListing { missing: MissingObjects::Remove, ..world.list() };
         vms.iter_mut().for_each(|vm| drop(vm.apply_listing(&list)));
         for vm in &vms {
             prop_assert_eq!(vm.summary().digest, vms[0].summary().digest);
