--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -35,6 +35,7 @@
 
 use crate::metered_stream::ByteMeter;
 use crate::metered_stream::MeteredStream;
+use crate::metered_stream::WIRE_BYTES_PER_BODY_BYTE;
 use crate::reply_memory::ReplyMemory;
 use crate::reply_memory::ReplyReservation;
 
@@ -51,8 +52,6 @@
 /// Bytes that the framing of a body may take beyond [`WIRE_BYTES_PER_BODY_BYTE`]: what is read ahead,
 /// chunk sizes and extensions, trailers.
 const FRAMING_BYTES: usize = 32 * 1_024;
-/// Bytes on the wire for each byte of a body. Chunks of 16 bytes, one record each, take 1.4.
-const WIRE_BYTES_PER_BODY_BYTE: usize = 2;
 
 /// Settings of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -258,7 +257,6 @@
         state: &ClientState,
     ) -> Result<ClientReply, ClientError> {
         self.sender.ready().await.map_err(|_| ClientError::NotConnected)?;
-        self.meter.begin(MAX_HEAD_BYTES);
         let response = self.sender.try_send_request(request).await.map_err(|error| {
             // hyper returns the request if no part of it was written.
             match error.message() {
@@ -272,6 +270,7 @@
             observe(head.status, &head.headers);
         }
         let body = self.read_body(body, state).await?;
+        // Allows the head of the next reply.
         self.meter.begin(MAX_HEAD_BYTES);
         self.usable_until = Instant::now() + idle_time(&head.headers);
         Ok(ClientReply { status: head.status, headers: head.headers, body })
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -33,12 +33,11 @@
 use crate::is_first_attempt;
 use crate::metered_stream::ByteMeter;
 use crate::metered_stream::MeteredStream;
+use crate::metered_stream::WIRE_BYTES_PER_BODY_BYTE;
 use crate::registry::ConnectionCalls;
 
 /// Interval at which a draining connection checks whether it is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Bytes on the wire for each byte of a body.
-const WIRE_BYTES_PER_BODY_BYTE: usize = 2;
 /// Bytes that a call may take beyond its body: the largest head, twice, and the framing of the body.
 const MAX_OTHER_BYTES: usize = 512 * 1_024;
 /// Time to flush the last reply after its call has ended.
--- a/crates/http/src/metered_stream.rs
+++ b/crates/http/src/metered_stream.rs
@@ -14,6 +14,9 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+/// Bytes on the wire for each byte of a body. Chunks of 16 bytes, one record each, take 1.4.
+pub(crate) const WIRE_BYTES_PER_BODY_BYTE: usize = 2;
+
 /// Counts the bytes that are read from a connection against those that the current message may take.
 ///
 /// The bound covers every place of a message, whatever its parser accepts there.
@@ -56,6 +59,7 @@
 }
 
 impl MeteredStream {
+    /// Counts the reads of `stream` with `meter`, which must allow some bytes.
     pub(crate) fn new(stream: TcpStream, meter: Rc<ByteMeter>) -> MeteredStream {
         MeteredStream { stream, meter }
     }
--- a/crates/http/src/reply_memory.rs
+++ b/crates/http/src/reply_memory.rs
@@ -38,17 +38,18 @@
         ReplyReservation { memory, bytes: 0 }
     }
 
-    /// Extends the reservation to a body of `length` bytes; returns false if that is too much.
+    /// Extends the reservation to a body that has grown to `length` bytes; returns false, without
+    /// effect, if that is too much.
     pub(crate) fn grow_to(&mut self, length: usize) -> bool {
         let Some(memory) = &self.memory else { return true };
-        let needed = length.saturating_sub(FREE_BYTES).max(self.bytes);
+        let needed = length.saturating_sub(FREE_BYTES);
         let used = memory.used.get() - self.bytes + needed;
-        if needed > self.bytes && used > memory.limit {
-            return false;
+        let fits = used <= memory.limit;
+        if fits {
+            memory.used.set(used);
+            self.bytes = needed;
         }
-        memory.used.set(used);
-        self.bytes = needed;
-        true
+        fits
     }
 }
 
