--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -8,12 +8,14 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
+use http::header;
 use oleanderwind_http::HttpCall;
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FailureDomainId;
 use oleanderwind_policy::FindingList;
 use oleanderwind_policy::LoadReport;
 use oleanderwind_policy::TargetId;
+use oleanderwind_policy::WorkFingerprint;
 
 /// Parsed call to the VM's listener for callers.
 #[derive(Debug)]
@@ -59,6 +61,20 @@
     pub fn path(&self) -> &str {
         &self.path_and_query[..self.path_len]
     }
+
+    /// Returns the fingerprint of what the request asks for, whatever its id.
+    ///
+    /// The caller counts by its credentials, as the same path may mean other work for another caller.
+    pub fn fingerprint(&self) -> WorkFingerprint {
+        let credentials = self.headers.get(header::AUTHORIZATION);
+        WorkFingerprint::of(&[
+            self.method.as_str().as_bytes(),
+            self.authority.as_bytes(),
+            self.path_and_query.as_bytes(),
+            credentials.map_or(b"", |value| value.as_bytes()),
+            &self.body,
+        ])
+    }
 }
 
 /// Metadata of a target's reply.
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -22,6 +22,7 @@
 use crate::fanout::payload::CallAnswer;
 use crate::fanout::payload::QueryPayload;
 use crate::fanout::payload::SignedReply;
+use crate::targets::CallFailure;
 use crate::targets::ForwardOutcome;
 use crate::time::milliseconds;
 
@@ -62,26 +63,39 @@
     let may_send = || fanout.engine.borrow().may_send(call.call, Instant::now());
     let sent =
         targets.forward(&call.target, message, call.is_idempotent, call.deadline, may_send, is_own);
-    let (event, status) = match sent.await {
-        ForwardOutcome::Withdrawn => (FanoutEvent::Withdrawn { call: call.call }, None),
-        ForwardOutcome::Unsent => (FanoutEvent::Unsent { call: call.call }, None),
-        ForwardOutcome::Failed => (FanoutEvent::Failed { call: call.call }, None),
+    let mut end = CallEnd::default();
+    let event = match sent.await {
+        ForwardOutcome::Withdrawn => FanoutEvent::Withdrawn { call: call.call },
+        ForwardOutcome::Unsent => FanoutEvent::Unsent { call: call.call },
+        ForwardOutcome::Failed(failure) => {
+            end.failure = Some(failure);
+            FanoutEvent::Failed { call: call.call }
+        }
         ForwardOutcome::Replied(reply) => {
-            let status = reply.status.as_u16();
+            end.status = Some(reply.status.as_u16());
             let marks = reply_marks.take();
-            (classify_reply(&fanout, &call, reply, marks.unwrap_or_default()), Some(status))
+            classify_reply(&fanout, &call, reply, marks.unwrap_or_default())
         }
     };
-    log_unanswered(&call, &request, &event, status, sent_at);
+    log_unanswered(&call, &request, &event, end, sent_at);
     fanout.handle(event);
 }
 
+/// How a call ended, for the log.
+#[derive(Clone, Copy, Default)]
+struct CallEnd {
+    /// Status of the reply, if one arrived.
+    status: Option<u16>,
+    /// Why no reply arrived, if the call was sent.
+    failure: Option<CallFailure>,
+}
+
 /// Logs a call that ended without an answer.
 fn log_unanswered(
     call: &ForwardCall,
     request: &OpaqueRequest,
     event: &FanoutEvent,
-    status: Option<u16>,
+    end: CallEnd,
     sent_at: Instant,
 ) {
     let outcome = match event {
@@ -90,15 +104,18 @@
         FanoutEvent::Refused { .. } => "refused_not_run",
         FanoutEvent::Unsent { .. } => "not_sent",
         FanoutEvent::Withdrawn { .. } => "withdrawn",
-        FanoutEvent::Failed { .. } if status.is_some() => "target_failed",
+        FanoutEvent::Failed { .. } if end.status.is_some() => "target_failed",
         FanoutEvent::Failed { .. } => "no_whole_reply",
     };
     log::info!(
         request = request.id.as_str(),
         target = call.target.as_ref(),
         call = call.call,
-        status = status,
+        status = end.status,
         outcome = outcome,
+        end = end.failure.map(CallFailure::as_str),
+        path = request.path(),
+        work:% = request.fingerprint(),
         ms = milliseconds(sent_at.elapsed());
         "call ended without an answer"
     );
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -9,7 +9,8 @@
 mod service;
 
 pub(crate) use deadline::ExecuteDeadline;
+pub(crate) use outcome::CallFailure;
 pub(crate) use outcome::CallOutcome;
-pub(crate) use service::ForwardOutcome;
+pub(crate) use outcome::ForwardOutcome;
 pub(crate) use service::ReplyObserver;
 pub(crate) use service::TargetService;
--- a/crates/daemon/src/targets/outcome.rs
+++ b/crates/daemon/src/targets/outcome.rs
@@ -1,5 +1,6 @@
 //! Outcome of a call to a target.
 
+use oleanderwind_http::ClientReply;
 use oleanderwind_wire::SearcherRefusal;
 
 /// Outcome of one call.
@@ -14,3 +15,41 @@
     /// No answer to this call arrived. The target may have run the call.
     Failed,
 }
+
+/// Outcome of a forwarded request.
+#[derive(Debug)]
+pub(crate) enum ForwardOutcome {
+    /// Nothing was sent.
+    Unsent,
+    /// Nothing was sent, as the target may get no calls any more.
+    Withdrawn,
+    /// A complete reply to this request arrived.
+    Replied(ClientReply),
+    /// No reply to this request arrived. The target may have run it.
+    Failed(CallFailure),
+}
+
+/// How a call that was sent ended without a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallFailure {
+    /// The connection was closed or reset before the reply was complete.
+    Closed,
+    /// The reply was not complete by the deadline.
+    TimedOut,
+    /// The reply belongs to another request.
+    OtherRequest,
+    /// The reply exceeded its limit.
+    OverLimit,
+}
+
+impl CallFailure {
+    /// Returns the stable label of the failure in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            CallFailure::Closed => "closed",
+            CallFailure::TimedOut => "timed_out",
+            CallFailure::OtherRequest => "other_request",
+            CallFailure::OverLimit => "over_limit",
+        }
+    }
+}
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -32,8 +32,10 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
+use crate::targets::CallFailure;
 use crate::targets::CallOutcome;
 use crate::targets::ExecuteDeadline;
+use crate::targets::ForwardOutcome;
 use crate::targets::pool::PooledConnection;
 use crate::targets::pool::TargetPool;
 
@@ -68,19 +70,6 @@
     pool: Rc<TargetPool>,
 }
 
-/// Outcome of a forwarded request.
-#[derive(Debug)]
-pub(crate) enum ForwardOutcome {
-    /// Nothing was sent.
-    Unsent,
-    /// Nothing was sent, as the target may get no calls any more.
-    Withdrawn,
-    /// A complete reply to this request arrived.
-    Replied(ClientReply),
-    /// No reply arrived, or it belongs to another request.
-    Failed,
-}
-
 impl Default for TargetService {
     fn default() -> TargetService {
         TargetService {
@@ -248,17 +237,17 @@
             Ok(Err(ClientError::NotConnected)) => ForwardOutcome::Unsent,
             Ok(Ok(_)) => {
                 log::warn!(target = target.as_ref(); "reply belongs to another request");
-                ForwardOutcome::Failed
+                ForwardOutcome::Failed(CallFailure::OtherRequest)
             }
-            Ok(Err(ClientError::Broken)) => ForwardOutcome::Failed,
+            Ok(Err(ClientError::Broken)) => ForwardOutcome::Failed(CallFailure::Closed),
             Ok(Err(ClientError::OverLimit)) => {
                 pool.log_over_limit(target);
-                ForwardOutcome::Failed
+                ForwardOutcome::Failed(CallFailure::OverLimit)
             }
             Err(_) => {
                 // The cause of an unresponsive connection often affects other connections as well.
                 pool.close_idle(sent_at);
-                ForwardOutcome::Failed
+                ForwardOutcome::Failed(CallFailure::TimedOut)
             }
         }
     }
