--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -66,14 +66,19 @@
     ///
     /// The caller counts by its credentials, as the same path may mean other work for another caller.
     pub fn fingerprint(&self) -> WorkFingerprint {
+        WorkFingerprint::of(&self.work_parts())
+    }
+
+    /// Returns the parts that make up what the request asks for.
+    pub(crate) fn work_parts(&self) -> [&[u8]; 5] {
         let credentials = self.headers.get(header::AUTHORIZATION);
-        WorkFingerprint::of(&[
+        [
             self.method.as_str().as_bytes(),
             self.authority.as_bytes(),
             self.path_and_query.as_bytes(),
             credentials.map_or(b"", |value| value.as_bytes()),
             &self.body,
-        ])
+        ]
     }
 }
 
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -1,6 +1,7 @@
 //! Driver of the fan-out engine: executes its actions and passes events to it.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use oleanderwind_policy::CallId;
@@ -25,6 +26,8 @@
 use crate::fanout::forward::ForwardCall;
 use crate::fanout::forward::send_forward_call;
 use crate::fanout::payload::CallAnswer;
+use crate::fanout::quarantine::CallWitness;
+use crate::fanout::service::ForwardTask;
 use crate::fanout::service::RunningQuery;
 use crate::targets::CallOutcome;
 use crate::time::milliseconds;
@@ -107,10 +110,12 @@
         let Some(running) = queries.get(&outgoing.query) else { return };
         match &running.payload {
             QueryPayload::Search { text, .. } => {
+                let witness = Rc::new(running.witness(&outgoing.target));
                 let call = shard_call(running, text, &outgoing, shard, index_version);
-                actix_rt::spawn(send_call(self.clone(), outgoing.target, call, outgoing.deadline));
+                actix_rt::spawn(send_call(self.clone(), witness, call, outgoing.deadline));
             }
             QueryPayload::Forward { request, .. } => {
+                let witness = Rc::new(running.witness(&outgoing.target));
                 let Some(dialect) = self.dialect.clone() else { return };
                 let call = ForwardCall {
                     query: outgoing.query,
@@ -121,22 +126,38 @@
                     relays_failures: running.plan.manifest.shards.len() == 1,
                 };
                 let id = call.call;
-                let sending = send_forward_call(self.clone(), dialect, call, request.clone());
+                let sending = send_forward_call(
+                    self.clone(),
+                    dialect,
+                    call,
+                    witness.clone(),
+                    request.clone(),
+                );
                 let task = actix_rt::spawn(sending);
-                self.forward_tasks.borrow_mut().insert(id, task);
+                self.forward_tasks.borrow_mut().insert(id, ForwardTask { task, witness });
             }
         }
     }
 
     /// Cancels a call: closes a forwarded call's connection, or asks the target to drop a search.
     fn cancel(self: &Rc<Self>, call: CallId, target: TargetId) {
-        if let Some(task) = self.forward_tasks.borrow_mut().remove(&call) {
-            return task.abort();
+        let forward = self.forward_tasks.borrow_mut().remove(&call);
+        if let Some(ForwardTask { task, witness }) = forward {
+            task.abort();
+            return self.examine_cancelled(witness);
         }
         let targets = self.targets.clone();
         actix_rt::spawn(async move { targets.cancel(&target, call).await });
     }
 
+    /// Finds out in the background whether a call that got no reply for long met a silent host.
+    pub(crate) fn examine_cancelled(self: &Rc<Self>, witness: Rc<CallWitness>) {
+        if witness.may_be_silent() {
+            let fanout = self.clone();
+            actix_rt::spawn(async move { fanout.examine_end(&witness).await });
+        }
+    }
+
     fn merge(&self, query: QueryId, call: CallId) {
         let Some(answer) = self.pending_answers.borrow_mut().remove(&call) else { return };
         if let Some(running) = self.queries.borrow_mut().get_mut(&query) {
@@ -146,11 +167,22 @@
 
     fn finish(&self, query: QueryId, result: FanoutResult) {
         let Some(running) = self.queries.borrow_mut().remove(&query) else { return };
+        if result.shards_answered > 0 {
+            self.record_answered_work(running.payload.work());
+        }
         // Sending fails only if the caller disconnected and dropped the receiver.
         let _ = running.reply.send(FanoutReply { result, payload: running.payload });
     }
 }
 
+impl RunningQuery {
+    /// Returns the witness of a call of the query.
+    fn witness(&self, target: &TargetId) -> CallWitness {
+        let service = self.plan.manifest.service.clone();
+        CallWitness::new(self.payload.work().clone(), service, target.clone())
+    }
+}
+
 /// A call that the engine asked the driver to send.
 struct OutgoingCall {
     query: QueryId,
@@ -180,12 +212,27 @@
 /// Sends a search call and reports its outcome to the engine.
 async fn send_call(
     fanout: Rc<FanoutService>,
-    target: TargetId,
+    witness: Rc<CallWitness>,
     call: ShardCall,
     deadline: Instant,
 ) {
+    if let Err(retry_after) = fanout.pass_gate(&witness, deadline).await {
+        return fanout.handle(quarantined(call.call_id, false, retry_after));
+    }
+    let target = witness.target.clone();
     fanout.mark_sent(call.call_id);
+    witness.mark_sent(fanout.targets.process(&target));
     let outcome = fanout.targets.search(&target, &call, deadline).await;
+    match &outcome {
+        CallOutcome::Answered(_) => fanout.record_survived(&witness),
+        CallOutcome::Failed => {
+            if fanout.examine_end(&witness).await {
+                let retry_after = fanout.suspect_retry_delay(&witness.work);
+                return fanout.handle(quarantined(call.call_id, true, retry_after));
+            }
+        }
+        CallOutcome::Refused(_) | CallOutcome::NotSent => {}
+    }
     if is_draining(&outcome) {
         // Targets of searches have no incarnation.
         fanout.peers.handle_target_drain(&target, 0);
@@ -204,6 +251,15 @@
     fanout.handle(event);
 }
 
+/// Returns the event of a call that ends its query, as its work may end targets.
+pub(crate) fn quarantined(
+    call: CallId,
+    has_ended_target: bool,
+    retry_after: Duration,
+) -> FanoutEvent {
+    FanoutEvent::Quarantined { call, has_ended_target, retry_after }
+}
+
 /// Returns whether the target's reply reports that it is draining.
 fn is_draining(outcome: &CallOutcome<ShardAnswer>) -> bool {
     match outcome {
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use http::Request;
@@ -19,9 +20,11 @@
 use crate::edge::OpaqueRequest;
 use crate::edge::ReplyMetadata;
 use crate::fanout::FanoutService;
+use crate::fanout::driver::quarantined;
 use crate::fanout::payload::CallAnswer;
 use crate::fanout::payload::QueryPayload;
 use crate::fanout::payload::SignedReply;
+use crate::fanout::quarantine::CallWitness;
 use crate::targets::CallFailure;
 use crate::targets::ForwardOutcome;
 use crate::time::milliseconds;
@@ -44,8 +47,12 @@
     fanout: Rc<FanoutService>,
     dialect: Rc<dyn CallerProtocol>,
     call: ForwardCall,
+    witness: Rc<CallWitness>,
     request: Rc<OpaqueRequest>,
 ) {
+    if let Err(retry_after) = fanout.pass_gate(&witness, call.deadline).await {
+        return fanout.handle(quarantined(call.call, false, retry_after));
+    }
     let Some(message) = build_request(dialect.as_ref(), &call, &request) else {
         return fanout.handle(FanoutEvent::Unsent { call: call.call });
     };
@@ -60,7 +67,14 @@
     fanout.mark_sent(call.call);
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
-    let may_send = || fanout.engine.borrow().may_send(call.call, Instant::now());
+    let may_send = || {
+        let may_send = fanout.engine.borrow().may_send(call.call, Instant::now())
+            && fanout.may_leave(&witness);
+        if may_send {
+            witness.mark_sent(targets.process(&call.target));
+        }
+        may_send
+    };
     let sent =
         targets.forward(&call.target, message, call.is_idempotent, call.deadline, may_send, is_own);
     let mut end = CallEnd::default();
@@ -69,18 +83,48 @@
         ForwardOutcome::Unsent => FanoutEvent::Unsent { call: call.call },
         ForwardOutcome::Failed(failure) => {
             end.failure = Some(failure);
-            FanoutEvent::Failed { call: call.call }
+            match fanout.examine_failure(&witness, failure).await {
+                Some(retry_after) => quarantined(call.call, true, retry_after),
+                None => FanoutEvent::Failed { call: call.call },
+            }
         }
         ForwardOutcome::Replied(reply) => {
             end.status = Some(reply.status.as_u16());
-            let marks = reply_marks.take();
-            classify_reply(&fanout, &call, reply, marks.unwrap_or_default())
+            let marks = reply_marks.take().unwrap_or_default();
+            if marks.signature.is_some() {
+                fanout.record_survived(&witness);
+            }
+            classify_reply(&fanout, &call, reply, marks)
         }
     };
     log_unanswered(&call, &request, &event, end, sent_at);
     fanout.handle(event);
 }
 
+impl FanoutService {
+    /// Finds out whether a call that got no reply ended its target.
+    ///
+    /// Returns the time after which the caller may return if it was a trial and did.
+    async fn examine_failure(
+        self: &Rc<Self>,
+        witness: &Rc<CallWitness>,
+        failure: CallFailure,
+    ) -> Option<Duration> {
+        match failure {
+            CallFailure::Closed => {
+                let has_ended = self.examine_end(witness).await;
+                has_ended.then(|| self.suspect_retry_delay(&witness.work))
+            }
+            // The query ends at this moment, and an attempt to connect to a silent host takes long.
+            CallFailure::TimedOut => {
+                self.examine_cancelled(witness.clone());
+                None
+            }
+            CallFailure::OtherRequest | CallFailure::OverLimit => None,
+        }
+    }
+}
+
 /// How a call ended, for the log.
 #[derive(Clone, Copy, Default)]
 struct CallEnd {
@@ -105,6 +149,7 @@
         FanoutEvent::Unsent { .. } => "not_sent",
         FanoutEvent::Withdrawn { .. } => "withdrawn",
         FanoutEvent::Failed { .. } if end.status.is_some() => "target_failed",
+        FanoutEvent::Quarantined { .. } => "target_ended",
         FanoutEvent::Failed { .. } => "no_whole_reply",
     };
     log::info!(
--- a/crates/daemon/src/fanout/mod.rs
+++ b/crates/daemon/src/fanout/mod.rs
@@ -3,9 +3,12 @@
 mod driver;
 mod forward;
 mod payload;
+mod quarantine;
 mod service;
+mod work;
 
 pub(crate) use payload::FanoutReply;
 pub(crate) use payload::QueryPayload;
 pub(crate) use payload::SignedReply;
 pub(crate) use service::FanoutService;
+pub(crate) use work::QueryWork;
--- /dev/null
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -0,0 +1,305 @@
+//! Calls whose work may end targets: the gate before each call, and the evidence after it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use oleanderwind_policy::ServiceId;
+use oleanderwind_policy::TargetEnd;
+use oleanderwind_policy::TargetId;
+use oleanderwind_policy::VmId;
+use oleanderwind_policy::WorkFingerprint;
+use oleanderwind_policy::WorkVerdict;
+
+use crate::fanout::FanoutService;
+use crate::fanout::QueryWork;
+use crate::peers::TrialAnswer;
+use crate::targets::TargetProcess;
+use crate::time::milliseconds;
+
+/// Interval at which a call that waits for a trial asks again.
+const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after it was asked for within which a trial must be sent.
+const TRIAL_SEND_TIME: Duration = Duration::from_millis(500);
+/// Time beyond the call's own for which a trial counts as under way if its end is not reported.
+const TRIAL_HOLD_MARGIN: Duration = Duration::from_secs(1);
+/// Delay suggested to callers of suspect work that could not be tried.
+const SUSPECT_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time without a reply after which a call that is cancelled may have met a silent host. The users' targets pause
+/// for up to 250 ms.
+const SILENT_CALL_TIME: Duration = Duration::from_millis(300);
+
+/// Whether a call may be sent.
+enum GatePass {
+    /// It may.
+    Open,
+    /// It may, as a trial.
+    Trial(TrialPermit),
+    /// It must not; the caller may return after this time.
+    Closed(Duration),
+}
+
+/// Permission for one trial. Its end is reported when it is dropped.
+struct TrialPermit {
+    fanout: Rc<FanoutService>,
+    work: WorkFingerprint,
+    target: TargetId,
+    arbiter: VmId,
+    asked_at: Instant,
+    /// The same time on the wall clock, which keeps running while the VM is suspended.
+    asked_at_wall: SystemTime,
+}
+
+impl TrialPermit {
+    /// Returns whether the trial may still be sent.
+    fn is_valid(&self) -> bool {
+        let wall = self.asked_at_wall.elapsed();
+        self.asked_at.elapsed() < TRIAL_SEND_TIME
+            && wall.is_ok_and(|elapsed| elapsed < TRIAL_SEND_TIME)
+    }
+}
+
+impl Drop for TrialPermit {
+    fn drop(&mut self) {
+        self.fanout.peers.end_trial(&self.work, &self.target, &self.arbiter);
+        self.fanout.local_trials.borrow_mut().remove(&self.work);
+        self.fanout.trial_ends.notify_waiters();
+    }
+}
+
+/// A call, as far as its end is evidence for or against its work.
+pub(crate) struct CallWitness {
+    pub(crate) work: Rc<QueryWork>,
+    pub(crate) service: ServiceId,
+    pub(crate) target: TargetId,
+    /// The target's process, and when the call was sent to it.
+    sent: Cell<Option<(TargetProcess, Instant)>>,
+    permit: RefCell<Option<TrialPermit>>,
+}
+
+impl CallWitness {
+    /// Returns the witness of a call that is not sent yet.
+    pub(crate) fn new(work: Rc<QueryWork>, service: ServiceId, target: TargetId) -> CallWitness {
+        CallWitness { work, service, target, sent: Cell::new(None), permit: RefCell::new(None) }
+    }
+
+    /// Records that the call is sent now.
+    pub(crate) fn mark_sent(&self, process: Option<TargetProcess>) {
+        self.sent.set(process.map(|process| (process, Instant::now())));
+    }
+
+    /// Returns whether the call was sent so long ago that its target may be silent.
+    pub(crate) fn may_be_silent(&self) -> bool {
+        self.sent.get().is_some_and(|(_, at)| at.elapsed() >= SILENT_CALL_TIME)
+    }
+}
+
+/// The gate before each call.
+impl FanoutService {
+    /// Returns for how long the work is blocked, if it is.
+    pub(crate) fn blocked_time(&self, work: &QueryWork) -> Option<Duration> {
+        if self.peers.is_quarantine_idle() {
+            return None;
+        }
+        match self.peers.work_verdict(work.fingerprint()) {
+            WorkVerdict::Blocked { retry_after } => Some(retry_after),
+            WorkVerdict::Clear | WorkVerdict::Suspect => None,
+        }
+    }
+
+    /// Waits until a call may be sent, if its work is suspect; a permit is kept in the witness.
+    ///
+    /// Returns the time after which the caller may return if the call must not be sent.
+    pub(crate) async fn pass_gate(
+        self: &Rc<Self>,
+        witness: &CallWitness,
+        deadline: Instant,
+    ) -> Result<(), Duration> {
+        match self.enter_gate(&witness.work, &witness.target, deadline).await {
+            GatePass::Open => Ok(()),
+            GatePass::Trial(permit) => {
+                log::info!(
+                    work:% = permit.work,
+                    target = permit.target.as_ref(),
+                    arbiter = permit.arbiter.as_ref();
+                    "trial of suspect work begins"
+                );
+                self.metrics.record_quarantine_step("trial");
+                *witness.permit.borrow_mut() = Some(permit);
+                Ok(())
+            }
+            GatePass::Closed(retry_after) => Err(retry_after),
+        }
+    }
+
+    async fn enter_gate(
+        self: &Rc<Self>,
+        work: &QueryWork,
+        target: &TargetId,
+        deadline: Instant,
+    ) -> GatePass {
+        loop {
+            if self.peers.is_quarantine_idle() {
+                return GatePass::Open;
+            }
+            let work = work.fingerprint();
+            match self.peers.work_verdict(work) {
+                WorkVerdict::Clear => return GatePass::Open,
+                WorkVerdict::Blocked { retry_after } => return GatePass::Closed(retry_after),
+                WorkVerdict::Suspect => {}
+            }
+            if Instant::now() >= deadline {
+                return GatePass::Closed(SUSPECT_RETRY_DELAY);
+            }
+            let trial_end = self.trial_ends.notified();
+            if !self.local_trials.borrow_mut().insert(*work) {
+                let _ = tokio::time::timeout(TRIAL_POLL_INTERVAL, trial_end).await;
+                continue;
+            }
+            match self.ask_for_trial(work, target, deadline).await {
+                Some(pass) => return pass,
+                None => tokio::time::sleep(TRIAL_POLL_INTERVAL).await,
+            }
+        }
+    }
+
+    /// Asks for a trial; returns `None` if the answer is to ask again later.
+    async fn ask_for_trial(
+        self: &Rc<Self>,
+        work: &WorkFingerprint,
+        target: &TargetId,
+        deadline: Instant,
+    ) -> Option<GatePass> {
+        let reservation = LocalTrial { fanout: self, work: Some(*work) };
+        let (asked_at, asked_at_wall) = (Instant::now(), SystemTime::now());
+        let hold = deadline.saturating_duration_since(asked_at) + TRIAL_HOLD_MARGIN;
+        match self.peers.begin_trial(work, target, hold).await {
+            TrialAnswer::Granted { arbiter } => {
+                reservation.keep();
+                Some(GatePass::Trial(TrialPermit {
+                    fanout: self.clone(),
+                    work: *work,
+                    target: target.clone(),
+                    arbiter,
+                    asked_at,
+                    asked_at_wall,
+                }))
+            }
+            TrialAnswer::Wait | TrialAnswer::Unneeded => None,
+            TrialAnswer::Postponed => Some(GatePass::Closed(SUSPECT_RETRY_DELAY)),
+            TrialAnswer::Unreachable => {
+                log::warn!(work:% = work; "suspect work is refused: no VM that permits trials can be reached");
+                Some(GatePass::Closed(SUSPECT_RETRY_DELAY))
+            }
+        }
+    }
+
+    /// Returns whether the call may leave now that its connection is free.
+    pub(crate) fn may_leave(&self, witness: &CallWitness) -> bool {
+        if let Some(permit) = witness.permit.borrow().as_ref() {
+            return permit.is_valid();
+        }
+        self.peers.is_quarantine_idle()
+            || self.peers.work_verdict(witness.work.fingerprint()) == WorkVerdict::Clear
+    }
+}
+
+/// Reserves the one trial of a work that this VM asks for at a time; gives it back when dropped.
+struct LocalTrial<'a> {
+    fanout: &'a FanoutService,
+    work: Option<WorkFingerprint>,
+}
+
+impl LocalTrial<'_> {
+    /// Leaves the reservation to a permit.
+    fn keep(mut self) {
+        self.work = None;
+    }
+}
+
+impl Drop for LocalTrial<'_> {
+    fn drop(&mut self) {
+        if let Some(work) = self.work {
+            self.fanout.local_trials.borrow_mut().remove(&work);
+            self.fanout.trial_ends.notify_waiters();
+        }
+    }
+}
+
+/// The evidence after each call.
+impl FanoutService {
+    /// Records that a target ran the call and goes on.
+    pub(crate) fn record_survived(&self, witness: &CallWitness) {
+        let permit = witness.permit.take();
+        if self.peers.is_quarantine_idle() {
+            return;
+        }
+        let work = witness.work.fingerprint();
+        if self.peers.clear_work(work) {
+            log::info!(
+                work:% = work,
+                target = witness.target.as_ref(),
+                by = "answer";
+                "work is cleared"
+            );
+            self.metrics.record_quarantine_step("cleared");
+        }
+        drop(permit);
+    }
+
+    /// Records that work was answered, so that it is not suspect for a while.
+    pub(crate) fn record_answered_work(&self, work: &QueryWork) {
+        self.peers.record_recent_answer(work.hash(self.hash_seed));
+    }
+
+    /// Finds out whether the target's process ended under a call that got no reply, and records it.
+    ///
+    /// Returns whether it ended under a trial.
+    pub(crate) async fn examine_end(&self, witness: &CallWitness) -> bool {
+        let permit = witness.permit.take();
+        let Some((process, sent_at)) = witness.sent.get() else { return false };
+        let hears_others = || self.peers.has_contact_since(sent_at);
+        if !self.targets.has_ended(&witness.target, process, sent_at, hears_others).await {
+            return false;
+        }
+        let is_trial = permit.is_some();
+        if !is_trial && self.peers.is_recently_answered(witness.work.hash(self.hash_seed)) {
+            return false;
+        }
+        self.record_end(witness, process, is_trial);
+        is_trial
+    }
+
+    fn record_end(&self, witness: &CallWitness, process: TargetProcess, is_trial: bool) {
+        let work = *witness.work.fingerprint();
+        let end = TargetEnd::new(&witness.target, process.incarnation, is_trial);
+        if !self.peers.record_target_end(work, &witness.service, end) {
+            return;
+        }
+        let ends = self.peers.work_record(&work).map_or(0, |record| record.counted_ends());
+        let retry_after = self.blocked_time(&witness.work);
+        log::warn!(
+            work:% = work,
+            place = witness.work.place(),
+            service = witness.service.as_ref(),
+            target = witness.target.as_ref(),
+            incarnation = process.incarnation,
+            in_trial = is_trial,
+            ends = ends,
+            blocked_ms = retry_after.map(milliseconds);
+            "target ended under a request"
+        );
+        self.metrics.record_quarantine_step(match retry_after {
+            Some(_) => "blocked",
+            None => "suspected",
+        });
+    }
+
+    /// Returns the time after which the caller of suspect work may return.
+    pub(crate) fn suspect_retry_delay(&self, work: &QueryWork) -> Duration {
+        self.blocked_time(work).unwrap_or(SUSPECT_RETRY_DELAY)
+    }
+}
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +22,7 @@
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
+use oleanderwind_policy::WorkFingerprint;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -32,6 +34,7 @@
 use crate::fanout::driver::connection_share;
 use crate::fanout::driver::run_timers;
 use crate::fanout::payload::CallAnswer;
+use crate::fanout::quarantine::CallWitness;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
 use crate::metrics::MetricsService;
@@ -54,19 +57,31 @@
     pub(crate) reply: oneshot::Sender<FanoutReply>,
 }
 
+/// A forwarded call in flight. Aborting the task cancels the call.
+pub(crate) struct ForwardTask {
+    pub(crate) task: JoinHandle<()>,
+    pub(crate) witness: Rc<CallWitness>,
+}
+
 /// The fan-out engine, with the requests, answers and tasks of its queries and calls.
 pub(crate) struct FanoutService {
     pub(crate) engine: RefCell<FanoutEngine>,
     pub(crate) queries: RefCell<HashMap<QueryId, RunningQuery>>,
     pub(crate) pending_answers: RefCell<HashMap<CallId, CallAnswer>>,
-    /// Tasks of forwarded calls in flight. Aborting a task cancels its call.
-    pub(crate) forward_tasks: RefCell<HashMap<CallId, JoinHandle<()>>>,
+    /// Forwarded calls in flight.
+    pub(crate) forward_tasks: RefCell<HashMap<CallId, ForwardTask>>,
     /// Protocol of opaque requests, if this VM serves them.
     pub(crate) dialect: Option<Rc<dyn CallerProtocol>>,
     pub(crate) targets: Rc<TargetService>,
     pub(crate) peers: Rc<PeerService>,
     pub(crate) timer_changes: Notify,
-    metrics: Rc<MetricsService>,
+    /// Work of which this VM has or asks for a trial.
+    pub(crate) local_trials: RefCell<HashSet<WorkFingerprint>>,
+    /// Notified when one of them ends.
+    pub(crate) trial_ends: Notify,
+    /// Seed of the hashes of answered work, which callers don't know.
+    pub(crate) hash_seed: u64,
+    pub(crate) metrics: Rc<MetricsService>,
     settings: LiveSettings,
     next_query: Cell<QueryId>,
 }
@@ -91,6 +106,9 @@
             targets: kernel.targets()?,
             peers: kernel.peers()?,
             timer_changes: Notify::new(),
+            local_trials: RefCell::new(HashSet::new()),
+            trial_ends: Notify::new(),
+            hash_seed: rand::random(),
             metrics: kernel.metrics()?,
             settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -16,6 +16,7 @@
 
 use crate::fanout::FanoutReply;
 use crate::fanout::QueryPayload;
+use crate::fanout::QueryWork;
 use crate::front::answer::empty_answer;
 use crate::front::answer::set_hits;
 use crate::front::request::CallerRequest;
@@ -42,6 +43,7 @@
         let provider = contract.provider_for(xxh3_64(request_id.as_bytes()))?;
         let deadline = arrived + request.deadline;
         let mut extra_calls = 0;
+        let work = QueryWork::of_own_request(&contract.customer, &request.class, &request.text);
         loop {
             let manifest = self.directory.snapshot(&request.terms.service, provider)?;
             let plan = FanoutPlan {
@@ -56,7 +58,8 @@
                 objective: None,
                 attempt_policy: AttemptPolicy::default(),
             };
-            let reply = self.fanout.run(plan, QueryPayload::search(&request.text)).await?;
+            let payload = QueryPayload::search(work.clone(), &request.text);
+            let reply = self.fanout.run(plan, payload).await?;
             if reply.result.reason == FinishReason::SnapshotRetired
                 && self.wait_for_newer_snapshot(&manifest, deadline).await
             {
@@ -125,6 +128,7 @@
         FinishReason::TargetsBusy => "targets_busy",
         FinishReason::ShardLost => "shard_lost",
         FinishReason::SnapshotRetired => "snapshot_retired",
+        FinishReason::Quarantined => "quarantined",
         FinishReason::Abandoned => "abandoned",
     }
 }
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -54,6 +54,7 @@
     route_latency: Histogram<f64>,
     route_calls: Counter<u64>,
     target_notices: Counter<u64>,
+    quarantine_steps: Counter<u64>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
 }
@@ -82,6 +83,7 @@
             route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
             route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
             target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
+            quarantine_steps: meter.u64_counter("oleanderwind_quarantine_steps").build(),
             latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
             coverage: meter
                 .f64_histogram("oleanderwind_request_coverage_permille")
@@ -146,6 +148,11 @@
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records a step of the quarantine of work: `suspected`, `trial`, `blocked` or `cleared`.
+    pub(crate) fn record_quarantine_step(&self, step: &'static str) {
+        self.quarantine_steps.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Returns a reply with all metrics.
     pub(crate) fn reply(&self) -> HttpReply {
         match self.render() {
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -8,6 +8,8 @@
 use oleanderwind_wire::peer::FetchObjectsRequest;
 use oleanderwind_wire::peer::ProbeReply;
 use oleanderwind_wire::peer::PushObjectsReply;
+use oleanderwind_wire::peer::TrialReply;
+use oleanderwind_wire::peer::TrialRequest;
 use tokio::sync::oneshot;
 
 /// Loan request from a peer.
@@ -26,6 +28,8 @@
     Borrow(IncomingLoanRequest),
     /// Push of changed objects.
     Push { objects: Vec<ConfigurationObject>, reply: oneshot::Sender<PushObjectsReply> },
+    /// Request for a trial of suspect work, or report of its end.
+    Trial { request: TrialRequest, reply: oneshot::Sender<TrialReply> },
     /// Request for a page of objects.
     Fetch { request: FetchObjectsRequest, reply: oneshot::Sender<FetchObjectsReply> },
 }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -15,6 +15,8 @@
 use oleanderwind_wire::peer::FetchObjectsRequest;
 use oleanderwind_wire::peer::ProbeRequest;
 use oleanderwind_wire::peer::PushObjectsRequest;
+use oleanderwind_wire::peer::TrialReply;
+use oleanderwind_wire::peer::TrialRequest;
 use oleanderwind_wire::peer::peer_client::PeerClient;
 use tokio::time::timeout;
 use tonic::Response;
@@ -30,6 +32,8 @@
 const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout for asking for a trial, which a request of a caller waits for.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for fetching a page of objects.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of connections kept for later calls.
@@ -90,6 +94,16 @@
         self.call(address, CALL_TIMEOUT, send).await;
     }
 
+    /// Asks for a trial of suspect work, or reports its end.
+    pub(crate) async fn trial(
+        &self,
+        address: SocketAddr,
+        request: TrialRequest,
+    ) -> Option<TrialReply> {
+        let send = async |mut client: PeerClient<Channel>| client.trial(request).await;
+        self.call(address, TRIAL_TIMEOUT, send).await
+    }
+
     /// Fetches a page of objects.
     pub(crate) async fn fetch(
         &self,
--- a/crates/daemon/src/peers/drains.rs
+++ b/crates/daemon/src/peers/drains.rs
@@ -44,7 +44,7 @@
     }
 
     /// Sends unscheduled heartbeats to `count` peers.
-    fn notify(self: &Rc<Self>, count: usize) {
+    pub(crate) fn notify(self: &Rc<Self>, count: usize) {
         let actions = {
             let mut state = self.state.borrow_mut();
             let summary = state.gossip.store().summary();
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -53,15 +53,9 @@
     /// Sends heartbeats to the seed addresses of the settings, as no peer may be known yet.
     fn contact_seeds(self: &Rc<Self>) {
         for address in self.settings.seed_peers.clone() {
-            let message = {
-                let state = self.state.borrow();
-                let summary = state.gossip.store().summary();
-                let sender = state.membership.own().clone();
-                policy::ExchangeMessage { sender, members: Vec::new(), summary }
-            };
+            let message = self.own_message();
             let peers = self.clone();
             actix_rt::spawn(async move {
-                let message = peers.encode(&message);
                 if let Some(reply) = peers.clients.exchange(address, message).await {
                     peers.handle_reply(&reply);
                 }
@@ -74,7 +68,7 @@
         for action in actions {
             match action {
                 MembershipAction::Exchange { vm, address, message } => {
-                    let message = self.encode(&message);
+                    let message = self.encode(&message, None);
                     actix_rt::spawn(exchange(self.clone(), vm, address, message));
                 }
                 MembershipAction::ProbeVia { address, vm, .. } => {
@@ -89,11 +83,28 @@
         }
     }
 
-    /// Encodes a heartbeat and adds the recent drain records.
-    fn encode(&self, message: &policy::ExchangeMessage) -> ExchangeMessage {
+    /// Returns an unscheduled heartbeat without records of other VMs.
+    pub(crate) fn own_message(&self) -> ExchangeMessage {
+        let message = {
+            let state = self.state.borrow();
+            let summary = state.gossip.store().summary();
+            let sender = state.membership.own().clone();
+            policy::ExchangeMessage { sender, members: Vec::new(), summary }
+        };
+        self.encode(&message, None)
+    }
+
+    /// Encodes a heartbeat, or the reply to one with `peer_digest` of suspect work, and adds the recent drain
+    /// records and what is news of suspect work.
+    fn encode(
+        &self,
+        message: &policy::ExchangeMessage,
+        peer_digest: Option<u64>,
+    ) -> ExchangeMessage {
         let records = self.state.borrow().drains.recent_records(Instant::now());
         let mut message = ExchangeMessage::from(message);
         message.drains = records.iter().map(Into::into).collect();
+        self.add_works(&mut message, peer_digest);
         message
     }
 
@@ -135,6 +146,11 @@
                 self.handle_push(&objects);
                 let _ = reply.send(PushObjectsReply {});
             }
+            PeerCall::Trial { request, reply } => {
+                if let Some(answer) = self.handle_trial(&request) {
+                    let _ = reply.send(answer);
+                }
+            }
             PeerCall::Fetch { request, reply } => {
                 let state = self.state.borrow();
                 let delta = state.gossip.handle_pull(request.after_revision, request.whole);
@@ -151,7 +167,7 @@
             let summary = state.gossip.store().summary();
             state.membership.handle_heartbeat(&message, summary, Instant::now())
         };
-        let reply = self.encode(&reply);
+        let reply = self.encode(&reply, Some(raw.work_digest));
         self.handle_message(&message, raw);
         Some(reply)
     }
@@ -170,6 +186,7 @@
             state.gossip.handle_summary(&message.sender.vm, same_domain, message.summary, now)
         };
         self.handle_peer_drains(&raw.drains);
+        self.handle_peer_works(&raw.works);
         self.perform_gossip_actions(action);
         self.refresh_derived_state();
     }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -6,9 +6,11 @@
 mod drains;
 mod heartbeat;
 mod metrics;
+mod quarantine;
 mod server;
 mod service;
 mod view;
 
 pub(crate) use configuration::configuration_object;
+pub(crate) use quarantine::TrialAnswer;
 pub(crate) use service::PeerService;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -13,6 +13,8 @@
 use oleanderwind_wire::peer::ProbeRequest;
 use oleanderwind_wire::peer::PushObjectsReply;
 use oleanderwind_wire::peer::PushObjectsRequest;
+use oleanderwind_wire::peer::TrialReply;
+use oleanderwind_wire::peer::TrialRequest;
 use oleanderwind_wire::peer::peer_server::Peer;
 use oleanderwind_wire::peer::peer_server::PeerServer;
 use tokio::net::TcpListener;
@@ -126,6 +128,11 @@
         self.dispatch(|reply| PeerCall::Fetch { request, reply }).await
     }
 
+    async fn trial(&self, request: Request<TrialRequest>) -> Result<Response<TrialReply>, Status> {
+        let request = request.into_inner();
+        self.dispatch(|reply| PeerCall::Trial { request, reply }).await
+    }
+
     async fn forward(
         &self,
         _request: Request<ForwardRequest>,
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -18,6 +18,7 @@
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
 use oleanderwind_policy::NewsTracker;
+use oleanderwind_policy::QuarantineEngine;
 use oleanderwind_policy::ReadinessGate;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -47,6 +48,7 @@
     pub(crate) contact: ContactTracker,
     pub(crate) news: NewsTracker,
     pub(crate) drains: DrainTable,
+    pub(crate) quarantine: QuarantineEngine,
 }
 
 /// Service for communication with the other VMs.
@@ -188,6 +190,7 @@
     if !peers.directory.contracts().is_empty() {
         tokio::time::sleep(BUCKET_FILL_TIME).await;
     }
+    peers.learn_works().await;
     if !peers.directory.is_leaving() {
         peers.directory.mark_configured();
         peers.announce(MemberPhase::Serving);
@@ -218,5 +221,6 @@
         contact: ContactTracker::new(now),
         news: NewsTracker::default(),
         drains: DrainTable::default(),
+        quarantine: QuarantineEngine::default(),
     }
 }
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -37,6 +37,7 @@
 use crate::fanout::FanoutReply;
 use crate::fanout::FanoutService;
 use crate::fanout::QueryPayload;
+use crate::fanout::QueryWork;
 use crate::kernel::Kernel;
 use crate::metrics::MetricsService;
 use crate::peers::PeerService;
@@ -234,10 +235,14 @@
         request: Rc<OpaqueRequest>,
         arrived: Instant,
     ) -> HttpReply {
+        let work = QueryWork::of_request(request.clone());
+        if let Some(retry_after) = self.fanout.blocked_time(&work) {
+            return self.refuse_blocked(route, &request, &work, retry_after);
+        }
         let plan = self.plan(routes, route, &request, arrived);
         let mut stop_signal = self.is_stopping.subscribe();
         let reply = tokio::select! {
-            reply = self.fanout.run(plan, QueryPayload::forward(request.clone())) => reply,
+            reply = self.fanout.run(plan, QueryPayload::forward(work, request.clone())) => reply,
             _ = stop_signal.wait_for(|is_stopping| *is_stopping) => {
                 log::warn!(
                     request = request.id.as_str(),
@@ -288,6 +293,26 @@
         reply
     }
 
+    /// Refuses a request whose work is blocked. Nothing of it runs.
+    fn refuse_blocked(
+        &self,
+        route: &RouteContract,
+        request: &OpaqueRequest,
+        work: &QueryWork,
+        retry_after: Duration,
+    ) -> HttpReply {
+        self.metrics.record_refusal("quarantined");
+        log::info!(
+            request = request.id.as_str(),
+            route = route.name.as_ref(),
+            work:% = work.fingerprint(),
+            outcome = "quarantined",
+            retry_after_ms = milliseconds(retry_after);
+            "request refused"
+        );
+        refusal(Some(retry_after))
+    }
+
     fn plan(
         &self,
         routes: &ActiveRoutes,
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -13,4 +13,5 @@
 pub(crate) use outcome::CallOutcome;
 pub(crate) use outcome::ForwardOutcome;
 pub(crate) use service::ReplyObserver;
+pub(crate) use service::TargetProcess;
 pub(crate) use service::TargetService;
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -30,6 +32,7 @@
 use oleanderwind_wire::ShardCall;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::targets::CallFailure;
@@ -51,6 +54,15 @@
 /// Minimum interval between two probes of all idle connections.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time in which a host that is up accepts or refuses a connection.
+const CONNECT_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time in which a connection that a process accepted while it was ending is closed.
+const ENDING_TIME: Duration = Duration::from_millis(15);
+/// Number of connections that are accepted and closed at once, after which a process counts as alive: a target
+/// closes those beyond its limit.
+const MAX_CONNECT_PROBES: u32 = 3;
+
 /// Called with the head of each reply of a target, and the target's incarnation.
 pub(crate) type ReplyObserver = Rc<dyn Fn(&TargetId, u64, StatusCode, &HeaderMap)>;
 
@@ -62,6 +74,15 @@
     reply_observer: RefCell<Option<ReplyObserver>>,
     /// Time at which the idle connections were last probed.
     last_probe_at: Cell<Option<Instant>>,
+    /// Time of the last reply of any target.
+    last_reply_at: Cell<Option<Instant>>,
+}
+
+/// A process of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TargetProcess {
+    pub(crate) incarnation: u64,
+    pub(crate) address: SocketAddr,
 }
 
 /// Pool of one incarnation of a target.
@@ -78,6 +99,7 @@
             memory: Rc::new(ReplyMemory::new(REPLY_MEMORY_BYTES)),
             reply_observer: RefCell::default(),
             last_probe_at: Cell::default(),
+            last_reply_at: Cell::default(),
         }
     }
 }
@@ -231,6 +253,7 @@
         let sent_at = Instant::now();
         match timeout(time_until(deadline), connection.client().send(request)).await {
             Ok(Ok(reply)) if is_own_reply(&reply) => {
+                self.last_reply_at.set(Some(Instant::now()));
                 connection.release();
                 ForwardOutcome::Replied(reply)
             }
@@ -252,6 +275,44 @@
         }
     }
 
+    /// Returns the listed process of a target.
+    pub(crate) fn process(&self, target: &TargetId) -> Option<TargetProcess> {
+        let pools = self.pools.borrow();
+        pools.get(target).map(|entry| TargetProcess {
+            incarnation: entry.incarnation,
+            address: entry.pool.address(),
+        })
+    }
+
+    /// Returns whether a process has ended that gave no reply to a call sent at `sent_at`.
+    ///
+    /// It has if a later one is listed, if nobody listens at its address, or if its host is silent while this
+    /// VM is not cut off: `hears_others`, or another target has replied since.
+    pub(crate) async fn has_ended(
+        &self,
+        target: &TargetId,
+        process: TargetProcess,
+        sent_at: Instant,
+        hears_others: impl Fn() -> bool,
+    ) -> bool {
+        if self.process(target).is_some_and(|listed| listed.incarnation > process.incarnation) {
+            return true;
+        }
+        for _ in 0..MAX_CONNECT_PROBES {
+            match timeout(CONNECT_PROBE_TIMEOUT, TcpStream::connect(process.address)).await {
+                Ok(Ok(stream)) if stays_open(&stream).await => return false,
+                // A process that is ending may close its connections before its listener.
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => return error.kind() == io::ErrorKind::ConnectionRefused,
+                Err(_) => {
+                    let hears_target = self.last_reply_at.get().is_some_and(|at| at > sent_at);
+                    return hears_target || hears_others();
+                }
+            }
+        }
+        false
+    }
+
     /// Sends a cancel request for a call, if a connection is available immediately.
     pub(crate) async fn cancel(&self, target: &TargetId, call: CallId) {
         let pool = self.pool(target);
@@ -274,7 +335,12 @@
     ) -> Option<(PooledConnection, Result<ClientReply, ClientError>)> {
         let sent_at = Instant::now();
         match timeout(max_wait, &mut exchange).await {
-            Ok(reply) => Some((connection, reply)),
+            Ok(reply) => {
+                if reply.is_ok() {
+                    self.last_reply_at.set(Some(Instant::now()));
+                }
+                Some((connection, reply))
+            }
             Err(_) => {
                 connection.release_after_reply(exchange);
                 self.probe_idle(sent_at);
@@ -340,3 +406,8 @@
 fn time_until(deadline: Instant) -> Duration {
     deadline.saturating_duration_since(Instant::now())
 }
+
+/// Returns whether a new connection is still open after [`ENDING_TIME`].
+async fn stays_open(stream: &TcpStream) -> bool {
+    timeout(ENDING_TIME, stream.readable()).await.is_err()
+}
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -199,10 +199,25 @@
         actions: &mut Vec<FanoutAction>,
     ) {
         let position = open.position as usize;
+        self.revoke_call(running, position, now);
+        running.shards[position].unsent += 1;
+        let shard = &running.shards[position];
+        if shard.unsent >= MAX_SENDS_PER_SHARD && !shard.has_open_call() {
+            return running.give_up_shard(position, LossCause::NoTarget);
+        }
+        self.retry(running, open, LossCause::NoTarget, now, actions);
+    }
+
+    /// Reverses the effect of a call of which nothing was sent on counters and budget.
+    pub(crate) fn revoke_call(
+        &mut self,
+        running: &mut RunningQuery,
+        position: usize,
+        now: Instant,
+    ) {
         let shard = &mut running.shards[position];
         shard.attempts = shard.attempts.saturating_sub(1);
         shard.sends = shard.sends.saturating_sub(1);
-        shard.unsent += 1;
         running.calls_sent = running.calls_sent.saturating_sub(1);
         let budget = self.budgets.budget_mut(running.budget(position), now);
         match running.shards[position].sends {
@@ -212,11 +227,6 @@
                 running.extra_calls = running.extra_calls.saturating_sub(1);
             }
         }
-        let shard = &running.shards[position];
-        if shard.unsent >= MAX_SENDS_PER_SHARD && !shard.has_open_call() {
-            return running.give_up_shard(position, LossCause::NoTarget);
-        }
-        self.retry(running, open, LossCause::NoTarget, now, actions);
     }
 
     /// Returns the latest time at which a call for the shard can still be answered in time.
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -200,8 +200,17 @@
                 self.retry_unsent(&mut running, &open, now, actions);
             }
             FanoutEvent::Failed { .. } => self.retry_failed(&mut running, &open, now, actions),
+            FanoutEvent::Quarantined { has_ended_target, retry_after, .. } => {
+                if !has_ended_target {
+                    self.revoke_call(&mut running, position, now);
+                }
+                running.quarantine = Some(retry_after);
+            }
         }
-        let reason = running.finish_reason(now);
+        let reason = match running.quarantine {
+            Some(_) => Some(FinishReason::Quarantined),
+            None => running.finish_reason(now),
+        };
         self.finish_or_resume(open.query, running, reason, now, actions);
         self.serve_freed_targets(now, actions);
     }
--- a/crates/policy/src/fanout/event.rs
+++ b/crates/policy/src/fanout/event.rs
@@ -1,5 +1,7 @@
 //! Events that the driver reports to the engine.
 
+use std::time::Duration;
+
 use crate::CallId;
 use crate::LoadReport;
 use crate::RefusalCause;
@@ -42,6 +44,15 @@
         /// Call that was not sent.
         call: CallId,
     },
+    /// The call ended its query, as its work may end targets.
+    Quarantined {
+        /// The call.
+        call: CallId,
+        /// Whether the call was sent and its target ended under it; if not, nothing was sent.
+        has_ended_target: bool,
+        /// Time after which the caller may return.
+        retry_after: Duration,
+    },
     /// No answer will arrive: the connection broke, timed out or carried the answer to another
     /// call.
     Failed {
@@ -58,6 +69,7 @@
             | FanoutEvent::Refused { call, .. }
             | FanoutEvent::Unsent { call }
             | FanoutEvent::Withdrawn { call }
+            | FanoutEvent::Quarantined { call, .. }
             | FanoutEvent::Failed { call } => *call,
         }
     }
--- a/crates/policy/src/fanout/finish.rs
+++ b/crates/policy/src/fanout/finish.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 
+use crate::CallId;
 use crate::FanoutAction;
 use crate::FanoutEngine;
 use crate::FinishReason;
@@ -38,6 +39,9 @@
             self.queries.insert(query, running);
             return;
         };
+        if reason == FinishReason::Quarantined {
+            self.revoke_waiting_calls(&mut running, now);
+        }
         let is_timeout = reason == FinishReason::DeadlineNear;
         for position in 0..running.shards.len() {
             self.cancel_calls(&mut running, position, is_timeout, now, actions);
@@ -80,12 +84,26 @@
         }
     }
 
+    /// Reverses the effect of the calls that the driver has not sent, as it sends none of them.
+    fn revoke_waiting_calls(&mut self, running: &mut RunningQuery, now: Instant) {
+        for position in 0..running.shards.len() {
+            let calls = running.shards[position].open.into_iter().flatten();
+            let is_waiting = |call: &CallId| self.calls.get(call).is_some_and(|open| !open.is_sent);
+            for _ in 0..calls.filter(is_waiting).count() {
+                self.revoke_call(running, position, now);
+            }
+        }
+    }
+
     fn retry_after(
         &mut self,
         running: &RunningQuery,
         reason: FinishReason,
         now: Instant,
     ) -> Duration {
+        if let Some(retry_after) = running.quarantine {
+            return retry_after;
+        }
         if running.loss == Some(LossCause::Paused)
             && let Some(pause) = self.longest_shard_pause(running, now)
         {
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -116,8 +116,10 @@
                 state.record_refusal(*cause, *load, now);
                 state.mark_draining_if(*draining || *cause == RefusalCause::Draining);
             }
-            FanoutEvent::Unsent { .. } | FanoutEvent::Failed { .. } => state.record_failure(now),
-            FanoutEvent::Withdrawn { .. } => {}
+            FanoutEvent::Unsent { .. }
+            | FanoutEvent::Failed { .. }
+            | FanoutEvent::Quarantined { has_ended_target: true, .. } => state.record_failure(now),
+            FanoutEvent::Withdrawn { .. } | FanoutEvent::Quarantined { .. } => {}
         }
         self.targets.state_mut(open.target).close_call(open.sent_at);
         self.freed_targets.push(open.target);
--- a/crates/policy/src/fanout/query.rs
+++ b/crates/policy/src/fanout/query.rs
@@ -150,6 +150,8 @@
     shards_pending: u32,
     /// First cause, in the order of [`LossCause`], of the shards given up so far.
     pub(crate) loss: Option<LossCause>,
+    /// Set once the query's work must not reach a target: time after which the caller may return.
+    pub(crate) quarantine: Option<Duration>,
 }
 
 impl RunningQuery {
@@ -171,6 +173,7 @@
             shards_answered: 0,
             shards_pending: u32::try_from(shards.len()).unwrap_or(u32::MAX),
             loss: None,
+            quarantine: None,
             plan,
             resolved,
             shards,
--- a/crates/policy/src/fanout/result.rs
+++ b/crates/policy/src/fanout/result.rs
@@ -20,6 +20,8 @@
     ShardLost,
     /// The targets no longer hold the snapshot that the query is pinned to.
     SnapshotRetired,
+    /// The work of the query may end targets and must not reach one now.
+    Quarantined,
     /// The caller disconnected.
     Abandoned,
 }
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -173,6 +173,11 @@
         serving.map(|(record, _)| record)
     }
 
+    /// Returns the other VMs that serve.
+    pub fn serving_vms(&self) -> Vec<VmId> {
+        self.vms_by_state(|state| state == MemberState::Serving)
+    }
+
     /// Returns the watch holders of this VM's failure domain.
     fn own_domain_holders(&self) -> Vec<VmId> {
         let vms: Vec<&MemberRecord> =
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -51,12 +51,17 @@
             member.listed = false;
         }
         for listed in list {
-            // A record from the VM itself takes precedence over the list, so a held record stays.
             let member = self.members.entry(listed.vm.clone()).or_insert_with(|| Member {
                 record: MemberRecord::from(listed),
                 listed: true,
                 listed_leaving: false,
             });
+            // A record from the VM itself takes precedence over the list. A VM that was never heard may have
+            // started again at another address.
+            let is_unheard = member.record.incarnation == 0;
+            if is_unheard && member.record.peer_address != listed.peer_address {
+                member.record = MemberRecord::from(listed);
+            }
             member.listed = true;
             member.listed_leaving = listed.leaving;
         }
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -55,6 +55,22 @@
     assert_eq!(table.state(&vm), MemberState::Serving);
 }
 
+/// Guards against VMs that are killed at once, start at other addresses and never find each other again.
+#[test]
+fn apply_platform_list_follows_the_address_of_a_vm_that_was_never_heard() {
+    let (mut listed, mut table) = (platform_vm(1, 4), MemberTable::default());
+    table.apply_platform_list([&listed].into_iter());
+    assert!(table.suspect(&listed.vm));
+    listed.peer_address.set_port(9);
+    table.apply_platform_list([&listed].into_iter());
+    assert_eq!(table.record(&listed.vm).unwrap().peer_address, listed.peer_address);
+    assert_eq!(table.state(&listed.vm), MemberState::Serving);
+    // What the VM itself says takes precedence.
+    table.apply(&record(1, 5, 0));
+    table.apply_platform_list([&listed].into_iter());
+    assert_eq!(table.record(&listed.vm).unwrap().peer_address, record(1, 5, 0).peer_address);
+}
+
 #[test]
 fn state_is_leaving_by_the_list_or_by_its_own_record() {
     let (mut listed, mut table) = (platform_vm(1, 4), MemberTable::default());
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use oleanderwind_policy as policy;
 use oleanderwind_policy::FindingList;
@@ -14,6 +15,9 @@
 use super::FetchObjectsReply;
 use super::MemberPhase;
 use super::MemberRecord;
+use super::TargetEnd;
+use super::TrialDecision;
+use super::WorkRecord;
 
 impl From<&policy::MemberRecord> for MemberRecord {
     fn from(record: &policy::MemberRecord) -> MemberRecord {
@@ -102,6 +106,8 @@
             sender: Some(MemberRecord::from(&message.sender)),
             members: message.members.iter().map(MemberRecord::from).collect(),
             drains: Vec::new(),
+            work_digest: 0,
+            works: Vec::new(),
             revision: message.summary.highest_revision,
             complete_revision: message.summary.complete_revision,
             configuration_digest: message.summary.digest,
@@ -148,6 +154,74 @@
     }
 }
 
+impl From<&policy::WorkRecord> for WorkRecord {
+    fn from(record: &policy::WorkRecord) -> WorkRecord {
+        let ends = record.ends.iter();
+        WorkRecord {
+            work: record.work.as_bytes().to_vec(),
+            service: record.service.to_string(),
+            generation: record.generation,
+            ends: ends
+                .map(|end| TargetEnd { process: end.process, in_trial: end.in_trial })
+                .collect(),
+            blocked_by_operator: record.is_blocked_by_operator,
+            age_ms: u64::try_from(record.age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl TryFrom<&WorkRecord> for policy::WorkRecord {
+    type Error = FindingList;
+
+    fn try_from(record: &WorkRecord) -> Result<policy::WorkRecord, FindingList> {
+        let mut findings = FindingList::default();
+        let work = <[u8; 16]>::try_from(record.work.as_slice());
+        if work.is_err() {
+            findings.add("work", format!("has {} bytes; give 16", record.work.len()));
+        }
+        let ends = record.ends.iter();
+        findings.into_result(policy::WorkRecord {
+            work: work.unwrap_or_default().into(),
+            service: record.service.as_str().into(),
+            generation: record.generation,
+            ends: ends
+                .map(|end| policy::TargetEnd { process: end.process, in_trial: end.in_trial })
+                .collect(),
+            is_blocked_by_operator: record.blocked_by_operator,
+            age: Duration::from_millis(record.age_ms),
+        })
+    }
+}
+
+impl From<policy::TrialDecision> for TrialDecision {
+    fn from(decision: policy::TrialDecision) -> TrialDecision {
+        match decision {
+            policy::TrialDecision::Granted => TrialDecision::Granted,
+            policy::TrialDecision::Wait => TrialDecision::Wait,
+            policy::TrialDecision::Postponed => TrialDecision::Postponed,
+            policy::TrialDecision::Unneeded => TrialDecision::Unneeded,
+        }
+    }
+}
+
+impl TryFrom<TrialDecision> for policy::TrialDecision {
+    type Error = FindingList;
+
+    fn try_from(decision: TrialDecision) -> Result<policy::TrialDecision, FindingList> {
+        match decision {
+            TrialDecision::Granted => Ok(policy::TrialDecision::Granted),
+            TrialDecision::Wait => Ok(policy::TrialDecision::Wait),
+            TrialDecision::Postponed => Ok(policy::TrialDecision::Postponed),
+            TrialDecision::Unneeded => Ok(policy::TrialDecision::Unneeded),
+            TrialDecision::Unspecified => {
+                let mut findings = FindingList::default();
+                findings.add("decision", "is not one that this version knows");
+                Err(findings)
+            }
+        }
+    }
+}
+
 impl From<&policy::ConfigurationObject> for ConfigurationObject {
     fn from(object: &policy::ConfigurationObject) -> ConfigurationObject {
         ConfigurationObject {
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -80,6 +80,62 @@
     /// Digest of the names and revisions of all existing objects.
     #[prost(fixed64, tag = "6")]
     pub configuration_digest: u64,
+    /// Digest of the work records that the sender shares; 0 if there are none.
+    #[prost(fixed64, tag = "7")]
+    pub work_digest: u64,
+    /// Records that may be new to the receiver.
+    #[prost(message, repeated, tag = "8")]
+    pub works: ::prost::alloc::vec::Vec<WorkRecord>,
+}
+/// Process of a target that ended while it ran some work.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetEnd {
+    #[prost(fixed64, tag = "1")]
+    pub process: u64,
+    #[prost(bool, tag = "2")]
+    pub in_trial: bool,
+}
+/// What is known against work that may end targets.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct WorkRecord {
+    /// Fingerprint of the work, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub work: ::prost::alloc::vec::Vec<u8>,
+    /// Service whose arbiter permits the trials.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub generation: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub ends: ::prost::alloc::vec::Vec<TargetEnd>,
+    #[prost(bool, tag = "5")]
+    pub blocked_by_operator: bool,
+    /// Time since the last end, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TrialRequest {
+    /// What the caller knows of the work.
+    #[prost(message, optional, tag = "1")]
+    pub record: ::core::option::Option<WorkRecord>,
+    /// Target on which the trial is to run.
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+    /// Time for which the trial counts as under way if its end is not reported.
+    #[prost(uint32, tag = "3")]
+    pub hold_ms: u32,
+    /// Whether the trial is over.
+    #[prost(bool, tag = "4")]
+    pub is_over: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TrialReply {
+    #[prost(enumeration = "TrialDecision", tag = "1")]
+    pub decision: i32,
+    /// What the arbiter knows of the work; missing if it knows nothing.
+    #[prost(message, optional, tag = "2")]
+    pub record: ::core::option::Option<WorkRecord>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ProbeRequest {
@@ -200,6 +256,41 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum TrialDecision {
+    Unspecified = 0,
+    Granted = 1,
+    Wait = 2,
+    Unneeded = 3,
+    Postponed = 4,
+}
+impl TrialDecision {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "TRIAL_DECISION_UNSPECIFIED",
+            Self::Granted => "TRIAL_DECISION_GRANTED",
+            Self::Wait => "TRIAL_DECISION_WAIT",
+            Self::Unneeded => "TRIAL_DECISION_UNNEEDED",
+            Self::Postponed => "TRIAL_DECISION_POSTPONED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "TRIAL_DECISION_UNSPECIFIED" => Some(Self::Unspecified),
+            "TRIAL_DECISION_GRANTED" => Some(Self::Granted),
+            "TRIAL_DECISION_WAIT" => Some(Self::Wait),
+            "TRIAL_DECISION_UNNEEDED" => Some(Self::Unneeded),
+            "TRIAL_DECISION_POSTPONED" => Some(Self::Postponed),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -412,6 +503,28 @@
                 .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "FetchObjects"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks for a trial of suspect work, or reports its end.
+        pub async fn trial(
+            &mut self,
+            request: impl tonic::IntoRequest<super::TrialRequest>,
+        ) -> std::result::Result<tonic::Response<super::TrialReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/oleanderwind.peer.v1.Peer/Trial",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Trial"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Forwards a caller's request once to a VM that has connections to the service.
         pub async fn forward(
             &mut self,
@@ -481,6 +594,11 @@
             tonic::Response<super::FetchObjectsReply>,
             tonic::Status,
         >;
+        /// Asks for a trial of suspect work, or reports its end.
+        async fn trial(
+            &self,
+            request: tonic::Request<super::TrialRequest>,
+        ) -> std::result::Result<tonic::Response<super::TrialReply>, tonic::Status>;
         /// Forwards a caller's request once to a VM that has connections to the service.
         async fn forward(
             &self,
@@ -779,6 +897,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/oleanderwind.peer.v1.Peer/Trial" => {
+                    #[allow(non_camel_case_types)]
+                    struct TrialSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::TrialRequest>
+                    for TrialSvc<T> {
+                        type Response = super::TrialReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::TrialRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::trial(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = TrialSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/oleanderwind.peer.v1.Peer/Forward" => {
                     #[allow(non_camel_case_types)]
                     struct ForwardSvc<T: Peer>(pub Arc<T>);
