--- a/crates/ctl/src/command/control.rs
+++ b/crates/ctl/src/command/control.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 
 use crate::command::contract::ContractCommand;
+use crate::command::quarantine::QuarantineCommand;
 
 /// Reads and changes an oleanderwind fleet through the admin API of one of its VMs.
 ///
@@ -42,6 +43,8 @@
     Outcomes(OutcomesCommand),
     /// Shows which services and targets serve a request class.
     Explain(ExplainCommand),
+    /// Lists, clears and blocks work that may end targets.
+    Quarantine(QuarantineCommand),
     /// Shuts down one VM gracefully.
     Drain(DrainCommand),
 }
--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -9,6 +9,7 @@
 use oleanderwind_wire::HistoryEntry;
 use oleanderwind_wire::RouteExplanation;
 use oleanderwind_wire::RoutingStatus;
+use oleanderwind_wire::SuspectWork;
 use oleanderwind_wire::VmStatus;
 
 /// A reply that can be rendered as text for a terminal.
@@ -103,6 +104,38 @@
     }
 }
 
+impl RenderText for Vec<SuspectWork> {
+    fn render_text(&self) -> String {
+        let mut text = String::new();
+        write_line!(
+            text,
+            "{:<32} {:<20} {:<8} {:>4} {:>6} {:>8} {:>8}",
+            "WORK",
+            "SERVICE",
+            "STATE",
+            "ENDS",
+            "TRIALS",
+            "AGE s",
+            "NEXT s"
+        );
+        for suspect in self {
+            let next = suspect.retry_after_ms.map_or(String::new(), |ms| (ms / 1_000).to_string());
+            let operator = if suspect.is_blocked_by_operator { "  by an operator" } else { "" };
+            write_line!(
+                text,
+                "{:<32} {:<20} {:<8} {:>4} {:>6} {:>8} {next:>8}{operator}",
+                suspect.work,
+                suspect.service,
+                suspect.state,
+                suspect.ends,
+                suspect.trial_ends,
+                suspect.age_ms / 1_000
+            );
+        }
+        text
+    }
+}
+
 impl RenderText for Vec<ContractDocument> {
     fn render_text(&self) -> String {
         let mut text = String::new();
--- a/crates/ctl/src/run/mod.rs
+++ b/crates/ctl/src/run/mod.rs
@@ -13,6 +13,7 @@
 use oleanderwind_wire::HistoryEntry;
 use oleanderwind_wire::RouteExplanation;
 use oleanderwind_wire::RoutingStatus;
+use oleanderwind_wire::SuspectWork;
 use oleanderwind_wire::VmStatus;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -23,6 +24,7 @@
 use crate::command::ContractAction;
 use crate::command::ControlAction;
 use crate::command::ControlCommand;
+use crate::command::QuarantineAction;
 use crate::render::RenderText;
 
 /// Address of the admin API if none is given.
@@ -97,6 +99,7 @@
                     format!("/v1/explain?customer={}&class={}", command.customer, command.class);
                 self.show::<RouteExplanation>(&path).await
             }
+            ControlAction::Quarantine(command) => self.run_quarantine(&command.action).await,
             ControlAction::Drain(_) => {
                 self.client.send(Method::POST, "/v1/drain", &Value::Null).await?;
                 Ok(success("the VM leaves the fleet and ends by itself\n".to_owned()))
@@ -104,6 +107,23 @@
         }
     }
 
+    async fn run_quarantine(
+        &self,
+        action: &QuarantineAction,
+    ) -> Result<CommandOutcome, ControlError> {
+        let (work, order) = match action {
+            QuarantineAction::List(_) => {
+                return self.show::<Vec<SuspectWork>>("/v1/quarantine").await;
+            }
+            QuarantineAction::Clear(command) => (&command.work, "clear"),
+            QuarantineAction::Block(command) => (&command.work, "block"),
+        };
+        let path = format!("/v1/quarantine/{work}/{order}");
+        let reply = self.client.send(Method::POST, &path, &Value::Null).await?;
+        let suspect: SuspectWork = reply.parse_json()?;
+        Ok(success(self.render(&vec![suspect])))
+    }
+
     async fn run_contract(&self, action: &ContractAction) -> Result<CommandOutcome, ControlError> {
         match action {
             ContractAction::List(_) => self.show::<Vec<ContractDocument>>("/v1/contracts").await,
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -37,6 +37,7 @@
                             and extra load hold on the VM.
           explain           Shows the service, providers, snapshots and targets of a
                             class.
+          quarantine        Lists work that ended targets, clears or blocks it.
           drain             Starts a graceful shutdown of the VM that is asked.
     "#]].assert_eq(&help(&["--help"]));
 }
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -3,6 +3,7 @@
 mod edit;
 mod explain;
 mod history;
+mod quarantine;
 mod reply;
 mod service;
 
--- a/crates/daemon/src/admin/service.rs
+++ b/crates/daemon/src/admin/service.rs
@@ -25,6 +25,9 @@
 use crate::admin::edit::check_contract;
 use crate::admin::explain::explain_route;
 use crate::admin::history::read_history;
+use crate::admin::quarantine::WorkOrder;
+use crate::admin::quarantine::change_work;
+use crate::admin::quarantine::list_works;
 use crate::admin::reply::invalid_report;
 use crate::admin::reply::report_reply;
 use crate::admin::reply::report_without_details;
@@ -106,6 +109,13 @@
             HttpReply::json(StatusCode::OK, &state.outcomes.report(&state.directory))
         }
         (&Method::GET, ["v1", "explain"]) => state.explain(&call),
+        (&Method::GET, ["v1", "quarantine"]) => list_works(&state.peers),
+        (&Method::POST, ["v1", "quarantine", work, "clear"]) => {
+            change_work(&state.peers, work, WorkOrder::Clear)
+        }
+        (&Method::POST, ["v1", "quarantine", work, "block"]) => {
+            change_work(&state.peers, work, WorkOrder::Block)
+        }
         (&Method::POST, ["v1", "drain"]) => state.drain(),
         (&Method::GET, ["metrics"]) => state.metrics.reply(),
         _ => not_found(&format!("{} {} is not served here", call.method, call.path)),
--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -32,6 +32,11 @@
 /// for up to 250 ms.
 const SILENT_CALL_TIME: Duration = Duration::from_millis(300);
 
+/// Time in which a process that is slow to end is gone, or the entry of one that was started at once is listed.
+const PROCESS_WATCH_TIME: Duration = Duration::from_secs(3);
+/// Time after which it is looked at first; doubled each time.
+const PROCESS_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Whether a call may be sent.
 enum GatePass {
     /// It may.
@@ -51,6 +56,8 @@
     asked_at: Instant,
     /// The same time on the wall clock, which keeps running while the VM is suspended.
     asked_at_wall: SystemTime,
+    /// Whether the call got no reply and its target seems to live.
+    is_unclear: Cell<bool>,
 }
 
 impl TrialPermit {
@@ -64,7 +71,8 @@
 
 impl Drop for TrialPermit {
     fn drop(&mut self) {
-        self.fanout.peers.end_trial(&self.work, &self.target, &self.arbiter);
+        let is_unclear = self.is_unclear.get();
+        self.fanout.peers.end_trial(&self.work, &self.target, &self.arbiter, is_unclear);
         self.fanout.local_trials.borrow_mut().remove(&self.work);
         self.fanout.trial_ends.notify_waiters();
     }
@@ -186,6 +194,7 @@
                     arbiter,
                     asked_at,
                     asked_at_wall,
+                    is_unclear: Cell::new(false),
                 }))
             }
             TrialAnswer::Wait | TrialAnswer::Unneeded => None,
@@ -257,35 +266,54 @@
 
     /// Finds out whether the target's process ended under a call that got no reply, and records it.
     ///
-    /// Returns whether it ended under a trial.
-    pub(crate) async fn examine_end(&self, witness: &CallWitness) -> bool {
+    /// Returns whether the call was a trial: it is not repeated for the same request.
+    pub(crate) async fn examine_end(self: &Rc<Self>, witness: &CallWitness) -> bool {
         let permit = witness.permit.take();
         let Some((process, sent_at)) = witness.sent.get() else { return false };
-        let hears_others = || self.peers.has_contact_since(sent_at);
-        if !self.targets.has_ended(&witness.target, process, sent_at, hears_others).await {
-            return false;
-        }
         let is_trial = permit.is_some();
-        if !is_trial && self.peers.is_recently_answered(witness.work.hash(self.hash_seed)) {
+        let hash = witness.work.hash(self.hash_seed);
+        if !is_trial && self.peers.is_recently_answered(hash) {
             return false;
         }
-        self.record_end(witness, process, is_trial);
+        let evidence = EndEvidence {
+            work: *witness.work.fingerprint(),
+            hash,
+            place: witness.work.place().to_owned(),
+            service: witness.service.clone(),
+            target: witness.target.clone(),
+            process,
+            is_trial,
+        };
+        let hears_others = || self.peers.has_contact_since(sent_at);
+        if !self.targets.has_ended(&witness.target, process, sent_at, hears_others).await {
+            permit.iter().for_each(|permit| permit.is_unclear.set(true));
+            actix_rt::spawn(watch_process(self.clone(), evidence, sent_at));
+            return is_trial;
+        }
+        self.record_end(&evidence);
         is_trial
     }
 
-    fn record_end(&self, witness: &CallWitness, process: TargetProcess, is_trial: bool) {
-        let work = *witness.work.fingerprint();
-        let end = TargetEnd::new(&witness.target, process.incarnation, is_trial);
-        if !self.peers.record_target_end(work, &witness.service, end) {
+    /// Records that a target ended under a call, unless the call's work was answered recently.
+    fn record_end(&self, evidence: &EndEvidence) {
+        let EndEvidence { work, service, target, process, is_trial, .. } = evidence;
+        if !is_trial && self.peers.is_recently_answered(evidence.hash) {
+            return;
+        }
+        let end = TargetEnd::new(target, process.incarnation, *is_trial);
+        if !self.peers.record_target_end(*work, service, end) {
             return;
         }
-        let ends = self.peers.work_record(&work).map_or(0, |record| record.counted_ends());
-        let retry_after = self.blocked_time(&witness.work);
+        let ends = self.peers.work_record(work).map_or(0, |record| record.counted_ends());
+        let retry_after = match self.peers.work_verdict(work) {
+            WorkVerdict::Blocked { retry_after } => Some(retry_after),
+            WorkVerdict::Clear | WorkVerdict::Suspect => None,
+        };
         log::warn!(
             work:% = work,
-            place = witness.work.place(),
-            service = witness.service.as_ref(),
-            target = witness.target.as_ref(),
+            place = evidence.place.as_str(),
+            service = service.as_ref(),
+            target = target.as_ref(),
             incarnation = process.incarnation,
             in_trial = is_trial,
             ends = ends,
@@ -303,3 +331,37 @@
         self.blocked_time(work).unwrap_or(SUSPECT_RETRY_DELAY)
     }
 }
+
+/// A call that got no reply, and whose target may have ended under it.
+struct EndEvidence {
+    work: WorkFingerprint,
+    /// Hash of the work on this VM.
+    hash: u64,
+    /// Path, or the class of a request of the product's own interface.
+    place: String,
+    service: ServiceId,
+    target: TargetId,
+    process: TargetProcess,
+    is_trial: bool,
+}
+
+/// Records the end of a process that seemed to live if it turns out soon: another one was started at its address
+/// at once, or it was slow to end. Only for a trial is it worth connections to find out the latter.
+async fn watch_process(fanout: Rc<FanoutService>, evidence: EndEvidence, sent_at: Instant) {
+    let targets = &fanout.targets;
+    let EndEvidence { target, process, is_trial, .. } = &evidence;
+    let end = Instant::now() + PROCESS_WATCH_TIME;
+    let mut interval = PROCESS_POLL_INTERVAL;
+    while Instant::now() < end {
+        tokio::time::sleep(interval).await;
+        interval *= 2;
+        let hears_others = || fanout.peers.has_contact_since(sent_at);
+        let has_ended = match is_trial {
+            true => targets.has_ended(target, *process, sent_at, hears_others).await,
+            false => targets.has_successor(target, *process),
+        };
+        if has_ended {
+            return fanout.record_end(&evidence);
+        }
+    }
+}
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -122,9 +122,6 @@
     /// peer may lack.
     pub(crate) fn add_works(&self, message: &mut peer::ExchangeMessage, peer_digest: Option<u64>) {
         let state = self.state.borrow();
-        if state.quarantine.is_idle() {
-            return;
-        }
         let now = Instant::now();
         message.work_digest = state.quarantine.digest(now);
         let records = match peer_digest {
@@ -218,14 +215,20 @@
         work: &WorkFingerprint,
         target: &TargetId,
         arbiter: &VmId,
+        is_unclear: bool,
     ) {
         let Some(record) = self.work_record(work) else { return };
         if *arbiter == self.settings.vm {
-            self.state.borrow_mut().quarantine.end_trial(&record, target, Instant::now());
+            let mut state = self.state.borrow_mut();
+            state.quarantine.end_trial(&record, target, is_unclear, Instant::now());
             return;
         }
         let Some(address) = self.peer_address(arbiter) else { return };
-        let request = trial_request(&record, target, Duration::ZERO, true);
+        let request = TrialRequest {
+            is_over: true,
+            is_unclear,
+            ..trial_request(&record, target, Duration::ZERO)
+        };
         let peers = self.clone();
         // The arbiter's hold ends by itself if this report is lost.
         actix_rt::spawn(async move { drop(peers.clients.trial(address, request).await) });
@@ -245,7 +248,9 @@
         let decision = match request.is_over {
             true => {
                 let now = Instant::now();
-                let is_news = self.state.borrow_mut().quarantine.end_trial(&record, &target, now);
+                let mut state = self.state.borrow_mut();
+                let is_news = state.quarantine.end_trial(&record, &target, request.is_unclear, now);
+                drop(state);
                 if is_news {
                     self.notify(RELAY_FANOUT);
                 }
@@ -293,7 +298,7 @@
         hold: Duration,
     ) -> Option<TrialDecision> {
         let address = self.peer_address(arbiter)?;
-        let request = trial_request(record, target, hold, false);
+        let request = trial_request(record, target, hold);
         let reply = self.clients.trial(address, request).await?;
         if let Some(Ok(held)) = reply.record.as_ref().map(WorkRecord::try_from) {
             self.merge_work(&held);
@@ -302,16 +307,12 @@
     }
 }
 
-fn trial_request(
-    record: &WorkRecord,
-    target: &TargetId,
-    hold: Duration,
-    is_over: bool,
-) -> TrialRequest {
+fn trial_request(record: &WorkRecord, target: &TargetId, hold: Duration) -> TrialRequest {
     TrialRequest {
         record: Some(record.into()),
         target: target.to_string(),
         hold_ms: u32::try_from(milliseconds(hold)).unwrap_or(u32::MAX),
-        is_over,
+        is_over: false,
+        is_unclear: false,
     }
 }
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -284,6 +284,11 @@
         })
     }
 
+    /// Returns whether a later process of the target is listed.
+    pub(crate) fn has_successor(&self, target: &TargetId, process: TargetProcess) -> bool {
+        self.process(target).is_some_and(|listed| listed.incarnation > process.incarnation)
+    }
+
     /// Returns whether a process has ended that gave no reply to a call sent at `sent_at`.
     ///
     /// It has if a later one is listed, if nobody listens at its address, or if its host is silent while this
@@ -295,7 +300,7 @@
         sent_at: Instant,
         hears_others: impl Fn() -> bool,
     ) -> bool {
-        if self.process(target).is_some_and(|listed| listed.incarnation > process.incarnation) {
+        if self.has_successor(target, process) {
             return true;
         }
         for _ in 0..MAX_CONNECT_PROBES {
--- a/crates/load/src/experiment/program.rs
+++ b/crates/load/src/experiment/program.rs
@@ -1,5 +1,6 @@
 //! Child processes of an experiment.
 
+use std::collections::VecDeque;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -8,6 +9,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use eyre::Context;
@@ -16,17 +19,20 @@
 
 /// Time limit for a program to print its line of addresses after its start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum number of lines of output kept.
+const MAX_OUTPUT_LINES: usize = 20_000;
 /// Interval at which a stopping program is polled for its exit.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A running program whose first line of output was a JSON object of addresses. Killed when
 /// dropped.
 ///
-/// Its further output is read and discarded, so that the program does not block on a full pipe.
+/// Its further output is read, so that the program does not block on a full pipe, and the last lines are kept.
 #[derive(Debug)]
 pub struct ChildProgram {
     child: Child,
     addresses: Value,
+    output: Arc<Mutex<VecDeque<String>>>,
 }
 
 impl ChildProgram {
@@ -50,7 +56,8 @@
             .spawn()
             .wrap_err_with(|| format!("failed to start {name}"))?;
         let stdout = child.stdout.take();
-        let mut program = ChildProgram { child, addresses: Value::Null };
+        let kept = Arc::new(Mutex::new(VecDeque::new()));
+        let mut program = ChildProgram { child, addresses: Value::Null, output: kept.clone() };
         let stdout = stdout.ok_or_else(|| eyre!("standard output of {name} is not captured"))?;
         let read = tokio::task::spawn_blocking(move || {
             let mut output = BufReader::new(stdout);
@@ -61,12 +68,26 @@
             tokio::time::timeout(START_TIMEOUT, read).await.wrap_err_with(|| {
                 format!("{name} printed no addresses within {START_TIMEOUT:?}")
             })???;
-        std::thread::spawn(move || output.lines().for_each(drop));
+        std::thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                let Ok(mut kept) = kept.lock() else { return };
+                if kept.len() >= MAX_OUTPUT_LINES {
+                    kept.pop_front();
+                }
+                kept.push_back(line);
+            }
+        });
         program.addresses = serde_json::from_str(&line)
             .wrap_err_with(|| format!("first line printed by {name} is not JSON"))?;
         Ok(program)
     }
 
+    /// Returns the last lines of its output, without the line of addresses.
+    pub fn output(&self) -> Vec<String> {
+        let output = self.output.lock();
+        output.map(|lines| lines.iter().cloned().collect()).unwrap_or_default()
+    }
+
     /// Returns the process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
--- a/crates/policy/src/quarantine/arbiter.rs
+++ b/crates/policy/src/quarantine/arbiter.rs
@@ -13,6 +13,8 @@
 /// Time after a trial ended a target in which work that has done so gets no further one, so that the service keeps
 /// most of its targets. Targets are back after some seconds.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Time in which it becomes clear whether a target whose connection was closed under a trial has ended.
+const CLEARING_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of trials at once; further ones wait.
 const MAX_TRIALS: usize = 256;
 
@@ -23,7 +25,8 @@
     Granted,
     /// Another trial of the work, or on the target, is under way.
     Wait,
-    /// The work has ended a target in a trial, and the service has to recover from the last such end first.
+    /// It is too early: the service has to recover from the last target that a trial ended, or it is not clear
+    /// yet whether the last trial of the work ended one.
     Postponed,
     /// The work needs no trial: it is clear, or it is blocked.
     Unneeded,
@@ -41,6 +44,8 @@
 struct RunningTrial {
     target: TargetId,
     until: Instant,
+    /// Whether the trial is over, and it is not clear yet whether it ended its target.
+    is_unclear: bool,
 }
 
 impl TrialArbiter {
@@ -54,12 +59,16 @@
         now: Instant,
     ) -> TrialDecision {
         self.trials.retain(|_, trial| now < trial.until);
+        if self.trials.get(&work).is_some_and(|trial| trial.is_unclear) {
+            return TrialDecision::Postponed;
+        }
         let is_busy = self.trials.contains_key(&work)
             || self.trials.values().any(|trial| trial.target == *target);
         if is_busy || self.trials.len() >= MAX_TRIALS {
             return TrialDecision::Wait;
         }
-        self.trials.insert(work, RunningTrial { target: target.clone(), until: now + hold });
+        let trial = RunningTrial { target: target.clone(), until: now + hold, is_unclear: false };
+        self.trials.insert(work, trial);
         TrialDecision::Granted
     }
 
@@ -75,9 +84,22 @@
     }
 
     /// Records that the trial of `work` on `target` is over.
-    pub(super) fn end(&mut self, work: &WorkFingerprint, target: &TargetId) {
-        if self.trials.get(work).is_some_and(|trial| trial.target == *target) {
-            self.trials.remove(work);
+    pub(super) fn end(
+        &mut self,
+        work: &WorkFingerprint,
+        target: &TargetId,
+        is_unclear: bool,
+        now: Instant,
+    ) {
+        let Some(trial) = self.trials.get_mut(work).filter(|trial| trial.target == *target) else {
+            return;
+        };
+        match is_unclear {
+            true => {
+                trial.is_unclear = true;
+                trial.until = now + CLEARING_TIME;
+            }
+            false => drop(self.trials.remove(work)),
         }
     }
 }
--- a/crates/policy/src/quarantine/engine.rs
+++ b/crates/policy/src/quarantine/engine.rs
@@ -192,8 +192,16 @@
 
     /// Records that a trial is over, with what the asking VM knows of the work now; returns whether that is
     /// news.
-    pub fn end_trial(&mut self, record: &WorkRecord, target: &TargetId, now: Instant) -> bool {
-        self.arbiter.end(&record.work, target);
+    ///
+    /// It is unclear if the call got no reply and the target seems to live.
+    pub fn end_trial(
+        &mut self,
+        record: &WorkRecord,
+        target: &TargetId,
+        is_unclear: bool,
+        now: Instant,
+    ) -> bool {
+        self.arbiter.end(&record.work, target, is_unclear, now);
         self.merge(record, now)
     }
 }
--- a/crates/policy/src/quarantine/fingerprint.rs
+++ b/crates/policy/src/quarantine/fingerprint.rs
@@ -5,6 +5,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::FindingList;
+
 /// Length of a fingerprint, in bytes.
 const FINGERPRINT_BYTES: usize = 16;
 
@@ -50,6 +52,21 @@
     }
 }
 
+impl TryFrom<&str> for WorkFingerprint {
+    type Error = FindingList;
+
+    /// Parses 32 hexadecimal digits.
+    fn try_from(text: &str) -> Result<WorkFingerprint, FindingList> {
+        let mut findings = FindingList::default();
+        let is_hex = text.len() == 2 * FINGERPRINT_BYTES && text.is_ascii();
+        let number = is_hex.then(|| u128::from_str_radix(text, 16).ok()).flatten();
+        if number.is_none() {
+            findings.add("work", format!("is {text:?}; give 32 hexadecimal digits"));
+        }
+        findings.into_result(WorkFingerprint(number.unwrap_or_default().to_be_bytes()))
+    }
+}
+
 impl fmt::Display for WorkFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -106,12 +106,11 @@
         if other.generation < self.generation {
             return false;
         }
-        if other.generation > self.generation {
-            *self = other.clone();
-            self.drop_uncounted_ends();
-            return true;
+        let mut has_changed = other.generation > self.generation;
+        if has_changed {
+            *self = WorkRecord { ends: Vec::new(), ..other.clone() };
         }
-        let mut has_changed = other.is_blocked_by_operator && !self.is_blocked_by_operator;
+        has_changed |= other.is_blocked_by_operator && !self.is_blocked_by_operator;
         self.is_blocked_by_operator |= other.is_blocked_by_operator;
         for end in &other.ends {
             has_changed |= self.add_end(*end);
--- a/crates/wire/src/admin/mod.rs
+++ b/crates/wire/src/admin/mod.rs
@@ -12,9 +12,12 @@
 //! | `PUT /v1/contracts/{customer}` | [`ContractEdit`] | [`EditReport`] |
 //! | `GET /v1/outcomes` | none | list of [`ClassOutcome`] |
 //! | `GET /v1/explain?customer=&class=` | none | [`RouteExplanation`] |
+//! | `GET /v1/quarantine` | none | list of [`SuspectWork`], newest first |
+//! | `POST /v1/quarantine/{work}/clear`, `.../block` | none | [`SuspectWork`] |
 //! | `POST /v1/drain` | none | 202 |
 
 mod contract;
+mod quarantine;
 mod status;
 
 pub use contract::ContractDocument;
@@ -22,6 +25,7 @@
 pub use contract::EditReport;
 pub use contract::EditVerdict;
 pub use contract::HistoryEntry;
+pub use quarantine::SuspectWork;
 pub use status::ClassOutcome;
 pub use status::FleetMember;
 pub use status::RouteExplanation;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,6 +20,7 @@
 pub use admin::RouteExplanation;
 pub use admin::RoutingStatus;
 pub use admin::ShardTargets;
+pub use admin::SuspectWork;
 pub use admin::TargetStatus;
 pub use admin::UnansweredRequest;
 pub use admin::VmStatus;
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -128,6 +128,9 @@
     /// Whether the trial is over.
     #[prost(bool, tag = "4")]
     pub is_over: bool,
+    /// Whether the trial is over and it is not clear yet whether it ended its target.
+    #[prost(bool, tag = "5")]
+    pub is_unclear: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TrialReply {
--- a/tests/proofs/refusals.rs
+++ b/tests/proofs/refusals.rs
@@ -9,6 +9,7 @@
 use oleanderwind_policy::FinishReason;
 use oleanderwind_policy::RequestOutcome;
 use oleanderwind_policy::RunState;
+use oleanderwind_policy::WorkFingerprint;
 use oleanderwind_standin::FaultScope;
 use oleanderwind_standin::PlatformFault;
 use oleanderwind_standin::SearcherFault;
@@ -28,6 +29,9 @@
 /// Index version that no searcher holds.
 const UNHELD_VERSION: u64 = 1_000;
 
+/// Number of requests for each end.
+const TURNS: u64 = 40;
+
 /// Every way in which a search can end.
 #[derive(Clone, Copy, Debug)]
 enum SearchEnd {
@@ -36,7 +40,7 @@
 }
 
 /// Every end; [`provoke`] and [`reason`] match exhaustively, so that a new kind fails to compile.
-const SEARCH_ENDS: [SearchEnd; 13] = [
+const SEARCH_ENDS: [SearchEnd; 14] = [
     SearchEnd::Refused(RefusalKind::BadRequest),
     SearchEnd::Refused(RefusalKind::UnknownCustomer),
     SearchEnd::Refused(RefusalKind::UnknownPath),
@@ -49,6 +53,7 @@
     SearchEnd::Finished(FinishReason::TargetsBusy),
     SearchEnd::Finished(FinishReason::ShardLost),
     SearchEnd::Finished(FinishReason::SnapshotRetired),
+    SearchEnd::Finished(FinishReason::Quarantined),
     SearchEnd::Finished(FinishReason::Abandoned),
 ];
 
@@ -66,6 +71,11 @@
     }
 }
 
+/// Returns the query of a request for an end.
+fn query_of(end: SearchEnd, turn: u64) -> String {
+    format!("{end:?}-{turn}")
+}
+
 /// Sets up the conditions of an end and returns the request that meets it.
 async fn provoke(searches: &mut SearchFleet, end: SearchEnd) -> ProvokedRequest {
     let request = ProvokedRequest::of_class;
@@ -116,6 +126,12 @@
                 searches.publish_unheld_snapshot().await;
                 request("module-finder")
             }
+            FinishReason::Quarantined => {
+                for turn in 0..TURNS {
+                    searches.block_work("module-finder", &query_of(end, turn)).await;
+                }
+                request("module-finder")
+            }
             FinishReason::Abandoned => {
                 searches.inject_fault(FaultScope::All, SearcherFault::Delay { extra_ms: 700 });
                 request("certificate-check")
@@ -135,6 +151,7 @@
             FinishReason::TargetsBusy => Some("targets_busy"),
             FinishReason::ShardLost => Some("shard_lost"),
             FinishReason::SnapshotRetired => Some("snapshot_retired"),
+            FinishReason::Quarantined => Some("quarantined"),
         },
     }
 }
@@ -171,6 +188,15 @@
         .await;
     }
 
+    /// Blocks the search of one class by an operator's order.
+    async fn block_work(&self, class: &str, query: &str) {
+        let parts = [CUSTOMER.as_bytes(), class.as_bytes(), query.as_bytes()];
+        let path = format!("/v1/quarantine/{}/block", WorkFingerprint::of(&parts));
+        let admin = self.fleet.admin_address(0);
+        let reply = self.fleet.caller.post(&admin, &path, &json!({})).await.unwrap();
+        assert_eq!(reply["state"], "blocked", "{reply}");
+    }
+
     async fn send(&self, request: &ProvokedRequest, query: &str) -> CallerAnswer {
         let mut body = json!({ "class": request.class, "query": query });
         if let Some(deadline_ms) = request.deadline_ms {
@@ -207,10 +233,10 @@
             continue;
         }
         let mut reasons = Vec::new();
-        for turn in 0..40 {
+        for turn in 0..TURNS {
             // Deadlines of 1 to 8 ms end before, during and after the run of a searcher.
             request.deadline_ms = request.deadline_ms.map(|_| 1 + turn % 8);
-            let query = format!("{end:?}-{turn}");
+            let query = query_of(end, turn);
             let answer = searches.send(&request, &query).await;
             searches.check_run_state(&query, &answer);
             reasons.push(answer.refusal.map(|refusal| refusal.reason));
