--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -26,8 +26,12 @@
 
 /// Number of VMs that are asked for a trial if the first ones can't be reached.
 const MAX_ARBITERS_ASKED: usize = 2;
+/// Maximum time for which a trial counts as under way if its end is not reported.
+const MAX_TRIAL_HOLD: Duration = Duration::from_secs(30);
 /// Number of peers to which a VM relays news.
 const RELAY_FANOUT: usize = 3;
+/// Minimum time between two rounds of news of suspect work.
+const NEWS_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of peers that a starting VM asks for what they know.
 const STARTUP_PEERS: usize = 3;
 /// Time for which a starting VM waits for their replies.
@@ -110,10 +114,30 @@
     ) -> bool {
         let is_news = change(&mut self.state.borrow_mut().quarantine, Instant::now());
         if is_news {
-            self.notify(MembershipEngine::NOTIFY_FANOUT);
+            self.spread_works(MembershipEngine::NOTIFY_FANOUT);
         }
         is_news
     }
+
+    /// Tells `fanout` peers the news at once, or together with what follows if it told some a moment ago: when many
+    /// targets end at once, many works become suspect.
+    fn spread_works(self: &Rc<Self>, fanout: usize) {
+        let now = Instant::now();
+        let due = self.works_told_at.get().map_or(now, |at| at + NEWS_INTERVAL);
+        if due <= now {
+            self.works_told_at.set(Some(now));
+            return self.notify(fanout);
+        }
+        if !self.has_untold_works.replace(true) {
+            let peers = self.clone();
+            actix_rt::spawn(async move {
+                tokio::time::sleep_until(due.into()).await;
+                peers.has_untold_works.set(false);
+                peers.works_told_at.set(Some(Instant::now()));
+                peers.notify(MembershipEngine::NOTIFY_FANOUT);
+            });
+        }
+    }
 }
 
 /// News between VMs.
@@ -141,7 +165,7 @@
             }
         }
         if has_news {
-            self.notify(RELAY_FANOUT);
+            self.spread_works(RELAY_FANOUT);
         }
     }
 
@@ -252,12 +276,12 @@
                 let is_news = state.quarantine.end_trial(&record, &target, request.is_unclear, now);
                 drop(state);
                 if is_news {
-                    self.notify(RELAY_FANOUT);
+                    self.spread_works(RELAY_FANOUT);
                 }
                 TrialDecision::Unneeded
             }
             false => {
-                let hold = Duration::from_millis(request.hold_ms.into());
+                let hold = Duration::from_millis(request.hold_ms.into()).min(MAX_TRIAL_HOLD);
                 self.decide_trial(&record, &target, hold)
             }
         };
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -67,6 +67,9 @@
     loan_request_receiver: RefCell<Option<mpsc::UnboundedReceiver<IncomingLoanRequest>>>,
     drain_receiver: RefCell<Option<mpsc::UnboundedReceiver<DrainRecord>>>,
     is_starting: Cell<bool>,
+    /// When this VM last told peers of suspect work, and whether it has more to tell.
+    pub(crate) works_told_at: Cell<Option<Instant>>,
+    pub(crate) has_untold_works: Cell<bool>,
     listener: RefCell<Option<PeerListener>>,
     address: SocketAddr,
     stop: RefCell<Option<oneshot::Sender<()>>>,
@@ -96,6 +99,8 @@
             loan_request_receiver: RefCell::new(Some(loan_request_receiver)),
             drain_receiver: RefCell::new(Some(drain_receiver)),
             is_starting: Cell::new(false),
+            works_told_at: Cell::new(None),
+            has_untold_works: Cell::new(false),
             listener: RefCell::new(Some(listener)),
             address,
             stop: RefCell::new(None),
