--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -110,12 +110,12 @@
         let Some(running) = queries.get(&outgoing.query) else { return };
         match &running.payload {
             QueryPayload::Search { text, .. } => {
-                let witness = Rc::new(running.witness(&outgoing.target));
+                let witness = Rc::new(running.witness(outgoing.call, &outgoing.target));
                 let call = shard_call(running, text, &outgoing, shard, index_version);
                 actix_rt::spawn(send_call(self.clone(), witness, call, outgoing.deadline));
             }
             QueryPayload::Forward { request, .. } => {
-                let witness = Rc::new(running.witness(&outgoing.target));
+                let witness = Rc::new(running.witness(outgoing.call, &outgoing.target));
                 let Some(dialect) = self.dialect.clone() else { return };
                 let call = ForwardCall {
                     query: outgoing.query,
@@ -177,9 +177,10 @@
 
 impl RunningQuery {
     /// Returns the witness of a call of the query.
-    fn witness(&self, target: &TargetId) -> CallWitness {
+    fn witness(&self, call: CallId, target: &TargetId) -> CallWitness {
         let service = self.plan.manifest.service.clone();
-        CallWitness::new(self.payload.work().clone(), service, target.clone())
+        let query_call = Some((call, self.plan.manifest.shards.len()));
+        CallWitness::new(query_call, self.payload.work().clone(), service, target.clone())
     }
 }
 
--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use oleanderwind_policy::CallId;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::TargetEnd;
 use oleanderwind_policy::TargetId;
@@ -31,7 +32,11 @@
 /// Time without a reply after which a call that is cancelled may have met a silent host. The users' targets pause
 /// for up to 250 ms.
 const SILENT_CALL_TIME: Duration = Duration::from_millis(300);
-
+/// Time in which a process that closed a connection because it is ending closes its listener. It is waited for before
+/// the call is repeated.
+const ENDING_TIME: Duration = Duration::from_millis(3);
+/// The same after a trial.
+const TRIAL_ENDING_TIME: Duration = Duration::from_millis(15);
 /// Time in which a process that is slow to end is gone, or the entry of one that was started at once is listed.
 const PROCESS_WATCH_TIME: Duration = Duration::from_secs(3);
 /// Time after which it is looked at first; doubled each time.
@@ -80,6 +85,8 @@
 
 /// A call, as far as its end is evidence for or against its work.
 pub(crate) struct CallWitness {
+    /// Id of the call at the engine and the number of shards of its query; `None` for a call of the ledger.
+    query_call: Option<(CallId, usize)>,
     pub(crate) work: Rc<QueryWork>,
     pub(crate) service: ServiceId,
     pub(crate) target: TargetId,
@@ -90,8 +97,25 @@
 
 impl CallWitness {
     /// Returns the witness of a call that is not sent yet.
-    pub(crate) fn new(work: Rc<QueryWork>, service: ServiceId, target: TargetId) -> CallWitness {
-        CallWitness { work, service, target, sent: Cell::new(None), permit: RefCell::new(None) }
+    pub(crate) fn new(
+        query_call: Option<(CallId, usize)>,
+        work: Rc<QueryWork>,
+        service: ServiceId,
+        target: TargetId,
+    ) -> CallWitness {
+        CallWitness {
+            query_call,
+            work,
+            service,
+            target,
+            sent: Cell::new(None),
+            permit: RefCell::new(None),
+        }
+    }
+
+    /// Returns whether the query has calls to other shards.
+    fn has_other_shards(&self) -> bool {
+        self.query_call.is_some_and(|(_, shards)| shards > 1)
     }
 
     /// Records that the call is sent now.
@@ -126,7 +150,7 @@
         witness: &CallWitness,
         deadline: Instant,
     ) -> Result<(), Duration> {
-        match self.enter_gate(&witness.work, &witness.target, deadline).await {
+        match self.enter_gate(witness, deadline).await {
             GatePass::Open => Ok(()),
             GatePass::Trial(permit) => {
                 log::info!(
@@ -143,31 +167,37 @@
         }
     }
 
-    async fn enter_gate(
-        self: &Rc<Self>,
-        work: &QueryWork,
-        target: &TargetId,
-        deadline: Instant,
-    ) -> GatePass {
+    async fn enter_gate(self: &Rc<Self>, witness: &CallWitness, deadline: Instant) -> GatePass {
         loop {
             if self.peers.is_quarantine_idle() {
                 return GatePass::Open;
             }
-            let work = work.fingerprint();
+            let work = witness.work.fingerprint();
             match self.peers.work_verdict(work) {
                 WorkVerdict::Clear => return GatePass::Open,
                 WorkVerdict::Blocked { retry_after } => return GatePass::Closed(retry_after),
                 WorkVerdict::Suspect => {}
             }
-            if Instant::now() >= deadline {
+            let now = Instant::now();
+            if now >= deadline {
                 return GatePass::Closed(SUSPECT_RETRY_DELAY);
             }
+            if let Some((call, _)) = witness.query_call
+                && self.engine.borrow().is_last_live_replica(call, now)
+            {
+                // A trial may end the target. The answer of another shard may clear the work soon.
+                if !witness.has_other_shards() {
+                    return GatePass::Closed(SUSPECT_RETRY_DELAY);
+                }
+                tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
+                continue;
+            }
             let trial_end = self.trial_ends.notified();
             if !self.local_trials.borrow_mut().insert(*work) {
                 let _ = tokio::time::timeout(TRIAL_POLL_INTERVAL, trial_end).await;
                 continue;
             }
-            match self.ask_for_trial(work, target, deadline).await {
+            match self.ask_for_trial(work, witness, deadline).await {
                 Some(pass) => return pass,
                 None => tokio::time::sleep(TRIAL_POLL_INTERVAL).await,
             }
@@ -178,9 +208,10 @@
     async fn ask_for_trial(
         self: &Rc<Self>,
         work: &WorkFingerprint,
-        target: &TargetId,
+        witness: &CallWitness,
         deadline: Instant,
     ) -> Option<GatePass> {
+        let target = &witness.target;
         let reservation = LocalTrial { fanout: self, work: Some(*work) };
         let (asked_at, asked_at_wall) = (Instant::now(), SystemTime::now());
         let hold = deadline.saturating_duration_since(asked_at) + TRIAL_HOLD_MARGIN;
@@ -199,6 +230,8 @@
             }
             TrialAnswer::Wait | TrialAnswer::Unneeded => None,
             TrialAnswer::Postponed => Some(GatePass::Closed(SUSPECT_RETRY_DELAY)),
+            // The answer of another shard may clear the work.
+            TrialAnswer::Unreachable if witness.has_other_shards() => None,
             TrialAnswer::Unreachable => {
                 log::warn!(work:% = work; "suspect work is refused: no VM that permits trials can be reached");
                 Some(GatePass::Closed(SUSPECT_RETRY_DELAY))
@@ -285,7 +318,9 @@
             is_trial,
         };
         let hears_others = || self.peers.has_contact_since(sent_at);
-        if !self.targets.has_ended(&witness.target, process, sent_at, hears_others).await {
+        let patience = if is_trial { TRIAL_ENDING_TIME } else { ENDING_TIME };
+        let targets = &self.targets;
+        if !targets.has_ended(&witness.target, process, sent_at, patience, hears_others).await {
             permit.iter().for_each(|permit| permit.is_unclear.set(true));
             actix_rt::spawn(watch_process(self.clone(), evidence, sent_at));
             return is_trial;
@@ -357,7 +392,10 @@
         interval *= 2;
         let hears_others = || fanout.peers.has_contact_since(sent_at);
         let has_ended = match is_trial {
-            true => targets.has_ended(target, *process, sent_at, hears_others).await,
+            true => {
+                let patience = TRIAL_ENDING_TIME;
+                targets.has_ended(target, *process, sent_at, patience, hears_others).await
+            }
             false => targets.has_successor(target, *process),
         };
         if has_ended {
--- a/crates/daemon/src/ledger/dispatch.rs
+++ b/crates/daemon/src/ledger/dispatch.rs
@@ -71,7 +71,7 @@
         return ExecuteOutcome::NotSent;
     };
     let work = QueryWork::of_own_request(&call.customer, &call.service, &call.body);
-    let witness = CallWitness::new(work, call.service.clone(), target.clone());
+    let witness = CallWitness::new(None, work, call.service.clone(), target.clone());
     if ledger.fanout.pass_gate(&witness, deadline.instant).await.is_err() {
         ledger.fanout.release_executor(&target, ExecutorOutcome::NotSent);
         return ExecuteOutcome::NotSent;
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -128,13 +128,14 @@
             self.works_told_at.set(Some(now));
             return self.notify(fanout);
         }
-        if !self.has_untold_works.replace(true) {
+        let waiting_fanout = self.untold_works_fanout.get();
+        self.untold_works_fanout.set(waiting_fanout.max(fanout));
+        if waiting_fanout == 0 {
             let peers = self.clone();
             actix_rt::spawn(async move {
                 tokio::time::sleep_until(due.into()).await;
-                peers.has_untold_works.set(false);
                 peers.works_told_at.set(Some(Instant::now()));
-                peers.notify(MembershipEngine::NOTIFY_FANOUT);
+                peers.notify(peers.untold_works_fanout.take());
             });
         }
     }
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -67,9 +67,10 @@
     loan_request_receiver: RefCell<Option<mpsc::UnboundedReceiver<IncomingLoanRequest>>>,
     drain_receiver: RefCell<Option<mpsc::UnboundedReceiver<DrainRecord>>>,
     is_starting: Cell<bool>,
-    /// When this VM last told peers of suspect work, and whether it has more to tell.
+    /// When this VM last told peers of suspect work.
     pub(crate) works_told_at: Cell<Option<Instant>>,
-    pub(crate) has_untold_works: Cell<bool>,
+    /// Number of peers to tell more soon; 0 if there is nothing more to tell.
+    pub(crate) untold_works_fanout: Cell<usize>,
     listener: RefCell<Option<PeerListener>>,
     address: SocketAddr,
     stop: RefCell<Option<oneshot::Sender<()>>>,
@@ -100,7 +101,7 @@
             drain_receiver: RefCell::new(Some(drain_receiver)),
             is_starting: Cell::new(false),
             works_told_at: Cell::new(None),
-            has_untold_works: Cell::new(false),
+            untold_works_fanout: Cell::new(0),
             listener: RefCell::new(Some(listener)),
             address,
             stop: RefCell::new(None),
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -57,8 +57,6 @@
 /// Time in which a host that is up accepts or refuses a connection.
 const CONNECT_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time in which a connection that a process accepted while it was ending is closed.
-const ENDING_TIME: Duration = Duration::from_millis(15);
 /// Number of connections that are accepted and closed at once, after which a process counts as alive: a target
 /// closes those beyond its limit.
 const MAX_CONNECT_PROBES: u32 = 3;
@@ -298,6 +296,7 @@
         target: &TargetId,
         process: TargetProcess,
         sent_at: Instant,
+        patience: Duration,
         hears_others: impl Fn() -> bool,
     ) -> bool {
         if self.has_successor(target, process) {
@@ -305,7 +304,7 @@
         }
         for _ in 0..MAX_CONNECT_PROBES {
             match timeout(CONNECT_PROBE_TIMEOUT, TcpStream::connect(process.address)).await {
-                Ok(Ok(stream)) if stays_open(&stream).await => return false,
+                Ok(Ok(stream)) if stays_open(&stream, patience).await => return false,
                 // A process that is ending may close its connections before its listener.
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => return error.kind() == io::ErrorKind::ConnectionRefused,
@@ -412,7 +411,7 @@
     deadline.saturating_duration_since(Instant::now())
 }
 
-/// Returns whether a new connection is still open after [`ENDING_TIME`].
-async fn stays_open(stream: &TcpStream) -> bool {
-    timeout(ENDING_TIME, stream.readable()).await.is_err()
+/// Returns whether a new connection is still open after `patience`.
+async fn stays_open(stream: &TcpStream, patience: Duration) -> bool {
+    timeout(patience, stream.readable()).await.is_err()
 }
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -71,6 +71,19 @@
         open.is_some_and(|open| self.targets.state(open.target).accepts_calls(now))
     }
 
+    /// Returns whether the call's target is the last one of its shard that seems to live, of several that are listed.
+    pub fn is_last_live_replica(&self, call: CallId, now: Instant) -> bool {
+        let Some(open) = self.calls.get(&call) else { return false };
+        let Some(running) = self.queries.get(&open.query) else { return false };
+        let replicas = &running.resolved.shards[open.position as usize].replicas;
+        let lives = |target: &TargetIndex| {
+            let state = self.targets.state(*target);
+            state.accepts_calls(now) && !state.backoff.is_failing()
+        };
+        let mut others = replicas.iter().filter(|target| **target != open.target);
+        replicas.len() > 1 && !others.any(lives)
+    }
+
     /// Sets how many calls may be in flight to a target at once. Each call uses one connection.
     ///
     /// Until this is set, the connection limit from the target's specification applies.
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -91,8 +91,8 @@
     pub(super) fn merge(&mut self, record: &WorkRecord, now: Instant) -> bool {
         let changed_at = now.checked_sub(record.age).unwrap_or(now);
         let Some(entry) = self.entries.get_mut(&record.work) else {
-            // Nothing is held against the work here either.
-            if record.is_clear() {
+            // Nothing was ever held against the work.
+            if record.is_clear() && record.generation == 0 {
                 return false;
             }
             let mut own = WorkRecord::new(record.work, record.service.clone());
--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -1,6 +1,7 @@
 //! Targets that drain, misreport their load, fail or disappear, and executor slots.
 
 use oleanderwind_policy::ExecutorOutcome;
+use oleanderwind_policy::FanoutAction;
 use oleanderwind_policy::FanoutEngine;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FinishReason;
@@ -386,3 +387,21 @@
     let received = fleet.target("s0r0").received - before;
     assert!(received >= 10, "only {received} of 100 calls within two seconds");
 }
+
+/// Guards against a trial of a suspect request that ends the last target of a shard.
+#[test]
+fn is_last_live_replica_once_the_others_fail() {
+    let mut fleet = warm_fleet(FanoutSettings::default());
+    fleet.target("s3r0").behaviour = Behaviour::Fail;
+    fleet.submit_every(1, 20, ms(10));
+    let mut actions = Vec::new();
+    let plan = fleet.plan();
+    fleet.engine.submit(1_000, plan, fleet.now, &mut actions);
+    let mut is_last = actions.iter().filter_map(|action| match action {
+        FanoutAction::Send { call, target, .. } => {
+            Some((target.clone(), fleet.engine.is_last_live_replica(*call, fleet.now)))
+        }
+        _ => None,
+    });
+    assert!(is_last.all(|(target, is_last)| is_last == (&*target == "s3r1")));
+}
