--- a/crates/daemon/src/admin/quarantine.rs
+++ b/crates/daemon/src/admin/quarantine.rs
@@ -67,7 +67,7 @@
         service: record.service.to_string(),
         state: state.to_owned(),
         ends: record.counted_ends(),
-        trial_ends: record.ends.iter().filter(|end| end.in_trial).count(),
+        trial_ends: record.ended_trials(),
         is_blocked_by_operator: record.is_blocked_by_operator,
         age_ms: milliseconds(record.age),
         retry_after_ms: retry_after.map(milliseconds),
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -20,6 +20,7 @@
 use crate::edge::OpaqueRequest;
 use crate::edge::ReplyMetadata;
 use crate::fanout::FanoutService;
+use crate::fanout::QueryWork;
 use crate::fanout::driver::quarantined;
 use crate::fanout::payload::CallAnswer;
 use crate::fanout::payload::QueryPayload;
@@ -97,7 +98,7 @@
             classify_reply(&fanout, &call, reply, marks)
         }
     };
-    log_unanswered(&call, &request, &event, end, sent_at);
+    log_unanswered(&call, &request, &witness.work, &event, end, sent_at);
     fanout.handle(event);
 }
 
@@ -138,6 +139,7 @@
 fn log_unanswered(
     call: &ForwardCall,
     request: &OpaqueRequest,
+    work: &QueryWork,
     event: &FanoutEvent,
     end: CallEnd,
     sent_at: Instant,
@@ -160,7 +162,7 @@
         outcome = outcome,
         end = end.failure.map(CallFailure::as_str),
         path = request.path(),
-        work:% = request.fingerprint(),
+        work:% = work.fingerprint(),
         ms = milliseconds(sent_at.elapsed());
         "call ended without an answer"
     );
--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -54,8 +54,7 @@
 
 /// Permission for one trial. Its end is reported when it is dropped.
 struct TrialPermit {
-    fanout: Rc<FanoutService>,
-    work: WorkFingerprint,
+    reservation: LocalTrial,
     target: TargetId,
     arbiter: VmId,
     asked_at: Instant,
@@ -76,10 +75,8 @@
 
 impl Drop for TrialPermit {
     fn drop(&mut self) {
-        let is_unclear = self.is_unclear.get();
-        self.fanout.peers.end_trial(&self.work, &self.target, &self.arbiter, is_unclear);
-        self.fanout.local_trials.borrow_mut().remove(&self.work);
-        self.fanout.trial_ends.notify_waiters();
+        let LocalTrial { fanout, work } = &self.reservation;
+        fanout.peers.end_trial(work, &self.target, &self.arbiter, self.is_unclear.get());
     }
 }
 
@@ -131,12 +128,18 @@
 
 /// The gate before each call.
 impl FanoutService {
+    /// Returns what may be done with the work. Its fingerprint is not computed while nothing is held against any
+    /// work.
+    fn verdict(&self, work: &QueryWork) -> WorkVerdict {
+        match self.peers.is_quarantine_idle() {
+            true => WorkVerdict::Clear,
+            false => self.peers.work_verdict(work.fingerprint()),
+        }
+    }
+
     /// Returns for how long the work is blocked, if it is.
     pub(crate) fn blocked_time(&self, work: &QueryWork) -> Option<Duration> {
-        if self.peers.is_quarantine_idle() {
-            return None;
-        }
-        match self.peers.work_verdict(work.fingerprint()) {
+        match self.verdict(work) {
             WorkVerdict::Blocked { retry_after } => Some(retry_after),
             WorkVerdict::Clear | WorkVerdict::Suspect => None,
         }
@@ -154,7 +157,7 @@
             GatePass::Open => Ok(()),
             GatePass::Trial(permit) => {
                 log::info!(
-                    work:% = permit.work,
+                    work:% = permit.reservation.work,
                     target = permit.target.as_ref(),
                     arbiter = permit.arbiter.as_ref();
                     "trial of suspect work begins"
@@ -169,11 +172,7 @@
 
     async fn enter_gate(self: &Rc<Self>, witness: &CallWitness, deadline: Instant) -> GatePass {
         loop {
-            if self.peers.is_quarantine_idle() {
-                return GatePass::Open;
-            }
-            let work = witness.work.fingerprint();
-            match self.peers.work_verdict(work) {
+            match self.verdict(&witness.work) {
                 WorkVerdict::Clear => return GatePass::Open,
                 WorkVerdict::Blocked { retry_after } => return GatePass::Closed(retry_after),
                 WorkVerdict::Suspect => {}
@@ -192,6 +191,7 @@
                 tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
                 continue;
             }
+            let work = witness.work.fingerprint();
             let trial_end = self.trial_ends.notified();
             if !self.local_trials.borrow_mut().insert(*work) {
                 let _ = tokio::time::timeout(TRIAL_POLL_INTERVAL, trial_end).await;
@@ -212,22 +212,18 @@
         deadline: Instant,
     ) -> Option<GatePass> {
         let target = &witness.target;
-        let reservation = LocalTrial { fanout: self, work: Some(*work) };
+        let reservation = LocalTrial { fanout: self.clone(), work: *work };
         let (asked_at, asked_at_wall) = (Instant::now(), SystemTime::now());
         let hold = deadline.saturating_duration_since(asked_at) + TRIAL_HOLD_MARGIN;
         match self.peers.begin_trial(work, target, hold).await {
-            TrialAnswer::Granted { arbiter } => {
-                reservation.keep();
-                Some(GatePass::Trial(TrialPermit {
-                    fanout: self.clone(),
-                    work: *work,
-                    target: target.clone(),
-                    arbiter,
-                    asked_at,
-                    asked_at_wall,
-                    is_unclear: Cell::new(false),
-                }))
-            }
+            TrialAnswer::Granted { arbiter } => Some(GatePass::Trial(TrialPermit {
+                reservation,
+                target: target.clone(),
+                arbiter,
+                asked_at,
+                asked_at_wall,
+                is_unclear: Cell::new(false),
+            })),
             TrialAnswer::Wait | TrialAnswer::Unneeded => None,
             TrialAnswer::Postponed => Some(GatePass::Closed(SUSPECT_RETRY_DELAY)),
             // The answer of another shard may clear the work.
@@ -244,30 +240,20 @@
         if let Some(permit) = witness.permit.borrow().as_ref() {
             return permit.is_valid();
         }
-        self.peers.is_quarantine_idle()
-            || self.peers.work_verdict(witness.work.fingerprint()) == WorkVerdict::Clear
+        self.verdict(&witness.work) == WorkVerdict::Clear
     }
 }
 
-/// Reserves the one trial of a work that this VM asks for at a time; gives it back when dropped.
-struct LocalTrial<'a> {
-    fanout: &'a FanoutService,
-    work: Option<WorkFingerprint>,
-}
-
-impl LocalTrial<'_> {
-    /// Leaves the reservation to a permit.
-    fn keep(mut self) {
-        self.work = None;
-    }
+/// The one trial of a work that this VM has or asks for at a time; gives it back when dropped.
+struct LocalTrial {
+    fanout: Rc<FanoutService>,
+    work: WorkFingerprint,
 }
 
-impl Drop for LocalTrial<'_> {
+impl Drop for LocalTrial {
     fn drop(&mut self) {
-        if let Some(work) = self.work {
-            self.fanout.local_trials.borrow_mut().remove(&work);
-            self.fanout.trial_ends.notify_waiters();
-        }
+        self.fanout.local_trials.borrow_mut().remove(&self.work);
+        self.fanout.trial_ends.notify_waiters();
     }
 }
 
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns the number of trials that ended a target.
-    pub(super) fn ended_trials(&self) -> usize {
+    pub fn ended_trials(&self) -> usize {
         self.ends.iter().filter(|end| end.in_trial).count()
     }
 
