--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -13,6 +13,7 @@
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WorkFingerprint;
+use oleanderwind_policy::WorkRecord;
 use oleanderwind_policy::WorkVerdict;
 
 use crate::fanout::FanoutService;
@@ -60,6 +61,8 @@
     asked_at: Instant,
     /// The same time on the wall clock, which keeps running while the VM is suspended.
     asked_at_wall: SystemTime,
+    /// What was known of the work when it was granted.
+    known: WorkRecord,
     /// Whether the call got no reply and its target seems to live.
     is_unclear: Cell<bool>,
 }
@@ -216,14 +219,24 @@
         let (asked_at, asked_at_wall) = (Instant::now(), SystemTime::now());
         let hold = deadline.saturating_duration_since(asked_at) + TRIAL_HOLD_MARGIN;
         match self.peers.begin_trial(work, target, hold).await {
-            TrialAnswer::Granted { arbiter } => Some(GatePass::Trial(TrialPermit {
-                reservation,
-                target: target.clone(),
-                arbiter,
-                asked_at,
-                asked_at_wall,
-                is_unclear: Cell::new(false),
-            })),
+            TrialAnswer::Granted { arbiter, known } => {
+                if self
+                    .targets
+                    .process(target)
+                    .is_some_and(|process| known.has_ended(target, process.incarnation))
+                {
+                    self.targets.close_idle(target);
+                }
+                Some(GatePass::Trial(TrialPermit {
+                    reservation,
+                    target: target.clone(),
+                    arbiter,
+                    asked_at,
+                    asked_at_wall,
+                    known,
+                    is_unclear: Cell::new(false),
+                }))
+            }
             TrialAnswer::Wait | TrialAnswer::Unneeded => None,
             TrialAnswer::Postponed => Some(GatePass::Closed(SUSPECT_RETRY_DELAY)),
             // The answer of another shard may clear the work.
@@ -294,14 +307,19 @@
         if !is_trial && self.peers.is_recently_answered(hash) {
             return false;
         }
+        let (target, incarnation) = (&witness.target, process.incarnation);
+        let end = match permit.as_ref() {
+            Some(permit) => TargetEnd::in_trial(target, incarnation, &permit.known),
+            None => TargetEnd::outside_trial(target, incarnation),
+        };
         let evidence = EndEvidence {
             work: *witness.work.fingerprint(),
             hash,
             place: witness.work.place().to_owned(),
             service: witness.service.clone(),
-            target: witness.target.clone(),
+            target: target.clone(),
             process,
-            is_trial,
+            end,
         };
         let hears_others = || self.peers.has_contact_since(sent_at);
         let patience = if is_trial { TRIAL_ENDING_TIME } else { ENDING_TIME };
@@ -317,12 +335,11 @@
 
     /// Records that a target ended under a call, unless the call's work was answered recently.
     fn record_end(&self, evidence: &EndEvidence) {
-        let EndEvidence { work, service, target, process, is_trial, .. } = evidence;
-        if !is_trial && self.peers.is_recently_answered(evidence.hash) {
+        let EndEvidence { work, service, target, process, end, .. } = evidence;
+        if !end.in_trial && self.peers.is_recently_answered(evidence.hash) {
             return;
         }
-        let end = TargetEnd::new(target, process.incarnation, *is_trial);
-        if !self.peers.record_target_end(*work, service, end) {
+        if !self.peers.record_target_end(*work, service, *end) {
             return;
         }
         let ends = self.peers.work_record(work).map_or(0, |record| record.counted_ends());
@@ -336,7 +353,7 @@
             service = service.as_ref(),
             target = target.as_ref(),
             incarnation = process.incarnation,
-            in_trial = is_trial,
+            in_trial = end.in_trial,
             ends = ends,
             blocked_ms = retry_after.map(milliseconds);
             "target ended under a request"
@@ -363,21 +380,21 @@
     service: ServiceId,
     target: TargetId,
     process: TargetProcess,
-    is_trial: bool,
+    end: TargetEnd,
 }
 
 /// Records the end of a process that seemed to live if it turns out soon: another one was started at its address
 /// at once, or it was slow to end. Only for a trial is it worth connections to find out the latter.
 async fn watch_process(fanout: Rc<FanoutService>, evidence: EndEvidence, sent_at: Instant) {
     let targets = &fanout.targets;
-    let EndEvidence { target, process, is_trial, .. } = &evidence;
+    let EndEvidence { target, process, end: target_end, .. } = &evidence;
     let end = Instant::now() + PROCESS_WATCH_TIME;
     let mut interval = PROCESS_POLL_INTERVAL;
     while Instant::now() < end {
         tokio::time::sleep(interval).await;
         interval *= 2;
         let hears_others = || fanout.peers.has_contact_since(sent_at);
-        let has_ended = match is_trial {
+        let has_ended = match target_end.in_trial {
             true => {
                 let patience = TRIAL_ENDING_TIME;
                 targets.has_ended(target, *process, sent_at, patience, hears_others).await
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -44,6 +44,8 @@
     Granted {
         /// The VM that permits it.
         arbiter: VmId,
+        /// What it knows of the work.
+        known: WorkRecord,
     },
     /// Another trial of the work, or on the target, is under way.
     Wait,
@@ -224,7 +226,12 @@
                 false => self.ask_trial(&arbiter, &record, target, hold).await,
             };
             match decision {
-                Some(TrialDecision::Granted) => return TrialAnswer::Granted { arbiter },
+                Some(TrialDecision::Granted) => {
+                    return match self.work_record(work) {
+                        Some(known) => TrialAnswer::Granted { arbiter, known },
+                        None => TrialAnswer::Unneeded,
+                    };
+                }
                 Some(TrialDecision::Wait) => return TrialAnswer::Wait,
                 Some(TrialDecision::Postponed) => return TrialAnswer::Postponed,
                 Some(TrialDecision::Unneeded) => return TrialAnswer::Unneeded,
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -282,6 +282,13 @@
         })
     }
 
+    /// Closes the idle connections to a target.
+    pub(crate) fn close_idle(&self, target: &TargetId) {
+        if let Some(pool) = self.pool(target) {
+            pool.close_idle(Instant::now());
+        }
+    }
+
     /// Returns whether a later process of the target is listed.
     pub(crate) fn has_successor(&self, target: &TargetId, process: TargetProcess) -> bool {
         self.process(target).is_some_and(|listed| listed.incarnation > process.incarnation)
--- a/crates/policy/src/quarantine/engine.rs
+++ b/crates/policy/src/quarantine/engine.rs
@@ -48,9 +48,10 @@
 /// let work = WorkFingerprint::of(&[b"GET", b"/deadly"]);
 /// let service: ServiceId = "searches".into();
 /// assert_eq!(engine.verdict(&work, now), WorkVerdict::Clear);
-/// for (target, in_trial) in [("a", false), ("b", true), ("c", true)] {
-///     let end = TargetEnd::new(&target.into(), 1, in_trial);
-///     assert!(engine.record_end(work, &service, end, now));
+/// assert!(engine.record_end(work, &service, TargetEnd::outside_trial(&"a".into(), 1), now));
+/// for target in ["b", "c"] {
+///     let known = engine.record(&work, now).expect("the work is suspect");
+///     assert!(engine.record_end(work, &service, TargetEnd::in_trial(&target.into(), 1, &known), now));
 /// }
 /// assert!(matches!(engine.verdict(&work, now), WorkVerdict::Blocked { .. }));
 /// ```
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -26,9 +26,21 @@
 }
 
 impl TargetEnd {
-    /// Returns the end of a process of a target.
-    pub fn new(target: &TargetId, incarnation: u64, in_trial: bool) -> TargetEnd {
-        TargetEnd { process: xxh3_64_with_seed(target.as_bytes(), incarnation), in_trial }
+    /// Returns the end of a listed process of a target under a call that is no trial.
+    pub fn outside_trial(target: &TargetId, incarnation: u64) -> TargetEnd {
+        TargetEnd { process: listed_process(target, incarnation, 0), in_trial: false }
+    }
+
+    /// Returns the end of a process of a target in a trial.
+    ///
+    /// `known` is what was known of the work when the trial was permitted. A process that had ended by then did not
+    /// run it, even if it is still the listed one: the next one did.
+    pub fn in_trial(target: &TargetId, incarnation: u64, known: &WorkRecord) -> TargetEnd {
+        let mut earlier = 0;
+        while known.has_end_of(listed_process(target, incarnation, earlier)) {
+            earlier += 1;
+        }
+        TargetEnd { process: listed_process(target, incarnation, earlier), in_trial: true }
     }
 }
 
@@ -80,6 +92,15 @@
         self.ends.iter().filter(|end| end.in_trial).count()
     }
 
+    /// Returns whether the listed process of a target has ended under the work.
+    pub fn has_ended(&self, target: &TargetId, incarnation: u64) -> bool {
+        self.has_end_of(listed_process(target, incarnation, 0))
+    }
+
+    fn has_end_of(&self, process: u64) -> bool {
+        self.ends.iter().any(|end| end.process == process)
+    }
+
     /// Returns whether a trial of the work ended a target.
     pub(super) fn has_ended_trial(&self) -> bool {
         self.ended_trials() > 0
@@ -150,3 +171,13 @@
         });
     }
 }
+
+/// Returns the hash of the listed process of a target, or of the one after `earlier` that ended while it was the
+/// listed one.
+fn listed_process(target: &TargetId, incarnation: u64, earlier: u64) -> u64 {
+    let listed = xxh3_64_with_seed(target.as_bytes(), incarnation);
+    match earlier {
+        0 => listed,
+        _ => xxh3_64_with_seed(&earlier.to_le_bytes(), listed),
+    }
+}
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -31,7 +31,7 @@
 }
 
 fn end(target: &str, in_trial: bool) -> TargetEnd {
-    TargetEnd::new(&target.into(), 1, in_trial)
+    TargetEnd { in_trial, ..TargetEnd::outside_trial(&target.into(), 1) }
 }
 
 fn is_blocked(engine: &QuarantineEngine, name: &str, now: Instant) -> bool {
@@ -77,6 +77,37 @@
     assert_eq!(engine.record(&work("a"), now).unwrap().counted_ends(), 1);
 }
 
+/// Guards against trials that end process after process of a target and count as one end, since the platform still
+/// lists the first process (issue 32).
+#[test]
+fn record_end_counts_a_process_that_is_not_listed_yet() {
+    let now = Instant::now();
+    let (target, incarnation) = ("1".into(), 1);
+    let mut engine = engine_with(&[TargetEnd::outside_trial(&target, incarnation)], now);
+    for ends in 2..4 {
+        let known = engine.record(&work("a"), now).unwrap();
+        let end = TargetEnd::in_trial(&target, incarnation, &known);
+        assert!(engine.record_end(work("a"), &service(), end, now));
+        assert_eq!(engine.record(&work("a"), now).unwrap().counted_ends(), ends);
+        assert!(!engine.record_end(work("a"), &service(), end, now), "the same process");
+    }
+    assert!(is_blocked(&engine, "a", now));
+}
+
+/// Guards against two ends for one process that another VM's call was under way on when the trial ended it.
+#[test]
+fn record_end_counts_a_process_of_a_trial_and_of_another_call_once() {
+    let now = Instant::now();
+    let mut engine = engine_with(&[end("1", false)], now);
+    let known = engine.record(&work("a"), now).unwrap();
+    for end in
+        [TargetEnd::outside_trial(&"2".into(), 1), TargetEnd::in_trial(&"2".into(), 1, &known)]
+    {
+        engine.record_end(work("a"), &service(), end, now);
+    }
+    assert_eq!(engine.record(&work("a"), now).unwrap().counted_ends(), 2);
+}
+
 #[test]
 fn clear_forgets_what_was_held_and_wins_over_older_news() {
     let now = Instant::now();
@@ -252,10 +283,11 @@
     #[test]
     fn fleet_keeps_the_rule_in_any_history(
         vms in 1..32_usize,
+        targets in 2..8_usize,
         seed in any::<u64>(),
         steps in prop::collection::vec(FleetStep::any(), 1..120),
     ) {
-        let report = FleetHistory { vms, seed, steps }.play();
+        let report = FleetHistory { vms, targets, seed, steps }.play();
         prop_assert!(report.late_copies <= 3, "{:?}", report);
         prop_assert!(report.longest_good_block <= Duration::from_secs(60), "{:?}", report);
     }
--- a/crates/policy/tests/quarantine/fleet.rs
+++ b/crates/policy/tests/quarantine/fleet.rs
@@ -11,6 +11,7 @@
 use oleanderwind_policy::TrialDecision;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WorkFingerprint;
+use oleanderwind_policy::WorkRecord;
 use oleanderwind_policy::WorkVerdict;
 use oleanderwind_policy::trial_arbiters;
 use proptest::prelude::*;
@@ -18,7 +19,6 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-const TARGETS: usize = 6;
 const GOOD_WORKS: usize = 3;
 /// Number of the deadly work, after the good ones.
 const DEADLY: usize = GOOD_WORKS;
@@ -48,6 +48,8 @@
     Freeze { vm: usize, time: Duration },
     /// A VM loses all that is told to it but for heartbeats.
     LoseNews { vm: usize, time: Duration },
+    /// The platform lists no new processes.
+    Unlist { time: Duration },
     /// Time passes.
     Wait { time: Duration },
 }
@@ -60,10 +62,12 @@
             6 => (0..32_usize).prop_map(|vm| FleetStep::Copy { vm, work: DEADLY }),
             4 => (0..32_usize, 0..GOOD_WORKS).prop_map(|(vm, work)| FleetStep::Copy { vm, work }),
             1 => Just(FleetStep::Burst),
-            2 => (0..TARGETS).prop_map(|target| FleetStep::Crash { target }),
+            2 => (0..32_usize).prop_map(|target| FleetStep::Crash { target }),
             1 => (0..32_usize).prop_map(|vm| FleetStep::Restart { vm }),
             1 => (0..32_usize, time()).prop_map(|(vm, time)| FleetStep::Freeze { vm, time }),
             1 => (0..32_usize, time()).prop_map(|(vm, time)| FleetStep::LoseNews { vm, time }),
+            1 => (0..20_000_u64)
+                .prop_map(|ms| FleetStep::Unlist { time: Duration::from_millis(ms) }),
             6 => time().prop_map(|time| FleetStep::Wait { time }),
             3 => (0..30_u64).prop_map(|ms| FleetStep::Wait { time: Duration::from_millis(ms) }),
         ]
@@ -93,6 +97,8 @@
 #[derive(Clone, Copy, Default)]
 struct SimulatedTarget {
     incarnation: u64,
+    /// The incarnation that the platform listed last.
+    listed: u64,
     down_until: Option<Instant>,
 }
 
@@ -103,8 +109,10 @@
     work: usize,
     target: usize,
     incarnation: u64,
-    /// The arbiter, if it is a trial.
-    arbiter: Option<usize>,
+    /// The incarnation that was listed when it was sent.
+    listed: u64,
+    /// The arbiter and what was known of the work when it permitted the call, if it is a trial.
+    trial: Option<(usize, WorkRecord)>,
 }
 
 enum FleetEvent {
@@ -117,6 +125,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FleetHistory {
     pub(crate) vms: usize,
+    pub(crate) targets: usize,
     pub(crate) seed: u64,
     pub(crate) steps: Vec<FleetStep>,
 }
@@ -124,7 +133,8 @@
 struct FleetSimulation {
     now: Instant,
     vms: Vec<SimulatedVm>,
-    targets: [SimulatedTarget; TARGETS],
+    targets: Vec<SimulatedTarget>,
+    unlisted_until: Option<Instant>,
     events: BTreeMap<(Instant, u64), FleetEvent>,
     event_count: u64,
     rng: Pcg64Mcg,
@@ -161,7 +171,8 @@
         let mut simulation = FleetSimulation {
             now,
             vms: (0..self.vms).map(vm).collect(),
-            targets: Default::default(),
+            targets: vec![SimulatedTarget::default(); self.targets],
+            unlisted_until: None,
             events: BTreeMap::new(),
             event_count: 0,
             rng: Pcg64Mcg::seed_from_u64(self.seed),
@@ -210,7 +221,7 @@
         match step {
             FleetStep::Copy { vm, work } => self.receive_copy(vm % count, work),
             FleetStep::Burst => (0..count).for_each(|vm| self.receive_copy(vm, DEADLY)),
-            FleetStep::Crash { target } => self.end_target(target),
+            FleetStep::Crash { target } => self.end_target(target % self.targets.len()),
             // A VM without peers has nobody to learn from.
             FleetStep::Restart { vm } if count > 1 => self.restart(vm % count),
             FleetStep::Restart { .. } => {}
@@ -223,6 +234,7 @@
             FleetStep::LoseNews { vm, time } => {
                 self.vms[vm % count].deaf_until = Some(self.now + time);
             }
+            FleetStep::Unlist { time } => self.unlisted_until = Some(self.now + time),
             FleetStep::Wait { time } => self.advance(time),
         }
     }
@@ -244,7 +256,7 @@
         if self.is_frozen(vm) {
             return;
         }
-        let up: Vec<usize> = (0..TARGETS)
+        let up: Vec<usize> = (0..self.targets.len())
             .filter(|target| is_over(self.targets[*target].down_until, self.now))
             .collect();
         let Some(target) = up.get(self.rng.random_range(0..up.len().max(1))).copied() else {
@@ -254,14 +266,19 @@
             WorkVerdict::Clear => self.send(vm, work, target, None),
             WorkVerdict::Blocked { .. } => {}
             WorkVerdict::Suspect => {
-                if let Some(arbiter) = self.ask_for_trial(vm, work, target) {
-                    self.send(vm, work, target, Some(arbiter));
+                if let Some(trial) = self.ask_for_trial(vm, work, target) {
+                    self.send(vm, work, target, Some(trial));
                 }
             }
         }
     }
 
-    fn ask_for_trial(&mut self, vm: usize, work: usize, target: usize) -> Option<usize> {
+    fn ask_for_trial(
+        &mut self,
+        vm: usize,
+        work: usize,
+        target: usize,
+    ) -> Option<(usize, WorkRecord)> {
         let record = self.vms[vm].engine.record(&fingerprint(work), self.now)?;
         let ids: Vec<VmId> = self.vms.iter().map(|vm| vm.id.clone()).collect();
         for arbiter in trial_arbiters(&service(), &ids).into_iter().take(ARBITERS_ASKED) {
@@ -274,19 +291,24 @@
             if let Some(held) = engine.record(&record.work, self.now) {
                 self.vms[vm].engine.merge(&held, self.now);
             }
-            return (decision == TrialDecision::Granted).then_some(arbiter);
+            let known = self.vms[vm].engine.record(&record.work, self.now)?;
+            return (decision == TrialDecision::Granted).then_some((arbiter, known));
         }
         None
     }
 
-    fn send(&mut self, vm: usize, work: usize, target: usize, arbiter: Option<usize>) {
+    fn send(&mut self, vm: usize, work: usize, target: usize, trial: Option<(usize, WorkRecord)>) {
         let incarnation = self.targets[target].incarnation;
+        if is_over(self.unlisted_until, self.now) {
+            self.targets[target].listed = incarnation;
+        }
+        let listed = self.targets[target].listed;
         let third_end = self.report.ends.get(COUNTED_ENDS - 1);
         let is_late = third_end.is_some_and(|at| self.now > *at + STABLE_TIME);
         let disturbed_until = self.vms[vm].disturbed_until;
         let is_stable = is_over(disturbed_until.map(|until| until + STABLE_TIME), self.now);
         self.report.late_copies += usize::from(work == DEADLY && is_late && is_stable);
-        let call = RunningCall { vm, work, target, incarnation, arbiter };
+        let call = RunningCall { vm, work, target, incarnation, listed, trial };
         self.schedule(RUN_TIME, FleetEvent::Finish(call));
     }
 
@@ -313,19 +335,22 @@
                 engine.clear(&work, self.now)
             }
             false
-                if call.arbiter.is_none()
+                if call.trial.is_none()
                     && engine.is_recently_answered(call.work as u64, self.now) =>
             {
                 false
             }
             false => {
-                let end = TargetEnd::new(&target, call.incarnation, call.arbiter.is_some());
+                let end = match &call.trial {
+                    Some((_, known)) => TargetEnd::in_trial(&target, call.listed, known),
+                    None => TargetEnd::outside_trial(&target, call.listed),
+                };
                 engine.record_end(work, &service(), end, self.now)
             }
         };
         let record = engine.record(&work, self.now);
-        if let (Some(arbiter), Some(record)) = (call.arbiter, record) {
-            self.vms[arbiter].engine.end_trial(&record, &target, false, self.now);
+        if let (Some((arbiter, _)), Some(record)) = (&call.trial, record) {
+            self.vms[*arbiter].engine.end_trial(&record, &target, false, self.now);
         }
         if is_news {
             for to in (0..self.vms.len()).filter(|to| *to != call.vm) {
