--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -222,8 +222,8 @@
     }
     let target = witness.target.clone();
     fanout.mark_sent(call.call_id);
-    witness.mark_sent(fanout.targets.process(&target));
-    let outcome = fanout.targets.search(&target, &call, deadline).await;
+    let may_send = || fanout.may_leave(&witness);
+    let outcome = fanout.targets.search(&target, &call, deadline, may_send).await;
     match &outcome {
         CallOutcome::Answered(_) => fanout.record_survived(&witness),
         CallOutcome::Failed => {
@@ -232,7 +232,7 @@
                 return fanout.handle(quarantined(call.call_id, true, retry_after));
             }
         }
-        CallOutcome::Refused(_) | CallOutcome::NotSent => {}
+        CallOutcome::Refused(_) | CallOutcome::NotSent | CallOutcome::Withdrawn => {}
     }
     if is_draining(&outcome) {
         // Targets of searches have no incarnation.
@@ -247,6 +247,7 @@
             draining: refusal.draining,
         },
         CallOutcome::NotSent => FanoutEvent::Unsent { call: call.call_id },
+        CallOutcome::Withdrawn => FanoutEvent::Withdrawn { call: call.call_id },
         CallOutcome::Failed => FanoutEvent::Failed { call: call.call_id },
     };
     fanout.handle(event);
@@ -268,7 +269,7 @@
         CallOutcome::Refused(refusal) => {
             refusal.draining || refusal.cause == RefusalCause::Draining
         }
-        CallOutcome::NotSent | CallOutcome::Failed => false,
+        CallOutcome::NotSent | CallOutcome::Withdrawn | CallOutcome::Failed => false,
     }
 }
 
--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -119,7 +119,7 @@
     }
 
     /// Records that the call is sent now.
-    pub(crate) fn mark_sent(&self, process: Option<TargetProcess>) {
+    fn mark_sent(&self, process: Option<TargetProcess>) {
         self.sent.set(process.map(|process| (process, Instant::now())));
     }
 
@@ -248,12 +248,16 @@
         }
     }
 
-    /// Returns whether the call may leave now that its connection is free.
+    /// Returns whether the call may leave now that its connection is free; if so, it counts as sent.
     pub(crate) fn may_leave(&self, witness: &CallWitness) -> bool {
-        if let Some(permit) = witness.permit.borrow().as_ref() {
-            return permit.is_valid();
+        let may_leave = match witness.permit.borrow().as_ref() {
+            Some(permit) => permit.is_valid(),
+            None => self.verdict(&witness.work) == WorkVerdict::Clear,
+        };
+        if may_leave {
+            witness.mark_sent(self.targets.process(&witness.target));
         }
-        self.verdict(&witness.work) == WorkVerdict::Clear
+        may_leave
     }
 }
 
--- a/crates/daemon/src/ledger/dispatch.rs
+++ b/crates/daemon/src/ledger/dispatch.rs
@@ -76,7 +76,6 @@
         ledger.fanout.release_executor(&target, ExecutorOutcome::NotSent);
         return ExecuteOutcome::NotSent;
     }
-    witness.mark_sent(ledger.targets.process(&target));
     let remaining = deadline.instant.saturating_duration_since(Instant::now());
     let message = ExecuteCall {
         call_id: ledger.fanout.next_call_id(),
@@ -86,7 +85,8 @@
         body: call.body.to_string(),
     };
     let sent_at = Instant::now();
-    let outcome = ledger.targets.execute(&target, &message, deadline).await;
+    let may_send = || ledger.fanout.may_leave(&witness);
+    let outcome = ledger.targets.execute(&target, &message, deadline, may_send).await;
     let release_outcome = executor_outcome(&outcome, sent_at.elapsed(), deadline);
     ledger.fanout.release_executor(&target, release_outcome);
     match &outcome {
@@ -94,12 +94,12 @@
         CallOutcome::Failed => {
             ledger.fanout.examine_end(&witness).await;
         }
-        CallOutcome::Refused(_) | CallOutcome::NotSent => {}
+        CallOutcome::Refused(_) | CallOutcome::NotSent | CallOutcome::Withdrawn => {}
     }
     match outcome {
         CallOutcome::Answered(answer) => ExecuteOutcome::Done { provider, result: answer.result },
         CallOutcome::Refused(_) => ExecuteOutcome::RefusedNotRun,
-        CallOutcome::NotSent => ExecuteOutcome::NotSent,
+        CallOutcome::NotSent | CallOutcome::Withdrawn => ExecuteOutcome::NotSent,
         CallOutcome::Failed => ExecuteOutcome::Uncertain,
     }
 }
@@ -119,6 +119,7 @@
             load: refusal.load,
             draining: refusal.draining,
         },
+        CallOutcome::Withdrawn => ExecutorOutcome::NotSent,
         CallOutcome::NotSent if deadline.has_passed() => ExecutorOutcome::NotSent,
         // No connection could be made or verified to be alive, so later requests should go to another
         // target.
--- a/crates/daemon/src/targets/outcome.rs
+++ b/crates/daemon/src/targets/outcome.rs
@@ -12,6 +12,8 @@
     Refused(SearcherRefusal),
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent, as the work may not be sent any more.
+    Withdrawn,
     /// No answer to this call arrived. The target may have run the call.
     Failed,
 }
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -174,10 +174,15 @@
         target: &TargetId,
         call: &ShardCall,
         deadline: Instant,
+        may_send: impl Fn() -> bool,
     ) -> CallOutcome<ShardAnswer> {
         let Some(connection) = self.acquire(target, deadline).await else {
             return CallOutcome::NotSent;
         };
+        if !may_send() {
+            connection.release();
+            return CallOutcome::Withdrawn;
+        }
         let exchange = connection.client().post("/v1/search", call);
         let Some((connection, reply)) =
             self.wait_for_reply(connection, exchange, time_until(deadline)).await
@@ -198,6 +203,7 @@
         target: &TargetId,
         call: &ExecuteCall,
         deadline: ExecuteDeadline,
+        may_send: impl Fn() -> bool,
     ) -> CallOutcome<ExecuteAnswer> {
         let Some(connection) = self.acquire(target, deadline.instant).await else {
             return CallOutcome::NotSent;
@@ -209,6 +215,10 @@
                 connection.release();
                 return CallOutcome::NotSent;
             }
+            Some((connection, Ok(_))) if !may_send() => {
+                connection.release();
+                return CallOutcome::Withdrawn;
+            }
             Some((connection, Ok(_))) => connection,
             _ => return CallOutcome::NotSent,
         };
--- a/crates/policy/src/fanout/event.rs
+++ b/crates/policy/src/fanout/event.rs
@@ -39,7 +39,7 @@
         /// Call that was not sent.
         call: CallId,
     },
-    /// The driver did not send the call, since its target may get no calls any more.
+    /// The driver did not send the call, since its target may get no calls any more, or no longer this work.
     Withdrawn {
         /// Call that was not sent.
         call: CallId,
