--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -43,10 +43,15 @@
         self.state.borrow_mut().news.forget();
     }
 
-    /// Returns the age of the platform's last word about the kind that has waited longest of those whose
-    /// changes have a limit.
-    pub(crate) fn oldest_limited_word_age(&self) -> Option<Duration> {
-        self.state.borrow().news.oldest_limited_age(Instant::now())
+    /// Records that all watches begin, with calls that do not wait.
+    pub(crate) fn begin_watches(&self) {
+        self.state.borrow_mut().news.begin_watches(Instant::now());
+    }
+
+    /// Returns whether the platform has said nothing for longer than `limit`, although the watches that run now had
+    /// that time too.
+    pub(crate) fn is_platform_silent(&self, limit: Duration) -> bool {
+        self.state.borrow().news.is_silent(limit, Instant::now())
     }
 
     /// Returns the age of the platform's last word about the kind that has waited longest.
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -222,10 +222,13 @@
     /// of a lone VM wait. Its open calls may wait longer, as they began among peers.
     async fn wait_for_lone_silence(&self) {
         let limit = self.pace.lone_silence_limit();
-        let is_silent = || self.peers.oldest_limited_word_age().is_some_and(|age| age > limit);
-        while !(self.peers.is_only_watch_holder() && is_silent()) {
+        while !(self.peers.is_only_watch_holder() && self.peers.is_platform_silent(limit)) {
             tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
         }
+        log::info!(
+            silent_ms = self.word_age_ms();
+            "no word from the platform and no peer to ask, the watches begin anew"
+        );
     }
 
     /// Waits until peers hold changes that this VM's watches should have brought.
@@ -316,6 +319,7 @@
 
     /// Watches all kinds until their watches end; the first failure ends all of them.
     async fn watch_all(&self, held: KindRevisions) -> Result<KindRevisions, PlatformError> {
+        self.peers.begin_watches();
         let progress: Vec<WatchProgress> = held.into_iter().map(WatchProgress::from).collect();
         try_join_all(progress.iter().map(|own| self.watch_one(own, &progress))).await?;
         Ok(progress.iter().map(|own| (own.kind, own.revision.get())).collect())
--- a/crates/policy/src/news/tracker.rs
+++ b/crates/policy/src/news/tracker.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct NewsTracker {
     words: BTreeMap<ObjectKind, Instant>,
+    /// When the watches that run now began.
+    watching_since: Option<Instant>,
     peer_heard_at: Option<Instant>,
 }
 
@@ -23,6 +25,18 @@
         self.words.insert(kind, now);
     }
 
+    /// Records that all watches begin, with calls that do not wait.
+    pub fn begin_watches(&mut self, now: Instant) {
+        self.watching_since = Some(now);
+    }
+
+    /// Returns whether no word has come for longer than `limit` about a kind whose changes have to take effect within
+    /// a limit, although the watches that run now had that time too.
+    pub fn is_silent(&self, limit: Duration, now: Instant) -> bool {
+        let had_time = self.watching_since.is_some_and(|since| now > since + limit);
+        had_time && self.oldest_limited_age(now).is_some_and(|age| age > limit)
+    }
+
     /// Records a message of a peer.
     pub fn record_peer(&mut self, now: Instant) {
         self.peer_heard_at = Some(now);
@@ -46,7 +60,7 @@
 
     /// Returns the age of the last word about the kind that has waited longest, among the kinds whose
     /// changes have to take effect within a limit.
-    pub fn oldest_limited_age(&self, now: Instant) -> Option<Duration> {
+    fn oldest_limited_age(&self, now: Instant) -> Option<Duration> {
         let limited = self.ages(now).into_iter().filter(|(kind, _)| kind.has_change_limit());
         limited.map(|(_, age)| age).max()
     }
--- a/crates/policy/tests/news.rs
+++ b/crates/policy/tests/news.rs
@@ -24,6 +24,23 @@
     assert_eq!(news.oldest_age(now + 4 * SECOND), None);
 }
 
+/// Guards against watches that begin anew before their first answer can come, again and again.
+#[test]
+fn tracker_gives_new_watches_time_for_a_word() {
+    let now = Instant::now();
+    let mut news = NewsTracker::default();
+    news.record_word(ObjectKind::Routes, now);
+    news.begin_watches(now);
+    assert!(!news.is_silent(3 * SECOND, now + 3 * SECOND));
+    let silent_at = now + 4 * SECOND;
+    assert!(news.is_silent(3 * SECOND, silent_at));
+    news.begin_watches(silent_at);
+    assert!(!news.is_silent(3 * SECOND, silent_at + 3 * SECOND));
+    assert!(news.is_silent(3 * SECOND, silent_at + 4 * SECOND));
+    news.record_word(ObjectKind::Routes, silent_at + 4 * SECOND);
+    assert!(!news.is_silent(3 * SECOND, silent_at + 4 * SECOND));
+}
+
 #[test]
 fn tracker_hears_peers_for_three_seconds() {
     let now = Instant::now();
