--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -25,6 +25,7 @@
 use crate::directory::ChangeSource;
 use crate::peers::service::PeerService;
 use crate::peers::service::PeerState;
+use crate::time::milliseconds;
 
 /// Updates from the platform.
 impl PeerService {
@@ -217,9 +218,19 @@
 
 /// Requests the objects after a revision from a peer.
 async fn pull(peers: Rc<PeerService>, vm: VmId, after: Revision, full: bool) {
-    let Some(address) = peers.peer_address(&vm) else { return };
+    let started_at = Instant::now();
     let request = FetchObjectsRequest { after_revision: after, whole: full };
-    let Some(reply) = peers.clients.fetch(address, request).await else {
+    let reply = match peers.peer_address(&vm) {
+        Some(address) => peers.clients.fetch(address, request).await,
+        None => None,
+    };
+    let Some(reply) = reply else {
+        log::info!(
+            peer = vm.as_ref(),
+            after = after,
+            ms = milliseconds(started_at.elapsed());
+            "changes could not be fetched from a peer"
+        );
         return peers.handle_pull_failure();
     };
     match ObjectDelta::try_from(&reply) {
