--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -8,12 +8,14 @@
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::Era;
 use oleanderwind_policy::GossipAction;
+use oleanderwind_policy::GossipEngine;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MissingObjects;
 use oleanderwind_policy::ObjectDelta;
 use oleanderwind_policy::ObjectKey;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
+use oleanderwind_policy::ObjectPull;
 use oleanderwind_policy::PlatformVm;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
@@ -171,8 +173,8 @@
         for action in actions {
             match action {
                 GossipAction::Push { vm, objects } => self.push(&vm, &objects),
-                GossipAction::Pull { vm, after, full } => {
-                    actix_rt::spawn(pull(self.clone(), vm, after, full));
+                GossipAction::Pull(wanted) => {
+                    actix_rt::spawn(pull(self.clone(), wanted));
                 }
             }
         }
@@ -186,12 +188,20 @@
         actix_rt::spawn(async move { peers.clients.push(address, objects).await });
     }
 
+    /// Sees to it that changes that this VM lacks are pulled in time.
+    pub(crate) fn chase_changes(self: &Rc<Self>) {
+        let lacks_changes = self.state.borrow().gossip.lacks_changes();
+        if lacks_changes && !self.is_chasing.replace(true) {
+            actix_rt::spawn(chase(self.clone()));
+        }
+    }
+
     /// Handles a pull that got no reply. The gossip engine decides whether another peer is asked.
-    fn handle_pull_failure(self: &Rc<Self>) {
+    fn handle_pull_failure(self: &Rc<Self>, vm: &VmId) {
         let action = {
             let mut state = self.state.borrow_mut();
             let PeerState { gossip, membership, .. } = &mut *state;
-            gossip.handle_pull_failure(membership, Instant::now())
+            gossip.handle_pull_failure(vm, membership, Instant::now())
         };
         self.perform_gossip_actions(action);
     }
@@ -199,14 +209,14 @@
     /// Applies one page of a pull.
     ///
     /// A full listing takes effect with its last page.
-    fn handle_page(self: &Rc<Self>, vm: &VmId, after: Revision, full: bool, delta: &ObjectDelta) {
+    fn handle_page(self: &Rc<Self>, pull: &ObjectPull, delta: &ObjectDelta) {
         let now = Instant::now();
         let actions = {
             let mut state = self.state.borrow_mut();
             let PeerState { gossip, membership, .. } = &mut *state;
-            gossip.handle_pull_page(vm, after, delta, membership, now)
+            gossip.handle_pull_page(pull, delta, membership, now)
         };
-        match full {
+        match pull.full {
             true if !delta.has_more => self.replace_directory(ChangeSource::Peer),
             true => {}
             false => self.apply_to_directory(&delta.objects, ChangeSource::Peer),
@@ -216,11 +226,28 @@
     }
 }
 
+/// Asks peers for changes that this VM lacks until it has them.
+async fn chase(peers: Rc<PeerService>) {
+    loop {
+        tokio::time::sleep(GossipEngine::PULL_PATIENCE).await;
+        let action = {
+            let mut state = peers.state.borrow_mut();
+            let PeerState { gossip, membership, .. } = &mut *state;
+            if !gossip.lacks_changes() {
+                return peers.is_chasing.set(false);
+            }
+            gossip.chase_changes(membership, Instant::now())
+        };
+        peers.perform_gossip_actions(action);
+    }
+}
+
 /// Requests the objects after a revision from a peer.
-async fn pull(peers: Rc<PeerService>, vm: VmId, after: Revision, full: bool) {
+async fn pull(peers: Rc<PeerService>, wanted: ObjectPull) {
     let started_at = Instant::now();
-    let request = FetchObjectsRequest { after_revision: after, whole: full };
-    let reply = match peers.peer_address(&vm) {
+    let ObjectPull { vm, after, full } = &wanted;
+    let request = FetchObjectsRequest { after_revision: *after, whole: *full };
+    let reply = match peers.peer_address(vm) {
         Some(address) => peers.clients.fetch(address, request).await,
         None => None,
     };
@@ -231,11 +258,14 @@
             ms = milliseconds(started_at.elapsed());
             "changes could not be fetched from a peer"
         );
-        return peers.handle_pull_failure();
+        return peers.handle_pull_failure(vm);
     };
     match ObjectDelta::try_from(&reply) {
-        Ok(delta) => peers.handle_page(&vm, after, full, &delta),
-        Err(findings) => log::warn!("page of objects from {vm} is invalid: {findings}"),
+        Ok(delta) => peers.handle_page(&wanted, &delta),
+        Err(findings) => {
+            log::warn!("page of objects from {vm} is invalid: {findings}");
+            peers.handle_pull_failure(vm);
+        }
     }
 }
 
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -188,6 +188,7 @@
         self.handle_peer_drains(&raw.drains);
         self.handle_peer_works(&raw.works);
         self.perform_gossip_actions(action);
+        self.chase_changes();
         self.refresh_derived_state();
     }
 
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -69,6 +69,8 @@
     is_starting: Cell<bool>,
     /// When this VM last told peers of suspect work.
     pub(crate) works_told_at: Cell<Option<Instant>>,
+    /// Whether a task asks peers for changes that this VM lacks.
+    pub(crate) is_chasing: Cell<bool>,
     /// Number of peers to tell more soon; 0 if there is nothing more to tell.
     pub(crate) untold_works_fanout: Cell<usize>,
     listener: RefCell<Option<PeerListener>>,
@@ -101,6 +103,7 @@
             drain_receiver: RefCell::new(Some(drain_receiver)),
             is_starting: Cell::new(false),
             works_told_at: Cell::new(None),
+            is_chasing: Cell::new(false),
             untold_works_fanout: Cell::new(0),
             listener: RefCell::new(Some(listener)),
             address,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -116,6 +116,7 @@
 pub use objects::ObjectKey;
 pub use objects::ObjectKind;
 pub use objects::ObjectListing;
+pub use objects::ObjectPull;
 pub use objects::ObjectStore;
 pub use objects::ReadinessGate;
 pub use objects::WatchBackoff;
--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -21,13 +21,17 @@
 const MAX_MESSAGE_BYTES: usize = 64 * 1_024;
 /// Consecutive fruitless pulls after which a full listing is pulled.
 const FRUITLESS_PULL_LIMIT: u32 = 3;
-/// Time after which a pull without a reply is considered lost.
-const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a full listing, of which one is pulled at a time, is pulled from another peer.
+const LISTING_PATIENCE: Duration = Duration::from_secs(2);
 /// Time that a VM waits for changes from its own failure domain before it pulls from another one.
 /// In a fleet of three failure domains it exchanges about one heartbeat with a peer of its own
 /// domain in this time.
 const CROSS_DOMAIN_PULL_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time that a VM waits for pushes, and for a heartbeat which shows that it has got them, before it asks a peer of
+/// its failure domain that has announced nothing.
+const CHASE_DELAY: Duration = Duration::from_secs(1);
+
 /// Time for which peers may hold changes that this VM's own watches have not brought, before these
 /// count as lost. A watch pauses for less after changes.
 const PEER_LEAD_LIMIT: Duration = Duration::from_millis(500);
@@ -42,15 +46,38 @@
         /// The changed objects.
         objects: Vec<ConfigurationObject>,
     },
-    /// Request objects after a revision from a peer.
-    Pull {
-        /// The peer.
-        vm: VmId,
-        /// Revision after which changed objects are requested.
-        after: Revision,
-        /// Whether a full listing is requested, see [`ObjectListing`].
-        full: bool,
-    },
+    /// Request objects from a peer.
+    Pull(ObjectPull),
+}
+
+/// Request for objects after a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObjectPull {
+    /// The peer that is asked.
+    pub vm: VmId,
+    /// Revision after which changed objects are requested.
+    pub after: Revision,
+    /// Whether a full listing is requested, see [`ObjectListing`].
+    pub full: bool,
+}
+
+/// The pull whose reply is awaited.
+#[derive(Clone, Debug)]
+struct RunningPull {
+    vm: VmId,
+    started_at: Instant,
+    /// Whether it goes to another failure domain.
+    is_cross_domain: bool,
+    /// Whether the peer has announced changes that this VM lacks.
+    is_announced: bool,
+}
+
+impl RunningPull {
+    /// Returns whether another pull may begin beside it.
+    fn is_overtaken(&self, is_listing: bool, now: Instant) -> bool {
+        let patience = if is_listing { LISTING_PATIENCE } else { GossipEngine::PULL_PATIENCE };
+        now >= self.started_at + patience
+    }
 }
 
 /// Changes that this VM lacks according to a peer's summary.
@@ -66,12 +93,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct GossipEngine {
     store: ObjectStore,
-    /// When the pull in flight was sent; there is at most one.
-    pull_started_at: Option<Instant>,
+    /// The pull that was begun last, until its last page arrives.
+    pull: Option<RunningPull>,
     /// Changes that peers hold and this VM lacks.
     missing: Option<MissingChanges>,
-    /// Whether the pull in flight goes to another failure domain.
-    is_cross_domain_pull: bool,
     /// Whether the pull in flight is the retry of one that failed.
     is_retry: bool,
     /// Pages received of the full listing that is being pulled.
@@ -83,6 +108,10 @@
 }
 
 impl GossipEngine {
+    /// Time after which another peer is asked for changes too. Peers that are stopping or slow answer late or never, and
+    /// in a rolling restart a VM may meet several of them within the limit for a change.
+    pub const PULL_PATIENCE: Duration = Duration::from_millis(500);
+
     /// Returns the objects held.
     pub fn store(&self) -> &ObjectStore {
         &self.store
@@ -175,27 +204,58 @@
             revision: peer.highest_revision.max(peer.complete_revision),
         };
         let since = self.missing.get_or_insert(missing).since;
-        let is_pulling = self.pull_started_at.is_some_and(|since| now < since + PULL_TIMEOUT);
+        let is_listing = self.listing.is_some();
+        let is_pulling = self.pull.as_ref().is_some_and(|pull| !pull.is_overtaken(is_listing, now));
         if is_pulling || (!same_domain && now < since + CROSS_DOMAIN_PULL_DELAY) {
             return None;
         }
         self.is_retry = false;
         let full = own.complete_revision == 0 || self.fruitless_pulls >= FRUITLESS_PULL_LIMIT;
-        Some(self.begin_pull(vm.clone(), full, !same_domain, now))
+        let running = RunningPull {
+            vm: vm.clone(),
+            started_at: now,
+            is_cross_domain: !same_domain,
+            is_announced: true,
+        };
+        Some(self.begin_pull(running, full))
     }
 
-    fn begin_pull(
+    /// Returns whether peers hold changes that this VM lacks.
+    pub fn lacks_changes(&self) -> bool {
+        self.missing.is_some()
+    }
+
+    /// Pulls changes that this VM has lacked for a while from a peer of its failure domain, which has most probably
+    /// got them by now.
+    ///
+    /// Called every [`GossipEngine::PULL_PATIENCE`] while changes are missing, so that the time until this VM has them
+    /// does not depend on who sends the next heartbeat.
+    pub fn chase_changes(
         &mut self,
-        vm: VmId,
-        full: bool,
-        is_cross_domain: bool,
+        members: &mut MembershipEngine,
         now: Instant,
-    ) -> GossipAction {
-        self.pull_started_at = Some(now);
-        self.is_cross_domain_pull = is_cross_domain;
+    ) -> Option<GossipAction> {
+        let missing = self.missing.filter(|missing| now >= missing.since + CHASE_DELAY)?;
+        let is_listing = self.listing.is_some();
+        let is_pulling = self.pull.as_ref().is_some_and(|pull| !pull.is_overtaken(is_listing, now));
+        let has_started = self.store.summary().complete_revision > 0;
+        if is_pulling || !has_started || missing.revision <= self.store.summary().complete_revision
+        {
+            return None;
+        }
+        // The second of two is random.
+        let vm = members.sample_domain_peers(2).pop()?;
+        let running =
+            RunningPull { vm, started_at: now, is_cross_domain: false, is_announced: false };
+        Some(self.begin_pull(running, false))
+    }
+
+    fn begin_pull(&mut self, running: RunningPull, full: bool) -> GossipAction {
+        let vm = running.vm.clone();
+        self.pull = Some(running);
         self.listing = full.then(ObjectListing::default);
         let after = if full { 0 } else { self.store.summary().complete_revision };
-        GossipAction::Pull { vm, after, full }
+        GossipAction::Pull(ObjectPull { vm, after, full })
     }
 
     /// Returns the reply to a peer's pull.
@@ -203,69 +263,91 @@
         self.store.delta_after(after, full, MAX_MESSAGE_BYTES)
     }
 
-    /// Handles a pull without a reply.
+    /// Returns whether the reply to the pull that was begun last comes from this VM.
+    fn awaits(&self, vm: &VmId) -> bool {
+        self.pull.as_ref().is_some_and(|pull| pull.vm == *vm)
+    }
+
+    /// Handles a pull from `vm` without a reply.
     ///
-    /// The first failure is retried at once with a peer of this VM's failure domain, without waiting
+    /// Nothing is done if another one was begun since. The first failure is retried at once with a peer of this VM's failure domain, without waiting
     /// for the next heartbeat. If the retry fails too, the next heartbeat starts a new pull.
     pub fn handle_pull_failure(
         &mut self,
+        vm: &VmId,
         members: &mut MembershipEngine,
         now: Instant,
     ) -> Option<GossipAction> {
+        if !self.awaits(vm) {
+            return None;
+        }
         self.listing = None;
-        self.pull_started_at = None;
+        self.pull = None;
         if std::mem::replace(&mut self.is_retry, true) {
             return None;
         }
         // The second of two is random; with a single peer it is that one.
-        let peer = members.sample_domain_peers(2).pop()?;
+        let vm = members.sample_domain_peers(2).pop()?;
         let full = self.store.summary().complete_revision == 0;
-        Some(self.begin_pull(peer, full, false, now))
+        let running =
+            RunningPull { vm, started_at: now, is_cross_domain: false, is_announced: false };
+        Some(self.begin_pull(running, full))
     }
 
     /// Applies a page and requests the next one if there is more.
     ///
+    /// If another pull was begun since, only the changes of the page are used, and none of a listing.
     /// Changes pulled from another failure domain are pushed to several peers of this VM's domain,
     /// which are likely to lack them too. Others are pushed to the next VM only: each VM passes on
     /// to the next one whatever is new to it, so that none depends on being drawn at random.
     pub fn handle_pull_page(
         &mut self,
-        vm: &VmId,
-        after: Revision,
+        pull: &ObjectPull,
         delta: &ObjectDelta,
         members: &mut MembershipEngine,
         now: Instant,
     ) -> Vec<GossipAction> {
-        let full = self.listing.is_some();
+        let is_awaited = self.awaits(&pull.vm);
         let complete_before = self.store.summary().complete_revision;
-        let new_objects = match self.listing.as_mut() {
-            Some(listing) => {
+        let new_objects = match (pull.full, self.listing.as_mut()) {
+            (false, _) => self.store.apply_delta(pull.after, delta),
+            (true, Some(listing)) if is_awaited => {
                 listing.add_page(delta);
                 Vec::new()
             }
-            None => self.store.apply_delta(after, delta),
+            (true, _) => return Vec::new(),
         };
         let mut actions = Vec::new();
         if !new_objects.is_empty() {
-            let fanout = if self.is_cross_domain_pull { PUSH_FANOUT } else { NEXT_VM_ONLY };
+            let is_cross_domain = self.pull.as_ref().is_some_and(|pull| pull.is_cross_domain);
+            let fanout = if is_cross_domain { PUSH_FANOUT } else { NEXT_VM_ONLY };
             actions.extend(push_changes(members, &new_objects, fanout));
         }
+        if !is_awaited {
+            return actions;
+        }
         // Objects that the peer has removed by a listing stay here: it has no tombstones of them.
         let has_progress = !new_objects.is_empty()
             || self.store.summary().complete_revision > complete_before
             || delta.has_more
-            || full;
-        self.fruitless_pulls = if has_progress { 0 } else { self.fruitless_pulls + 1 };
-        self.pull_started_at = delta.has_more.then_some(now);
+            || pull.full;
+        let is_announced = self.pull.as_ref().is_some_and(|pull| pull.is_announced);
+        match has_progress {
+            true => self.fruitless_pulls = 0,
+            false => self.fruitless_pulls += u32::from(is_announced),
+        }
         if delta.has_more {
-            actions.push(GossipAction::Pull {
-                vm: vm.clone(),
-                after: delta.scanned_revision,
-                full,
-            });
+            if let Some(running) = self.pull.as_mut() {
+                running.started_at = now;
+            }
+            let next = ObjectPull { after: delta.scanned_revision, ..pull.clone() };
+            actions.push(GossipAction::Pull(next));
             return actions;
         }
-        self.missing = None;
+        self.pull = None;
+        if has_progress || is_announced {
+            self.missing = None;
+        }
         if let Some(listing) = self.listing.take() {
             self.store.apply_listing(&listing);
         }
--- a/crates/policy/src/objects/mod.rs
+++ b/crates/policy/src/objects/mod.rs
@@ -33,6 +33,7 @@
 pub use era::revision_number;
 pub use gossip::GossipAction;
 pub use gossip::GossipEngine;
+pub use gossip::ObjectPull;
 pub use listing::MissingObjects;
 pub use listing::ObjectListing;
 pub use object::ConfigurationObject;
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -25,6 +25,7 @@
 use oleanderwind_policy::ObjectKey;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
+use oleanderwind_policy::ObjectPull;
 use oleanderwind_policy::ObjectSummary;
 use oleanderwind_policy::PlatformVm;
 use oleanderwind_policy::Revision;
@@ -46,13 +47,14 @@
 
 enum Event {
     Tick { node: usize, generation: u64 },
+    Chase { node: usize, generation: u64 },
     Request { from: usize, to: usize, message: ExchangeMessage },
     Reply { from: usize, to: usize, message: ExchangeMessage },
     Failed { node: usize, peer: usize },
     Indirect { node: usize, peer: usize, answered: bool },
     Push { to: usize, objects: Vec<ConfigurationObject> },
-    Pull { from: usize, to: usize, after: Revision, full: bool },
-    Page { from: usize, to: usize, after: Revision, delta: ObjectDelta },
+    Pull { from: usize, to: usize, pull: ObjectPull },
+    Page { to: usize, pull: ObjectPull, delta: ObjectDelta },
     Watched { node: usize, objects: Vec<ConfigurationObject>, revision: Revision },
 }
 
@@ -63,6 +65,7 @@
     pub(crate) bytes: usize,
     /// Number of starts of the node; events of an earlier start are dropped.
     generation: u64,
+    is_chasing: bool,
     backoff: WatchBackoff,
     watching_until: Option<Instant>,
     /// Whether the open watch brings nothing more.
@@ -87,6 +90,8 @@
     pub(crate) loss_rate: f64,
     /// Pushes do not arrive at nodes whose number is a multiple of this.
     pub(crate) unpushed: Option<usize>,
+    /// VMs with numbers that are multiples of this one answer no pull.
+    pub(crate) unanswered: Option<usize>,
     /// Partition: nodes from this index on can't reach lower nodes or the platform.
     pub(crate) partition: Option<usize>,
     pub(crate) platform: Platform,
@@ -132,6 +137,7 @@
             start,
             loss_rate: 0.0,
             unpushed: None,
+            unanswered: None,
             partition: None,
             platform: Platform { vms, revision: 10, ..Platform::default() },
             index: HashMap::new(),
@@ -167,6 +173,7 @@
             alive: true,
             bytes: 0,
             generation,
+            is_chasing: false,
             backoff: WatchBackoff::new(seed, Duration::from_secs(10), self.now),
             watching_until: None,
             is_watch_lost: false,
@@ -279,6 +286,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick { node, generation } => self.tick(node, generation),
+            Event::Chase { node, generation } => self.chase(node, generation),
             Event::Request { from, to, message } => {
                 let summary = self.nodes[to].gossip.store().summary();
                 let reply = self.nodes[to].members.handle_heartbeat(&message, summary, self.now);
@@ -307,19 +315,18 @@
                 self.nodes[node].members.handle_indirect_probe(&vm, answered);
             }
             Event::Push { to, objects } => self.handle_changes(to, &objects),
-            Event::Pull { from, to, after, full } => {
-                let delta = self.nodes[to].gossip.handle_pull(after, full);
+            Event::Pull { from, to, pull } => {
+                let delta = self.nodes[to].gossip.handle_pull(pull.after, pull.full);
                 self.count_bytes(from, to, peer::FetchObjectsReply::from(&delta).encoded_len());
                 let at = self.delivery_time();
                 if self.can_reach(to, from) {
-                    self.schedule(at, Event::Page { from: to, to: from, after, delta });
+                    self.schedule(at, Event::Page { to: from, pull, delta });
                 }
             }
-            Event::Page { from, to, after, delta } => {
-                let vm = self.platform.vms[from].vm.clone();
+            Event::Page { to, pull, delta } => {
                 let node = &mut self.nodes[to];
                 let members = &mut node.members;
-                let action = node.gossip.handle_pull_page(&vm, after, &delta, members, self.now);
+                let action = node.gossip.handle_pull_page(&pull, &delta, members, self.now);
                 self.send_gossip(to, action);
             }
             Event::Watched { node, objects, revision } => {
@@ -428,6 +435,29 @@
         let same_domain = domain(node) == domain(peer);
         let action = self.nodes[node].gossip.handle_summary(&vm, same_domain, summary, self.now);
         self.send_gossip(node, action);
+        let chased = &mut self.nodes[node];
+        if chased.gossip.lacks_changes() && !std::mem::replace(&mut chased.is_chasing, true) {
+            self.schedule_chase(node);
+        }
+    }
+
+    fn schedule_chase(&mut self, node: usize) {
+        let generation = self.nodes[node].generation;
+        let at = self.now + GossipEngine::PULL_PATIENCE;
+        self.schedule(at, Event::Chase { node, generation });
+    }
+
+    fn chase(&mut self, number: usize, generation: u64) {
+        let node = &mut self.nodes[number];
+        if !node.alive || node.generation != generation {
+            return;
+        }
+        node.is_chasing = node.gossip.lacks_changes();
+        if node.is_chasing {
+            let action = node.gossip.chase_changes(&mut node.members, self.now);
+            self.send_gossip(number, action);
+            self.schedule_chase(number);
+        }
     }
 
     fn handle_changes(&mut self, number: usize, objects: &[ConfigurationObject]) {
@@ -450,11 +480,12 @@
                         self.schedule(at, Event::Push { to, objects });
                     }
                 }
-                GossipAction::Pull { vm, after, full } => {
-                    let to = self.index[&vm];
+                GossipAction::Pull(pull) => {
+                    let to = self.index[&pull.vm];
                     self.count_bytes(from, to, 8);
-                    if self.can_reach(from, to) {
-                        self.schedule(at, Event::Pull { from, to, after, full });
+                    let is_lost = self.unanswered.is_some_and(|every| to.is_multiple_of(every));
+                    if self.can_reach(from, to) && !is_lost {
+                        self.schedule(at, Event::Pull { from, to, pull });
                     }
                 }
             }
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -19,6 +19,7 @@
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
 use oleanderwind_policy::ObjectListing;
+use oleanderwind_policy::ObjectPull;
 use oleanderwind_policy::ObjectSummary;
 use oleanderwind_policy::ProbePlan;
 use oleanderwind_policy::VmId;
@@ -257,20 +258,21 @@
     let peer = platform_vm(9, 3).vm;
     assert!(gossip.handle_summary(&peer, true, summary, now).is_some());
     let page = ahead.handle_pull(1, false);
-    let actions = gossip.handle_pull_page(&peer, 1, &page, &mut members, now);
+    let pull = ObjectPull { vm: peer, after: 1, full: false };
+    let actions = gossip.handle_pull_page(&pull, &page, &mut members, now);
     let objects = vec![object("b", 2, Some("x"))];
     assert_eq!(actions, [GossipAction::Push { vm: platform_vm(3, 3).vm, objects }]);
 }
 
 /// Pattern: VMs that no push reaches, whether their peers do not know them yet or pushes are lost. The
 /// limits are the users' bounds on the time until a configuration is in force.
-#[test]
-fn change_reaches_vms_in_time_that_no_push_reaches() {
+fn check_change_reaches_unpushed_vms(unanswered: Option<usize>) {
     for (size, domains, limit_s) in [(83, 5, 5), (295, 7, 6), (2_200, 16, 13)] {
         for seed in 1..4 {
             let mut fleet = Fleet::with_domains(size, domains, settings(seed));
             fleet.run(Duration::from_secs(5));
             fleet.unpushed = Some(3);
+            fleet.unanswered = unanswered;
             let revision = fleet.write("late", Some("x"));
             let limit = Duration::from_secs(limit_s);
             let time = fleet.run_until(limit, |fleet| {
@@ -283,6 +285,17 @@
     }
 }
 
+#[test]
+fn change_reaches_vms_in_time_that_no_push_reaches() {
+    check_change_reaches_unpushed_vms(None);
+}
+
+/// Pattern: a rolling restart, in which many peers are listed but answer no pull.
+#[test]
+fn change_reaches_vms_in_time_that_no_push_reaches_though_peers_answer_no_pull() {
+    check_change_reaches_unpushed_vms(Some(3));
+}
+
 /// Guards against oversized messages: the platform discards its history while the configuration
 /// changes, so that the watch holders list again and find more changes than fit in one message.
 #[test]
@@ -315,15 +328,64 @@
     members.apply_platform_list(&[platform_vm(3, 3), platform_vm(4, 3)]);
     let (mut gossip, summary) = one_change_behind(&mut members);
     assert!(gossip.handle_summary(&"vm".into(), true, summary, now).is_some());
-    let expected = GossipAction::Pull { vm: platform_vm(3, 3).vm, after: 1, full: false };
-    assert_eq!(gossip.handle_pull_failure(&mut members, now), Some(expected));
-    assert_eq!(gossip.handle_pull_failure(&mut members, now), None);
+    let retry = ObjectPull { vm: platform_vm(3, 3).vm, after: 1, full: false };
+    let expected = GossipAction::Pull(retry.clone());
+    assert_eq!(gossip.handle_pull_failure(&"vm".into(), &mut members, now), Some(expected));
+    assert_eq!(gossip.handle_pull_failure(&retry.vm, &mut members, now), None);
     assert!(
         gossip.handle_summary(&"vm".into(), true, summary, now).is_some(),
         "the next heartbeat starts a new pull"
     );
 }
 
+/// Guards against a VM that waits for a peer which is stopping, and asks no other for seconds.
+#[test]
+fn handle_summary_pulls_from_another_peer_beside_one_that_does_not_answer() {
+    let now = Instant::now();
+    let mut members = MembershipEngine::new(settings(1), serving_record(0), now);
+    members.apply_platform_list(&[platform_vm(3, 3), platform_vm(4, 3)]);
+    let (mut gossip, summary) = one_change_behind(&mut members);
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let (silent, other): (VmId, VmId) = ("silent".into(), "other".into());
+    assert!(gossip.handle_summary(&silent, true, summary, at(0)).is_some());
+    assert_eq!(gossip.handle_summary(&other, true, summary, at(400)), None, "one at a time");
+    let action = gossip.handle_summary(&other, true, summary, at(600));
+    let Some(GossipAction::Pull(pull)) = action else { panic!("{action:?}") };
+    assert_eq!(pull.vm, other);
+    // The end of the first pull does not end the second one.
+    assert_eq!(gossip.handle_pull_failure(&silent, &mut members, at(700)), None);
+    assert_eq!(gossip.handle_summary(&silent, true, summary, at(800)), None);
+    let mut ahead = gossip.clone();
+    ahead.handle_changes(&[object("b", 2, Some("x"))], &mut members);
+    ahead.handle_watch_progress(2);
+    // A late page of the first one is used as well.
+    let late = ObjectPull { vm: silent, ..pull };
+    gossip.handle_pull_page(&late, &ahead.handle_pull(1, false), &mut members, at(900));
+    assert_eq!(gossip.store().summary().complete_revision, 2);
+}
+
+/// Guards against a listing that takes the page of another pull for its own, and drops what the page lacks.
+#[test]
+fn handle_pull_page_of_an_earlier_pull_is_no_part_of_a_listing() {
+    let now = Instant::now();
+    let mut members = MembershipEngine::new(settings(1), serving_record(0), now);
+    members.apply_platform_list(&[platform_vm(3, 3), platform_vm(4, 3)]);
+    let mut ahead = GossipEngine::default();
+    let objects = [object("a", 1, Some("x")), object("b", 2, Some("x"))];
+    ahead.apply_listing(&ObjectListing::from_platform(&objects, 2));
+    let mut gossip = GossipEngine::default();
+    let summary = ahead.store().summary();
+    let listing = gossip.handle_summary(&"vm".into(), true, summary, now);
+    let Some(GossipAction::Pull(listing)) = listing else { panic!("{listing:?}") };
+    assert!(listing.full);
+    let earlier = ObjectPull { vm: "earlier".into(), ..listing.clone() };
+    let part = ahead.handle_pull(1, false);
+    gossip.handle_pull_page(&earlier, &part, &mut members, now);
+    assert_eq!(gossip.store().summary().complete_revision, 0, "the listing is not complete");
+    gossip.handle_pull_page(&listing, &ahead.handle_pull(0, true), &mut members, now);
+    assert_eq!(gossip.store().summary(), summary);
+}
+
 /// Guards against a VM without a watch that holds every change but never counts as complete.
 #[test]
 fn handle_summary_adopts_the_complete_revision_of_a_peer_with_the_same_objects() {
--- a/crates/policy/tests/listing.rs
+++ b/crates/policy/tests/listing.rs
@@ -108,9 +108,9 @@
         heartbeats += 1;
         let summary = peer.store().summary();
         let action = own.handle_summary(&"b".into(), true, summary, now);
-        let Some(GossipAction::Pull { after, full, .. }) = action else { panic!("{action:?}") };
-        let delta = peer.handle_pull(after, full);
-        own.handle_pull_page(&"b".into(), after, &delta, &mut members, now);
+        let Some(GossipAction::Pull(pull)) = action else { panic!("{action:?}") };
+        let delta = peer.handle_pull(pull.after, pull.full);
+        own.handle_pull_page(&pull, &delta, &mut members, now);
     }
     assert!(own.store().get(&key).is_none(), "still held after {heartbeats} heartbeats");
 }
