--- a/crates/policy/src/objects/gossip.rs
+++ b/crates/policy/src/objects/gossip.rs
@@ -27,11 +27,11 @@
 /// In a fleet of three failure domains it exchanges about one heartbeat with a peer of its own
 /// domain in this time.
 const CROSS_DOMAIN_PULL_DELAY: Duration = Duration::from_millis(1_500);
-
 /// Time that a VM waits for pushes, and for a heartbeat which shows that it has got them, before it asks a peer of
 /// its failure domain that has announced nothing.
 const CHASE_DELAY: Duration = Duration::from_secs(1);
-
+/// Time after which it asks no more until a peer announces changes again.
+const CHASE_TIME: Duration = Duration::from_secs(5);
 /// Time for which peers may hold changes that this VM's own watches have not brought, before these
 /// count as lost. A watch pauses for less after changes.
 const PEER_LEAD_LIMIT: Duration = Duration::from_millis(500);
@@ -72,14 +72,6 @@
     is_announced: bool,
 }
 
-impl RunningPull {
-    /// Returns whether another pull may begin beside it.
-    fn is_overtaken(&self, is_listing: bool, now: Instant) -> bool {
-        let patience = if is_listing { LISTING_PATIENCE } else { GossipEngine::PULL_PATIENCE };
-        now >= self.started_at + patience
-    }
-}
-
 /// Changes that this VM lacks according to a peer's summary.
 #[derive(Clone, Copy, Debug)]
 struct MissingChanges {
@@ -95,8 +87,10 @@
     store: ObjectStore,
     /// The pull that was begun last, until its last page arrives.
     pull: Option<RunningPull>,
-    /// Changes that peers hold and this VM lacks.
+    /// Changes that peers hold and this VM lacks, or holds and does not know to be complete.
     missing: Option<MissingChanges>,
+    /// Objects that peers hold and this VM lacks.
+    lacking: Option<MissingChanges>,
     /// Whether the pull in flight is the retry of one that failed.
     is_retry: bool,
     /// Pages received of the full listing that is being pulled.
@@ -192,6 +186,8 @@
         if (peer.digest, peer.highest_revision) == (held.digest, held.highest_revision) {
             // Both hold the same objects, so what is complete at the peer is complete here.
             self.store.advance_complete_revision(peer.complete_revision);
+            // A peer may lack the same objects.
+            self.lacking = self.lacking.filter(|lacking| lacking.revision > held.highest_revision);
         }
         let own = self.store.summary();
         self.missing = self.missing.filter(|missing| missing.revision > own.complete_revision);
@@ -199,14 +195,16 @@
         if !may_miss && peer.complete_revision <= own.complete_revision {
             return None;
         }
+        if may_miss {
+            let lacking = MissingChanges { since: now, revision: peer.highest_revision };
+            self.lacking.get_or_insert(lacking);
+        }
         let missing = MissingChanges {
             since: now,
             revision: peer.highest_revision.max(peer.complete_revision),
         };
         let since = self.missing.get_or_insert(missing).since;
-        let is_listing = self.listing.is_some();
-        let is_pulling = self.pull.as_ref().is_some_and(|pull| !pull.is_overtaken(is_listing, now));
-        if is_pulling || (!same_domain && now < since + CROSS_DOMAIN_PULL_DELAY) {
+        if self.is_pulling(now) || (!same_domain && now < since + CROSS_DOMAIN_PULL_DELAY) {
             return None;
         }
         self.is_retry = false;
@@ -220,9 +218,18 @@
         Some(self.begin_pull(running, full))
     }
 
-    /// Returns whether peers hold changes that this VM lacks.
+    /// Returns whether a pull was begun so lately that no other one may begin beside it.
+    fn is_pulling(&self, now: Instant) -> bool {
+        let patience = match self.listing {
+            Some(_) => LISTING_PATIENCE,
+            None => Self::PULL_PATIENCE,
+        };
+        self.pull.as_ref().is_some_and(|pull| now < pull.started_at + patience)
+    }
+
+    /// Returns whether peers hold objects that this VM lacks.
     pub fn lacks_changes(&self) -> bool {
-        self.missing.is_some()
+        self.lacking.is_some()
     }
 
     /// Pulls changes that this VM has lacked for a while from a peer of its failure domain, which has most probably
@@ -235,12 +242,11 @@
         members: &mut MembershipEngine,
         now: Instant,
     ) -> Option<GossipAction> {
-        let missing = self.missing.filter(|missing| now >= missing.since + CHASE_DELAY)?;
-        let is_listing = self.listing.is_some();
-        let is_pulling = self.pull.as_ref().is_some_and(|pull| !pull.is_overtaken(is_listing, now));
+        // Who announced them may be gone with what nobody else holds.
+        self.lacking = self.lacking.filter(|lacking| now < lacking.since + CHASE_TIME);
+        let is_due = self.lacking.is_some_and(|lacking| now >= lacking.since + CHASE_DELAY);
         let has_started = self.store.summary().complete_revision > 0;
-        if is_pulling || !has_started || missing.revision <= self.store.summary().complete_revision
-        {
+        if !is_due || !has_started || self.is_pulling(now) {
             return None;
         }
         // The second of two is random.
@@ -270,8 +276,9 @@
 
     /// Handles a pull from `vm` without a reply.
     ///
-    /// Nothing is done if another one was begun since. The first failure is retried at once with a peer of this VM's failure domain, without waiting
-    /// for the next heartbeat. If the retry fails too, the next heartbeat starts a new pull.
+    /// Nothing is done if another one was begun since. The first failure is retried at once with a peer of this VM's
+    /// failure domain, without waiting for the next heartbeat. If the retry fails too, the next heartbeat starts a new
+    /// pull.
     pub fn handle_pull_failure(
         &mut self,
         vm: &VmId,
@@ -347,6 +354,7 @@
         self.pull = None;
         if has_progress || is_announced {
             self.missing = None;
+            self.lacking = None;
         }
         if let Some(listing) = self.listing.take() {
             self.store.apply_listing(&listing);
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -364,6 +364,30 @@
     assert_eq!(gossip.store().summary().complete_revision, 2);
 }
 
+/// Guards against pulls without end after a change that all VMs hold, and that no watch has confirmed yet: the watches
+/// of the kinds that did not change wait for seconds.
+#[test]
+fn chase_changes_asks_nobody_for_what_this_vm_holds() {
+    let now = Instant::now();
+    let mut members = MembershipEngine::new(settings(1), serving_record(0), now);
+    members.apply_platform_list(&[platform_vm(3, 3), platform_vm(4, 3)]);
+    let (mut gossip, _) = one_change_behind(&mut members);
+    let change = [object("b", 2, Some("x"))];
+    let mut ahead = gossip.clone();
+    ahead.handle_changes(&change, &mut members);
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let summary = ahead.store().summary();
+    assert_eq!(gossip.handle_summary(&"vm".into(), false, summary, at(0)), None);
+    assert!(gossip.lacks_changes());
+    assert_eq!(gossip.chase_changes(&mut members, at(500)), None, "a push may be on its way");
+    assert!(gossip.clone().chase_changes(&mut members, at(1_000)).is_some());
+    assert_eq!(gossip.clone().chase_changes(&mut members, at(5_000)), None, "nobody has them");
+    gossip.handle_changes(&change, &mut members);
+    assert_eq!(gossip.handle_summary(&"vm".into(), false, summary, at(900)), None);
+    assert!(!gossip.lacks_changes());
+    assert_eq!(gossip.chase_changes(&mut members, at(1_000)), None);
+}
+
 /// Guards against a listing that takes the page of another pull for its own, and drops what the page lacks.
 #[test]
 fn handle_pull_page_of_an_earlier_pull_is_no_part_of_a_listing() {
