--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -220,6 +220,7 @@
         let hold = deadline.saturating_duration_since(asked_at) + TRIAL_HOLD_MARGIN;
         match self.peers.begin_trial(work, target, hold).await {
             TrialAnswer::Granted { arbiter, known } => {
+                // Idle connections are those of a process that has ended.
                 if self
                     .targets
                     .process(target)
