--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -15,7 +15,6 @@
 use oleanderwind_policy::FindingList;
 use oleanderwind_policy::LoadReport;
 use oleanderwind_policy::TargetId;
-use oleanderwind_policy::WorkFingerprint;
 
 /// Parsed call to the VM's listener for callers.
 #[derive(Debug)]
@@ -62,14 +61,9 @@
         &self.path_and_query[..self.path_len]
     }
 
-    /// Returns the fingerprint of what the request asks for, whatever its id.
+    /// Returns the parts that make up what the request asks for, whatever its id.
     ///
     /// The caller counts by its credentials, as the same path may mean other work for another caller.
-    pub fn fingerprint(&self) -> WorkFingerprint {
-        WorkFingerprint::of(&self.work_parts())
-    }
-
-    /// Returns the parts that make up what the request asks for.
     pub(crate) fn work_parts(&self) -> [&[u8]; 5] {
         let credentials = self.headers.get(header::AUTHORIZATION);
         [
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -108,14 +108,13 @@
     fn send(self: &Rc<Self>, outgoing: OutgoingCall, shard: ShardId, index_version: IndexVersion) {
         let queries = self.queries.borrow();
         let Some(running) = queries.get(&outgoing.query) else { return };
+        let witness = Rc::new(running.witness(outgoing.call, &outgoing.target));
         match &running.payload {
             QueryPayload::Search { text, .. } => {
-                let witness = Rc::new(running.witness(outgoing.call, &outgoing.target));
                 let call = shard_call(running, text, &outgoing, shard, index_version);
                 actix_rt::spawn(send_call(self.clone(), witness, call, outgoing.deadline));
             }
             QueryPayload::Forward { request, .. } => {
-                let witness = Rc::new(running.witness(outgoing.call, &outgoing.target));
                 let Some(dialect) = self.dialect.clone() else { return };
                 let call = ForwardCall {
                     query: outgoing.query,
@@ -168,7 +167,7 @@
     fn finish(&self, query: QueryId, result: FanoutResult) {
         let Some(running) = self.queries.borrow_mut().remove(&query) else { return };
         if result.shards_answered > 0 {
-            self.record_answered_work(running.payload.work());
+            self.record_answered_work(&running.work);
         }
         // Sending fails only if the caller disconnected and dropped the receiver.
         let _ = running.reply.send(FanoutReply { result, payload: running.payload });
@@ -180,7 +179,7 @@
     fn witness(&self, call: CallId, target: &TargetId) -> CallWitness {
         let service = self.plan.manifest.service.clone();
         let query_call = Some((call, self.plan.manifest.shards.len()));
-        CallWitness::new(query_call, self.payload.work().clone(), service, target.clone())
+        CallWitness::new(query_call, self.work.clone(), service, target.clone())
     }
 }
 
@@ -227,8 +226,7 @@
     match &outcome {
         CallOutcome::Answered(_) => fanout.record_survived(&witness),
         CallOutcome::Failed => {
-            if fanout.examine_end(&witness).await {
-                let retry_after = fanout.suspect_retry_delay(&witness.work);
+            if let Some(retry_after) = fanout.examine_end(&witness).await {
                 return fanout.handle(quarantined(call.call_id, true, retry_after));
             }
         }
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -99,17 +99,14 @@
 impl FanoutService {
     /// Finds out whether a call that got no reply ended its target.
     ///
-    /// Returns the time after which the caller may return if it was a trial and did.
+    /// Returns the time after which the caller may return if it was a trial.
     async fn examine_failure(
         self: &Rc<Self>,
         witness: &Rc<CallWitness>,
         failure: CallFailure,
     ) -> Option<Duration> {
         match failure {
-            CallFailure::Closed => {
-                let has_ended = self.examine_end(witness).await;
-                has_ended.then(|| self.suspect_retry_delay(&witness.work))
-            }
+            CallFailure::Closed => self.examine_end(witness).await,
             // The query ends at this moment, and an attempt to connect to a silent host takes long.
             CallFailure::TimedOut => {
                 self.examine_cancelled(witness.clone());
--- a/crates/daemon/src/fanout/payload.rs
+++ b/crates/daemon/src/fanout/payload.rs
@@ -8,13 +8,11 @@
 use oleanderwind_wire::SearchHit;
 
 use crate::edge::OpaqueRequest;
-use crate::fanout::QueryWork;
 
 /// Request of a query and the answers received so far.
 pub(crate) enum QueryPayload {
     /// A search in the searcher protocol.
     Search {
-        work: Rc<QueryWork>,
         /// Query text.
         text: Rc<str>,
         /// Hits of all merged answers, unordered.
@@ -22,7 +20,6 @@
     },
     /// A request that is forwarded without being parsed.
     Forward {
-        work: Rc<QueryWork>,
         request: Rc<OpaqueRequest>,
         /// Merged replies.
         replies: Vec<SignedReply>,
@@ -52,20 +49,13 @@
 
 impl QueryPayload {
     /// Returns the payload of a search without hits.
-    pub(crate) fn search(work: Rc<QueryWork>, text: &str) -> QueryPayload {
-        QueryPayload::Search { work, text: Rc::from(text), hits: Vec::new() }
+    pub(crate) fn search(text: &str) -> QueryPayload {
+        QueryPayload::Search { text: Rc::from(text), hits: Vec::new() }
     }
 
     /// Returns the payload of a forwarded request without replies.
-    pub(crate) fn forward(work: Rc<QueryWork>, request: Rc<OpaqueRequest>) -> QueryPayload {
-        QueryPayload::Forward { work, request, replies: Vec::new(), failure: None }
-    }
-
-    /// Returns what the query asks for.
-    pub(crate) fn work(&self) -> &Rc<QueryWork> {
-        match self {
-            QueryPayload::Search { work, .. } | QueryPayload::Forward { work, .. } => work,
-        }
+    pub(crate) fn forward(request: Rc<OpaqueRequest>) -> QueryPayload {
+        QueryPayload::Forward { request, replies: Vec::new(), failure: None }
     }
 
     /// Adds an answer that the engine merged.
--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -142,10 +142,7 @@
 
     /// Returns for how long the work is blocked, if it is.
     pub(crate) fn blocked_time(&self, work: &QueryWork) -> Option<Duration> {
-        match self.verdict(work) {
-            WorkVerdict::Blocked { retry_after } => Some(retry_after),
-            WorkVerdict::Clear | WorkVerdict::Suspect => None,
-        }
+        self.verdict(work).retry_after()
     }
 
     /// Waits until a call may be sent, if its work is suspect; a permit is kept in the witness.
@@ -220,12 +217,9 @@
         let hold = deadline.saturating_duration_since(asked_at) + TRIAL_HOLD_MARGIN;
         match self.peers.begin_trial(work, target, hold).await {
             TrialAnswer::Granted { arbiter, known } => {
-                // Idle connections are those of a process that has ended.
-                if self
-                    .targets
-                    .process(target)
-                    .is_some_and(|process| known.has_ended(target, process.incarnation))
-                {
+                let listed = self.targets.process(target);
+                if listed.is_some_and(|process| known.has_ended(target, process.incarnation)) {
+                    // Idle connections are those of a process that has ended.
                     self.targets.close_idle(target);
                 }
                 Some(GatePass::Trial(TrialPermit {
@@ -303,14 +297,15 @@
 
     /// Finds out whether the target's process ended under a call that got no reply, and records it.
     ///
-    /// Returns whether the call was a trial: it is not repeated for the same request.
-    pub(crate) async fn examine_end(self: &Rc<Self>, witness: &CallWitness) -> bool {
+    /// Returns the time after which the caller may return if the call was a trial: it is not repeated for the same
+    /// request.
+    pub(crate) async fn examine_end(self: &Rc<Self>, witness: &CallWitness) -> Option<Duration> {
         let permit = witness.permit.take();
-        let Some((process, sent_at)) = witness.sent.get() else { return false };
+        let (process, sent_at) = witness.sent.get()?;
         let is_trial = permit.is_some();
         let hash = witness.work.hash(self.hash_seed);
         if !is_trial && self.peers.is_recently_answered(hash) {
-            return false;
+            return None;
         }
         let (target, incarnation) = (&witness.target, process.incarnation);
         let end = match permit.as_ref() {
@@ -329,13 +324,13 @@
         let hears_others = || self.peers.has_contact_since(sent_at);
         let patience = if is_trial { TRIAL_ENDING_TIME } else { ENDING_TIME };
         let targets = &self.targets;
-        if !targets.has_ended(&witness.target, process, sent_at, patience, hears_others).await {
+        if targets.has_ended(&witness.target, process, sent_at, patience, hears_others).await {
+            self.record_end(&evidence);
+        } else {
             permit.iter().for_each(|permit| permit.is_unclear.set(true));
             actix_rt::spawn(watch_process(self.clone(), evidence, sent_at));
-            return is_trial;
         }
-        self.record_end(&evidence);
-        is_trial
+        is_trial.then(|| self.blocked_time(&witness.work).unwrap_or(SUSPECT_RETRY_DELAY))
     }
 
     /// Records that a target ended under a call, unless the call's work was answered recently.
@@ -348,10 +343,7 @@
             return;
         }
         let ends = self.peers.work_record(work).map_or(0, |record| record.counted_ends());
-        let retry_after = match self.peers.work_verdict(work) {
-            WorkVerdict::Blocked { retry_after } => Some(retry_after),
-            WorkVerdict::Clear | WorkVerdict::Suspect => None,
-        };
+        let retry_after = self.peers.work_verdict(work).retry_after();
         log::warn!(
             work:% = work,
             place = evidence.place.as_str(),
@@ -368,11 +360,6 @@
             None => "suspected",
         });
     }
-
-    /// Returns the time after which the caller of suspect work may return.
-    pub(crate) fn suspect_retry_delay(&self, work: &QueryWork) -> Duration {
-        self.blocked_time(work).unwrap_or(SUSPECT_RETRY_DELAY)
-    }
 }
 
 /// A call that got no reply, and whose target may have ended under it.
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -31,6 +31,7 @@
 use crate::edge::TargetNotice;
 use crate::fanout::FanoutReply;
 use crate::fanout::QueryPayload;
+use crate::fanout::QueryWork;
 use crate::fanout::driver::connection_share;
 use crate::fanout::driver::run_timers;
 use crate::fanout::payload::CallAnswer;
@@ -53,6 +54,7 @@
 /// A running query, as seen by the driver.
 pub(crate) struct RunningQuery {
     pub(crate) plan: FanoutPlan,
+    pub(crate) work: Rc<QueryWork>,
     pub(crate) payload: QueryPayload,
     pub(crate) reply: oneshot::Sender<FanoutReply>,
 }
@@ -126,12 +128,13 @@
     pub(crate) async fn run(
         self: &Rc<Self>,
         plan: FanoutPlan,
+        work: Rc<QueryWork>,
         payload: QueryPayload,
     ) -> Option<FanoutReply> {
         let query = self.next_query.get();
         self.next_query.set(query + 1);
         let (sender, receiver) = oneshot::channel();
-        let running = RunningQuery { plan: plan.clone(), payload, reply: sender };
+        let running = RunningQuery { plan: plan.clone(), work, payload, reply: sender };
         self.queries.borrow_mut().insert(query, running);
         let guard = AbandonGuard { fanout: self.clone(), query };
         self.submit(query, plan);
--- a/crates/daemon/src/fanout/work.rs
+++ b/crates/daemon/src/fanout/work.rs
@@ -43,22 +43,20 @@
 
     /// Returns the fingerprint, which is computed on first use.
     pub(crate) fn fingerprint(&self) -> &WorkFingerprint {
-        self.fingerprint.get_or_init(|| match &self.source {
-            WorkSource::Request(request) => request.fingerprint(),
-            WorkSource::Own { customer, class, text } => {
-                WorkFingerprint::of(&[customer.as_bytes(), class.as_bytes(), text.as_bytes()])
-            }
-        })
+        self.fingerprint.get_or_init(|| self.hash_parts(WorkFingerprint::of))
     }
 
     /// Returns a hash that is cheaper than the fingerprint and differs with `seed`.
     pub(crate) fn hash(&self, seed: u64) -> u64 {
-        let chain =
-            |parts: &[&[u8]]| parts.iter().fold(seed, |seed, part| xxh3_64_with_seed(part, seed));
+        self.hash_parts(|parts| parts.iter().fold(seed, |seed, part| xxh3_64_with_seed(part, seed)))
+    }
+
+    /// Returns what `hash` makes of the parts that make up the work.
+    fn hash_parts<H>(&self, hash: impl FnOnce(&[&[u8]]) -> H) -> H {
         match &self.source {
-            WorkSource::Request(request) => chain(&request.work_parts()),
+            WorkSource::Request(request) => hash(&request.work_parts()),
             WorkSource::Own { customer, class, text } => {
-                chain(&[customer.as_bytes(), class.as_bytes(), text.as_bytes()])
+                hash(&[customer.as_bytes(), class.as_bytes(), text.as_bytes()])
             }
         }
     }
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -58,8 +58,8 @@
                 objective: None,
                 attempt_policy: AttemptPolicy::default(),
             };
-            let payload = QueryPayload::search(work.clone(), &request.text);
-            let reply = self.fanout.run(plan, payload).await?;
+            let payload = QueryPayload::search(&request.text);
+            let reply = self.fanout.run(plan, work.clone(), payload).await?;
             if reply.result.reason == FinishReason::SnapshotRetired
                 && self.wait_for_newer_snapshot(&manifest, deadline).await
             {
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -177,7 +177,7 @@
         let mut state = self.state.borrow_mut();
         let now = Instant::now();
         let is_blocked = |quarantine: &QuarantineEngine| {
-            matches!(quarantine.verdict(&record.work, now), WorkVerdict::Blocked { .. })
+            quarantine.verdict(&record.work, now).retry_after().is_some()
         };
         let was_blocked = is_blocked(&state.quarantine);
         let is_news = state.quarantine.merge(record, now);
@@ -190,6 +190,9 @@
     /// Learns from peers what is held against work, before this VM serves.
     pub(crate) async fn learn_works(self: &Rc<Self>) {
         let peers = self.state.borrow_mut().membership.sample_peers(STARTUP_PEERS);
+        if peers.is_empty() {
+            return;
+        }
         let ask = |vm: VmId| {
             let peers = self.clone();
             Box::pin(async move {
@@ -200,9 +203,6 @@
                 Ok::<(), ()>(())
             })
         };
-        if peers.is_empty() {
-            return;
-        }
         let answers = select_ok(peers.into_iter().map(ask));
         if tokio::time::timeout(STARTUP_TIMEOUT, answers).await.is_err() {
             log::warn!("no peer told in time what work may end targets");
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -242,7 +242,7 @@
         let plan = self.plan(routes, route, &request, arrived);
         let mut stop_signal = self.is_stopping.subscribe();
         let reply = tokio::select! {
-            reply = self.fanout.run(plan, QueryPayload::forward(work, request.clone())) => reply,
+            reply = self.fanout.run(plan, work, QueryPayload::forward(request.clone())) => reply,
             _ = stop_signal.wait_for(|is_stopping| *is_stopping) => {
                 log::warn!(
                     request = request.id.as_str(),
--- a/crates/policy/src/quarantine/engine.rs
+++ b/crates/policy/src/quarantine/engine.rs
@@ -34,6 +34,16 @@
     },
 }
 
+impl WorkVerdict {
+    /// Returns the time until the next trial, if the work is blocked.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            WorkVerdict::Blocked { retry_after } => Some(retry_after),
+            WorkVerdict::Clear | WorkVerdict::Suspect => None,
+        }
+    }
+}
+
 /// Quarantine of one VM.
 ///
 /// # Examples
