feat(daemon,platform): log and count rate limits that targets name

Nothing told whether a target had named a limit, so the hypotheses of the incident could not be told apart. The adapter reads the header of a target's own whole answers; an answer to an earlier call does not undo what a later one said, and a later process replaces an earlier one. A line is logged when a limit is named, changed or ended. No decision uses it yet.

--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -13,6 +13,7 @@
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FailureDomainId;
 use oleanderwind_policy::FindingList;
+use oleanderwind_policy::LimitNotice;
 use oleanderwind_policy::LoadReport;
 use oleanderwind_policy::TargetId;
 
@@ -77,7 +78,7 @@
 }
 
 /// Metadata of a target's reply.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyMetadata {
     /// Identifier of the request that it answers, if given.
     pub request_id: Option<Bytes>,
@@ -91,6 +92,8 @@
     pub is_encoded: bool,
     /// Load of the target, if reported.
     pub load: Option<LoadReport>,
+    /// Rate limit of the target.
+    pub limit: LimitNotice,
 }
 
 /// What a target says about itself with a reply of any status.
--- a/crates/daemon/src/fanout/mod.rs
+++ b/crates/daemon/src/fanout/mod.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod forward;
+mod limits;
 mod payload;
 mod quarantine;
 mod service;
--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -123,6 +123,11 @@
         self.sent.set(process.map(|process| (process, Instant::now())));
     }
 
+    /// Returns the target's process and when the call was sent to it.
+    pub(crate) fn sent(&self) -> Option<(TargetProcess, Instant)> {
+        self.sent.get()
+    }
+
     /// Returns whether the call was sent so long ago that its target may be silent.
     pub(crate) fn may_be_silent(&self) -> bool {
         self.sent.get().is_some_and(|(_, at)| at.elapsed() >= SILENT_CALL_TIME)
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -55,6 +55,7 @@
     route_calls: Counter<u64>,
     target_notices: Counter<u64>,
     quarantine_steps: Counter<u64>,
+    limited_calls: Counter<u64>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
 }
@@ -83,6 +84,7 @@
             route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
             route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
             target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
+            limited_calls: meter.u64_counter("oleanderwind_limited_calls").build(),
             quarantine_steps: meter.u64_counter("oleanderwind_quarantine_steps").build(),
             latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
             coverage: meter
@@ -148,6 +150,12 @@
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records a step of a call to a target with a rate limit: `asked` and `permitted` count permits, `refused` the
+    /// requests for permits without any, `answered` the answers that named a limit.
+    pub(crate) fn record_limited_calls(&self, step: &'static str, calls: u64) {
+        self.limited_calls.add(calls, &[KeyValue::new("step", step)]);
+    }
+
     /// Records a step of the quarantine of work: `suspected`, `trial`, `blocked` or `cleared`.
     pub(crate) fn record_quarantine_step(&self, step: &'static str) {
         self.quarantine_steps.add(1, &[KeyValue::new("step", step)]);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod drains;
 mod heartbeat;
+mod limits;
 mod metrics;
 mod quarantine;
 mod server;
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -13,6 +13,7 @@
 use oleanderwind_policy::DrainTable;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::GossipEngine;
+use oleanderwind_policy::LimitTable;
 use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
 use oleanderwind_policy::MembershipEngine;
@@ -49,6 +50,7 @@
     pub(crate) news: NewsTracker,
     pub(crate) drains: DrainTable,
     pub(crate) quarantine: QuarantineEngine,
+    pub(crate) limits: LimitTable,
 }
 
 /// Service for communication with the other VMs.
@@ -231,5 +233,6 @@
         news: NewsTracker::default(),
         drains: DrainTable::default(),
         quarantine: QuarantineEngine::default(),
+        limits: LimitTable::default(),
     }
 }
