fix(policy,daemon,wire): send targets no more requests than the rate limit that they name

What callers saw: nothing; a target that asked for relief did not get it.

Cause: no decision knew of such a limit, and no VM knows what the others send.

Now a call to such a target needs a permit. One VM, the holder, spaces them by the interval of the limit; a permit is looked at by both clocks when the call leaves. A VM without one treats the target as full. Limits are told to peers and to VMs that start. A new holder waits until the permits of the earlier one have expired, and issues only the share of the VMs that it reaches.

--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -38,8 +38,14 @@
                 0 => String::new(),
                 rest => format!(", paused for {rest} ms"),
             };
+            let limited = match target.limit_per_second {
+                None => String::new(),
+                Some(rate) => {
+                    format!(", limited to {rate} calls/s, {} permits left", target.permits)
+                }
+            };
             text += &format!(
-                "{} {} in {}: {:?}{failing}{leaving}{paused}, {} of {} calls open, \
+                "{} {} in {}: {:?}{failing}{leaving}{paused}{limited}, {} of {} calls open, \
                  {} extra calls left\n",
                 target.service,
                 target.target,
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -101,6 +101,7 @@
                 FanoutAction::Finish { query, result } => self.finish(query, result),
             }
         }
+        self.request_permits();
         self.timer_changes.notify_one();
     }
 
@@ -221,7 +222,7 @@
     }
     let target = witness.target.clone();
     fanout.mark_sent(call.call_id);
-    let may_send = || fanout.may_leave(&witness);
+    let may_send = || fanout.may_send(call.call_id) && fanout.may_leave(&witness);
     let outcome = fanout.targets.search(&target, &call, deadline, may_send).await;
     match &outcome {
         CallOutcome::Answered(_) => fanout.record_survived(&witness),
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -68,8 +68,7 @@
     fanout.mark_sent(call.call);
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
-    let may_send =
-        || fanout.engine.borrow().may_send(call.call, Instant::now()) && fanout.may_leave(&witness);
+    let may_send = || fanout.may_send(call.call) && fanout.may_leave(&witness);
     let sent =
         targets.forward(&call.target, message, call.is_idempotent, call.deadline, may_send, is_own);
     let mut end = CallEnd::default();
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use actix_rt::task::JoinHandle;
 use oleanderwind_policy::CallId;
@@ -34,6 +35,7 @@
 use crate::fanout::QueryWork;
 use crate::fanout::driver::connection_share;
 use crate::fanout::driver::run_timers;
+use crate::fanout::limits::watch_limits;
 use crate::fanout::payload::CallAnswer;
 use crate::fanout::quarantine::CallWitness;
 use crate::kernel::Kernel;
@@ -83,6 +85,8 @@
     pub(crate) trial_ends: Notify,
     /// Seed of the hashes of answered work, which callers don't know.
     pub(crate) hash_seed: u64,
+    /// Processes of targets that named a rate limit which is not a rate.
+    pub(crate) unreadable_limits: RefCell<HashSet<(TargetId, u64)>>,
     pub(crate) metrics: Rc<MetricsService>,
     settings: LiveSettings,
     next_query: Cell<QueryId>,
@@ -111,6 +115,7 @@
             local_trials: RefCell::new(HashSet::new()),
             trial_ends: Notify::new(),
             hash_seed: rand::random(),
+            unreadable_limits: RefCell::default(),
             metrics: kernel.metrics()?,
             settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
@@ -118,6 +123,7 @@
         fanout.targets.set_reply_observer(notice_observer(&fanout));
         actix_rt::spawn(watch_targets(fanout.clone(), directory));
         actix_rt::spawn(watch_drains(fanout.clone()));
+        actix_rt::spawn(watch_limits(fanout.clone()));
         actix_rt::spawn(run_timers(fanout.clone()));
         Ok(fanout)
     }
@@ -153,7 +159,11 @@
         }
         let now = Instant::now();
         engine.set_service_share(fleet.slack_share(self.settings.get().extra_slack), now);
+        let limits: Vec<_> = self.peers.limits_of(&specs);
         engine.apply_targets(specs, now);
+        for record in limits {
+            engine.set_limit(&record.target, record.incarnation, record.rate, now);
+        }
         self.timer_changes.notify_one();
     }
 
@@ -216,11 +226,13 @@
 
     /// Chooses a target for a call that must not be sent twice and reserves a slot there.
     pub(crate) fn pick_executor(
-        &self,
+        self: &Rc<Self>,
         service: &ServiceId,
         provider: &ProviderId,
     ) -> Option<TargetId> {
-        self.engine.borrow_mut().pick_executor(service, provider, Instant::now())
+        let target = self.engine.borrow_mut().pick_executor(service, provider, Instant::now());
+        self.request_permits();
+        target
     }
 
     /// Releases the slot that [`FanoutService::pick_executor`] reserved and records the outcome.
@@ -232,6 +244,11 @@
         self.timer_changes.notify_one();
     }
 
+    /// Returns whether a call in a reserved slot may leave now; takes a permit if its target has a rate limit.
+    pub(crate) fn permit_executor(&self, target: &TargetId) -> bool {
+        self.engine.borrow_mut().permit_executor(target, Instant::now(), SystemTime::now())
+    }
+
     /// Returns a call id that has not been used before.
     pub(crate) fn next_call_id(&self) -> CallId {
         self.engine.borrow_mut().next_call_id()
--- a/crates/daemon/src/ledger/dispatch.rs
+++ b/crates/daemon/src/ledger/dispatch.rs
@@ -85,7 +85,7 @@
         body: call.body.to_string(),
     };
     let sent_at = Instant::now();
-    let may_send = || ledger.fanout.may_leave(&witness);
+    let may_send = || ledger.fanout.may_leave(&witness) && ledger.fanout.permit_executor(&target);
     let outcome = ledger.targets.execute(&target, &message, deadline, may_send).await;
     let release_outcome = executor_outcome(&outcome, sent_at.elapsed(), deadline);
     ledger.fanout.release_executor(&target, release_outcome);
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -6,6 +6,8 @@
 use oleanderwind_wire::peer::ExchangeMessage;
 use oleanderwind_wire::peer::FetchObjectsReply;
 use oleanderwind_wire::peer::FetchObjectsRequest;
+use oleanderwind_wire::peer::PermitReply;
+use oleanderwind_wire::peer::PermitRequest;
 use oleanderwind_wire::peer::ProbeReply;
 use oleanderwind_wire::peer::PushObjectsReply;
 use oleanderwind_wire::peer::TrialReply;
@@ -30,6 +32,8 @@
     Push { objects: Vec<ConfigurationObject>, reply: oneshot::Sender<PushObjectsReply> },
     /// Request for a trial of suspect work, or report of its end.
     Trial { request: TrialRequest, reply: oneshot::Sender<TrialReply> },
+    /// Request for permits for calls to a target with a rate limit.
+    Permit { request: PermitRequest, reply: oneshot::Sender<PermitReply> },
     /// Request for a page of objects.
     Fetch { request: FetchObjectsRequest, reply: oneshot::Sender<FetchObjectsReply> },
 }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -13,6 +13,8 @@
 use oleanderwind_wire::peer::ExchangeMessage;
 use oleanderwind_wire::peer::FetchObjectsReply;
 use oleanderwind_wire::peer::FetchObjectsRequest;
+use oleanderwind_wire::peer::PermitReply;
+use oleanderwind_wire::peer::PermitRequest;
 use oleanderwind_wire::peer::ProbeRequest;
 use oleanderwind_wire::peer::PushObjectsRequest;
 use oleanderwind_wire::peer::TrialReply;
@@ -34,6 +36,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout for asking for a trial, which a request of a caller waits for.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout for asking for permits, which requests of callers wait for.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for fetching a page of objects.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of connections kept for later calls.
@@ -104,6 +108,16 @@
         self.call(address, TRIAL_TIMEOUT, send).await
     }
 
+    /// Asks for permits for calls to a target with a rate limit.
+    pub(crate) async fn permit(
+        &self,
+        address: SocketAddr,
+        request: PermitRequest,
+    ) -> Option<PermitReply> {
+        let send = async |mut client: PeerClient<Channel>| client.permit(request).await;
+        self.call(address, PERMIT_TIMEOUT, send).await
+    }
+
     /// Fetches a page of objects.
     pub(crate) async fn fetch(
         &self,
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -105,6 +105,7 @@
         let mut message = ExchangeMessage::from(message);
         message.drains = records.iter().map(Into::into).collect();
         self.add_works(&mut message, peer_digest);
+        self.add_limits(&mut message);
         message
     }
 
@@ -151,6 +152,7 @@
                     let _ = reply.send(answer);
                 }
             }
+            PeerCall::Permit { request, reply } => self.handle_permit_request(request, reply),
             PeerCall::Fetch { request, reply } => {
                 let state = self.state.borrow();
                 let delta = state.gossip.handle_pull(request.after_revision, request.whole);
@@ -167,7 +169,10 @@
             let summary = state.gossip.store().summary();
             state.membership.handle_heartbeat(&message, summary, Instant::now())
         };
-        let reply = self.encode(&reply, Some(raw.work_digest));
+        let mut reply = self.encode(&reply, Some(raw.work_digest));
+        if message.sender.phase != MemberPhase::Serving {
+            self.add_limits_in_force(&mut reply);
+        }
         self.handle_message(&message, raw);
         Some(reply)
     }
@@ -187,6 +192,7 @@
         };
         self.handle_peer_drains(&raw.drains);
         self.handle_peer_works(&raw.works);
+        self.handle_peer_limits(&raw.limits);
         self.perform_gossip_actions(action);
         self.chase_changes();
         self.refresh_derived_state();
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -13,5 +13,6 @@
 mod view;
 
 pub(crate) use configuration::configuration_object;
+pub(crate) use limits::PermitAnswer;
 pub(crate) use quarantine::TrialAnswer;
 pub(crate) use service::PeerService;
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -187,7 +187,7 @@
         is_news
     }
 
-    /// Learns from peers what is held against work, before this VM serves.
+    /// Learns from peers what is held against work and which targets have rate limits, before this VM serves.
     pub(crate) async fn learn_works(self: &Rc<Self>) {
         let peers = self.state.borrow_mut().membership.sample_peers(STARTUP_PEERS);
         if peers.is_empty() {
@@ -200,12 +200,15 @@
                 let message = peers.own_message();
                 let reply = peers.clients.exchange(address, message).await.ok_or(())?;
                 peers.handle_peer_works(&reply.works);
+                peers.handle_peer_limits(&reply.limits);
                 Ok::<(), ()>(())
             })
         };
         let answers = select_ok(peers.into_iter().map(ask));
         if tokio::time::timeout(STARTUP_TIMEOUT, answers).await.is_err() {
-            log::warn!("no peer told in time what work may end targets");
+            log::warn!(
+                "no peer told in time what work may end targets and which targets have rate limits"
+            );
         }
     }
 }
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -9,6 +9,8 @@
 use oleanderwind_wire::peer::FetchObjectsRequest;
 use oleanderwind_wire::peer::ForwardReply;
 use oleanderwind_wire::peer::ForwardRequest;
+use oleanderwind_wire::peer::PermitReply;
+use oleanderwind_wire::peer::PermitRequest;
 use oleanderwind_wire::peer::ProbeReply;
 use oleanderwind_wire::peer::ProbeRequest;
 use oleanderwind_wire::peer::PushObjectsReply;
@@ -133,6 +135,14 @@
         self.dispatch(|reply| PeerCall::Trial { request, reply }).await
     }
 
+    async fn permit(
+        &self,
+        request: Request<PermitRequest>,
+    ) -> Result<Response<PermitReply>, Status> {
+        let request = request.into_inner();
+        self.dispatch(|reply| PeerCall::Permit { request, reply }).await
+    }
+
     async fn forward(
         &self,
         _request: Request<ForwardRequest>,
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -13,12 +13,14 @@
 use oleanderwind_policy::DrainTable;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::GossipEngine;
+use oleanderwind_policy::LimitRecord;
 use oleanderwind_policy::LimitTable;
 use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::MembershipSettings;
 use oleanderwind_policy::NewsTracker;
+use oleanderwind_policy::PermitIssuer;
 use oleanderwind_policy::QuarantineEngine;
 use oleanderwind_policy::ReadinessGate;
 use tokio::sync::mpsc;
@@ -51,6 +53,7 @@
     pub(crate) drains: DrainTable,
     pub(crate) quarantine: QuarantineEngine,
     pub(crate) limits: LimitTable,
+    pub(crate) permits: PermitIssuer,
 }
 
 /// Service for communication with the other VMs.
@@ -64,6 +67,9 @@
     pub(crate) fleet_shape: watch::Sender<FleetShape>,
     /// Sends drain notices that were received from peers.
     pub(crate) drain_sender: mpsc::UnboundedSender<DrainRecord>,
+    /// Sends limits of targets that were learned from peers.
+    pub(crate) limit_sender: mpsc::UnboundedSender<LimitRecord>,
+    limit_receiver: RefCell<Option<mpsc::UnboundedReceiver<LimitRecord>>>,
     /// Sends loan requests from peers.
     pub(crate) loan_request_sender: mpsc::UnboundedSender<IncomingLoanRequest>,
     loan_request_receiver: RefCell<Option<mpsc::UnboundedReceiver<IncomingLoanRequest>>>,
@@ -73,6 +79,8 @@
     pub(crate) works_told_at: Cell<Option<Instant>>,
     /// Whether a task asks peers for changes that this VM lacks.
     pub(crate) is_chasing: Cell<bool>,
+    /// When this VM last probed a holder of rate limits that did not answer.
+    pub(crate) holder_probed_at: Cell<Option<Instant>>,
     /// Number of peers to tell more soon; 0 if there is nothing more to tell.
     pub(crate) untold_works_fanout: Cell<usize>,
     listener: RefCell<Option<PeerListener>>,
@@ -92,6 +100,7 @@
         let listener = PeerListener::bind(settings.peer_listen).await?;
         let address = listener.address()?;
         let (drain_sender, drain_receiver) = mpsc::unbounded_channel();
+        let (limit_sender, limit_receiver) = mpsc::unbounded_channel();
         let (loan_request_sender, loan_request_receiver) = mpsc::unbounded_channel();
         Ok(Rc::new(PeerService {
             directory: kernel.directory()?,
@@ -100,12 +109,15 @@
             clients: PeerClientPool::default(),
             fleet_shape: watch::Sender::new(FleetShape::uniform(1)),
             drain_sender,
+            limit_sender,
+            limit_receiver: RefCell::new(Some(limit_receiver)),
             loan_request_sender,
             loan_request_receiver: RefCell::new(Some(loan_request_receiver)),
             drain_receiver: RefCell::new(Some(drain_receiver)),
             is_starting: Cell::new(false),
             works_told_at: Cell::new(None),
             is_chasing: Cell::new(false),
+            holder_probed_at: Cell::new(None),
             untold_works_fanout: Cell::new(0),
             listener: RefCell::new(Some(listener)),
             address,
@@ -141,6 +153,13 @@
         self.drain_receiver.borrow_mut().take()
     }
 
+    /// Takes the receiver of limits of targets that were learned from peers.
+    ///
+    /// Returns `None` after the first call.
+    pub(crate) fn take_peer_limits(&self) -> Option<mpsc::UnboundedReceiver<LimitRecord>> {
+        self.limit_receiver.borrow_mut().take()
+    }
+
     /// Takes the receiver of loan requests from peers.
     ///
     /// Returns `None` after the first call.
@@ -234,5 +253,6 @@
         drains: DrainTable::default(),
         quarantine: QuarantineEngine::default(),
         limits: LimitTable::default(),
+        permits: PermitIssuer::default(),
     }
 }
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use oleanderwind_policy::ContactState;
+use oleanderwind_policy::FleetReach;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MemberRecord;
@@ -167,6 +168,16 @@
         members.filter(|(_, member_state)| *member_state == MemberState::Serving).count()
     }
 
+    /// Returns how many VMs that may send calls this one reaches, itself included.
+    pub(crate) fn fleet_reach(&self) -> FleetReach {
+        let state = self.state.borrow();
+        let count = |wanted: MemberState| {
+            state.membership.table().iter().filter(|(_, state)| *state == wanted).count()
+        };
+        let reached = 1 + count(MemberState::Serving) + count(MemberState::Leaving);
+        FleetReach { reached, known: reached + count(MemberState::Suspect) }
+    }
+
     /// Derives the fleet shape from all VMs that may have connections to targets.
     ///
     /// VMs that are suspect or leaving count too, as they may not have closed theirs. The preferred
--- a/crates/daemon/src/routes/view.rs
+++ b/crates/daemon/src/routes/view.rs
@@ -66,6 +66,8 @@
             is_failing: view.is_failing,
             is_leaving: view.is_leaving,
             paused_ms: milliseconds(view.paused_for),
+            limit_per_second: view.limit.map(|rate| rate.per_second()),
+            permits: view.permits,
             extra_calls_left: engine.extra_calls_left(&spec.service, now),
         }
     }
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -43,7 +43,7 @@
             return running.give_up_shard(position, cause);
         }
         let skipped = shard.tried_replicas | shard.excluded_replicas;
-        match self.choose_target(running, position, skipped, now) {
+        match self.choose_target(running, position, skipped, is_extra, now) {
             TargetChoice::Target(target) => {
                 self.send(query, running, position, target, now, actions);
             }
@@ -84,7 +84,7 @@
         }
         let skipped =
             running.shards[position].tried_replicas | running.shards[position].excluded_replicas;
-        let choice = self.choose_target(running, position, skipped, now);
+        let choice = self.choose_target(running, position, skipped, true, now);
         let TargetChoice::Target(target) = choice else { return };
         let state = self.targets.state(target);
         let is_healthy = !state.backoff.is_failing() && !state.is_lapsed();
@@ -114,6 +114,7 @@
         let replica = replicas.iter().position(|other| *other == target).unwrap_or(0);
         let state = self.targets.state_mut(target);
         state.open_call(now);
+        let permit = state.take_permit(now);
         running.cross_domain_calls += u32::from(state.is_cross_domain);
         actions.push(FanoutAction::Send {
             query,
@@ -138,6 +139,7 @@
             sent_at: now,
             is_sent: false,
             hedge_delay,
+            permit,
         };
         self.calls.insert(call, open);
         let shard = &mut running.shards[position];
@@ -150,6 +152,10 @@
         if let Some(delay) = hedge_delay {
             self.schedule_hedge(query, running, position, now + delay);
         }
+        if permit.is_some() {
+            // The calls that wait may have to go elsewhere now.
+            self.schedule_queue_service(target);
+        }
     }
 
     /// Retries a refused call. A final refusal excludes the replica for the rest of the query.
@@ -260,6 +266,7 @@
         running: &RunningQuery,
         position: usize,
         skipped: u64,
+        is_extra: bool,
         now: Instant,
     ) -> TargetChoice {
         let replicas = running.resolved.shards[position].replicas.iter().enumerate();
@@ -267,7 +274,8 @@
             .filter(move |(replica, _)| skipped & replica_bit(*replica) == 0)
             .map(|(_, target)| *target);
         self.targets_compared += candidates.clone().count() as u64;
-        self.settings.routing.choose(&mut self.targets, candidates, &mut self.rng, now)
+        let routing = self.settings.routing;
+        routing.choose(&mut self.targets, candidates, is_extra, &mut self.rng, now)
     }
 
     /// Schedules a retry for a shard whose replicas were all tried, or gives the shard up if none
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -11,6 +11,7 @@
 
 use crate::BudgetOwner;
 use crate::CallId;
+use crate::CallPermit;
 use crate::FanoutAction;
 use crate::FanoutEvent;
 use crate::FanoutPlan;
@@ -110,6 +111,8 @@
     pub(crate) is_sent: bool,
     /// How long after it was sent the call is hedged, if it may be.
     pub(crate) hedge_delay: Option<Duration>,
+    /// Permit that a target with a rate limit requires.
+    pub(crate) permit: Option<CallPermit>,
 }
 
 impl FanoutEngine {
--- a/crates/policy/src/fanout/executor.rs
+++ b/crates/policy/src/fanout/executor.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use crate::FanoutEngine;
 use crate::LoadReport;
@@ -54,7 +55,7 @@
         let candidates = self.targets.service_targets(service, provider);
         let candidates = candidates.iter().copied();
         let routing = self.settings.routing;
-        match routing.choose(&mut self.targets, candidates, &mut self.rng, now) {
+        match routing.choose(&mut self.targets, candidates, false, &mut self.rng, now) {
             TargetChoice::Target(index) => {
                 let state = self.targets.state_mut(index);
                 state.window.acquire();
@@ -65,6 +66,13 @@
         }
     }
 
+    /// Returns whether a call in a reserved slot may leave now. Takes a permit, if the target has a rate limit.
+    pub fn permit_executor(&mut self, target: &TargetId, now: Instant, wall: SystemTime) -> bool {
+        self.current_time = Some(now);
+        let Some(index) = self.targets.index_of(target) else { return false };
+        self.targets.state_mut(index).take_valid_permit(now, wall)
+    }
+
     /// Releases the slot that [`pick_executor`](FanoutEngine::pick_executor) reserved and records
     /// the outcome.
     pub fn release_executor(&mut self, target: &TargetId, outcome: ExecutorOutcome, now: Instant) {
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use crate::CallId;
+use crate::CallPermit;
 use crate::CustomerId;
 use crate::FanoutEngine;
 use crate::FanoutEvent;
 use crate::FanoutResult;
+use crate::PermitRequest;
 use crate::RefusalCause;
+use crate::RequestRate;
 use crate::TargetId;
 use crate::TargetSpec;
 use crate::fanout::engine::OpenCall;
@@ -66,9 +70,13 @@
     }
 
     /// Returns whether a call that has not left yet may still be sent to its target.
-    pub fn may_send(&self, call: CallId, now: Instant) -> bool {
+    ///
+    /// A permit must not have expired by either clock: the steady one stands still while the VM is suspended.
+    pub fn may_send(&self, call: CallId, now: Instant, wall: SystemTime) -> bool {
         let open = self.calls.get(&call);
-        open.is_some_and(|open| self.targets.state(open.target).accepts_calls(now))
+        open.is_some_and(|open| {
+            self.targets.state(open.target).may_send(open.permit.as_ref(), now, wall)
+        })
     }
 
     /// Returns whether the call's target is the last one of its shard that seems to live, of several that are listed.
@@ -84,6 +92,52 @@
         replicas.len() > 1 && !others.any(lives)
     }
 
+    /// Sets the rate limit that a process of a target named, or its end if `rate` is `None`.
+    ///
+    /// From then on a call to it needs a permit.
+    pub fn set_limit(
+        &mut self,
+        target: &TargetId,
+        incarnation: u64,
+        rate: Option<RequestRate>,
+        now: Instant,
+    ) {
+        self.current_time = Some(now);
+        let Some(index) = self.targets.index_of(target) else { return };
+        self.targets.state_mut(index).set_limit(incarnation, rate);
+        self.schedule_queue_service(index);
+    }
+
+    /// Returns the permits that the driver has to ask for. Each request has to be answered with
+    /// [`add_permits`](FanoutEngine::add_permits).
+    pub fn take_permit_requests(&mut self) -> Vec<PermitRequest> {
+        self.targets.take_permit_requests()
+    }
+
+    /// Adds permits that were asked for; no further ones are to be had before `closed_until`.
+    pub fn add_permits(
+        &mut self,
+        request: &PermitRequest,
+        permits: &[CallPermit],
+        closed_until: Option<Instant>,
+        now: Instant,
+    ) {
+        self.current_time = Some(now);
+        let Some(index) = self.targets.index_of(&request.target) else { return };
+        let Some(stock) = self.targets.state_mut(index).stock_of(request.incarnation) else {
+            return;
+        };
+        let lacks_more = stock.add(permits, closed_until);
+        for permit in permits {
+            let at = permit.usable_from().max(now);
+            self.push_timer(0, 0, 0, at, TimerKind::ServeQueue(index));
+        }
+        if lacks_more {
+            self.targets.want_permits(index, 0, now);
+        }
+        self.schedule_queue_service(index);
+    }
+
     /// Sets how many calls may be in flight to a target at once. Each call uses one connection.
     ///
     /// Until this is set, the connection limit from the target's specification applies.
--- a/crates/policy/src/fanout/queue.rs
+++ b/crates/policy/src/fanout/queue.rs
@@ -105,8 +105,8 @@
         loop {
             let state = self.targets.state_mut(target);
             let is_usable = state.accepts_calls(now);
-            if is_usable && !state.window.has_capacity() {
-                return;
+            if is_usable && !state.has_room(now) {
+                return self.want_permits_of_queue(target, now);
             }
             let Some(waiting) = state.queue.pop() else { return };
             if !self.is_current(&waiting) {
@@ -127,6 +127,14 @@
         }
     }
 
+    /// Asks for permits if calls wait for a target only because they lack them.
+    fn want_permits_of_queue(&mut self, target: TargetIndex, now: Instant) {
+        let state = self.targets.state(target);
+        if state.window.has_capacity() && state.queue.len() > 0 && state.may_ask_for_permits(now) {
+            self.targets.want_permits(target, 1, now);
+        }
+    }
+
     /// Returns whether a target's queue has room. Half of it is reserved for interactive calls.
     ///
     /// Removes stale entries before it reports a full queue.
--- a/crates/policy/src/fanout/view.rs
+++ b/crates/policy/src/fanout/view.rs
@@ -4,11 +4,12 @@
 use std::time::Instant;
 
 use crate::FanoutEngine;
+use crate::RequestRate;
 use crate::ServiceId;
 use crate::TargetId;
 
 /// State of one target as this VM sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetView {
     /// Calls in flight to the target.
     pub open: u32,
@@ -20,6 +21,10 @@
     pub is_leaving: bool,
     /// Rest of the pause that the target asked for.
     pub paused_for: Duration,
+    /// Rate limit that the target named.
+    pub limit: Option<RequestRate>,
+    /// Permits of this VM for calls to a target with a rate limit.
+    pub permits: usize,
 }
 
 impl FanoutEngine {
@@ -27,7 +32,10 @@
     pub fn target_view(&self, target: &TargetId, now: Instant) -> TargetView {
         let Some(index) = self.targets.index_of(target) else { return TargetView::default() };
         let state = self.targets.state(index);
+        let limit = state.limit(now);
         TargetView {
+            limit: limit.map(|(rate, _)| rate),
+            permits: limit.map_or(0, |(_, permits)| permits),
             open: state.window.open(),
             window: state.window.limit(),
             is_failing: state.backoff.is_failing(),
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -233,6 +233,11 @@
         self.notify(Self::NOTIFY_FANOUT, summary)
     }
 
+    /// Returns an unscheduled heartbeat to a VM that seems not to answer.
+    pub fn probe(&mut self, vm: &VmId, summary: ObjectSummary) -> Option<MembershipAction> {
+        self.build_heartbeat(vm.clone(), summary)
+    }
+
     /// Returns unscheduled heartbeats to up to `count` random peers.
     pub fn notify(&mut self, count: usize, summary: ObjectSummary) -> Vec<MembershipAction> {
         let mut peers = self.vms_by_state(is_heartbeat_target);
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -46,11 +46,13 @@
     /// Selects one of `candidates`.
     ///
     /// A failing or lapsed target is selected only if no healthy one is usable, or if a probe of it
-    /// is due.
+    /// is due. A first call asks for a permit of the target that it would prefer if only that is missing; an extra call
+    /// goes to a target with a rate limit only if no other one has room.
     pub(crate) fn choose(
         self,
         table: &mut TargetTable,
         candidates: impl Iterator<Item = TargetIndex> + Clone,
+        is_extra: bool,
         rng: &mut Pcg64Mcg,
         now: Instant,
     ) -> TargetChoice {
@@ -60,16 +62,33 @@
             !state.backoff.is_failing() && !state.is_lapsed()
         });
         let has_capacity = |index: &TargetIndex| table.state(*index).window.has_capacity();
+        let has_room = |index: &TargetIndex| table.state(*index).has_room(now);
+        let is_unlimited = |index: &TargetIndex| !table.state(*index).is_limited();
         let is_probe_due = |index: &TargetIndex| table.state(*index).backoff.is_probe_due(now);
-        let probe = usable.clone().filter(is_probe_due).find(has_capacity);
+        let probe = usable.clone().filter(is_probe_due).find(has_room);
         let is_any_healthy = healthy.clone().next().is_some();
-        let chosen = match (probe, is_any_healthy) {
-            (Some(probe), _) => Some(probe),
-            (None, true) => self.select(table, healthy.filter(has_capacity), rng, now),
-            (None, false) => self.select(table, usable.clone().filter(has_capacity), rng, now),
+        let mut select = |accepts: &dyn Fn(&TargetIndex) -> bool| match is_any_healthy {
+            true => self.select(table, healthy.clone().filter(accepts), rng, now),
+            false => self.select(table, usable.clone().filter(accepts), rng, now),
         };
+        let mut lacks_permit = None;
+        let chosen = match probe {
+            Some(probe) => Some(probe),
+            None if is_extra => select(&|index| has_room(index) && is_unlimited(index))
+                .or_else(|| select(&has_room)),
+            None => match select(&has_capacity) {
+                Some(preferred) if table.state(preferred).lacks_permit(now) => {
+                    lacks_permit = Some(preferred);
+                    select(&has_room)
+                }
+                preferred => preferred,
+            },
+        };
+        let is_any_usable = usable.clone().next().is_some();
+        if let Some(preferred) = lacks_permit {
+            table.want_permits(preferred, 1, now);
+        }
         if chosen.is_none() {
-            let is_any_usable = usable.clone().next().is_some();
             return if is_any_usable { TargetChoice::NoCapacity } else { TargetChoice::NoTarget };
         }
         if let Some(probe) = probe {
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -4,13 +4,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
+use crate::CallPermit;
 use crate::LoadReport;
 use crate::RefusalCause;
+use crate::RequestRate;
 use crate::TargetId;
 use crate::TargetPhase;
 use crate::TargetSpec;
 use crate::latency::LatencyEwma;
+use crate::limit::PermitStock;
 use crate::routing::FailureBackoff;
 use crate::slots::ConcurrencyWindow;
 use crate::slots::WaitingCallQueue;
@@ -89,6 +93,8 @@
     left_incarnation: Option<u64>,
     /// End of the pause that the process asked for.
     paused_until: Option<Instant>,
+    /// Permits for calls; `None` if the process named no rate limit.
+    stock: Option<PermitStock>,
     /// Calls from other callers by the last load report, bounded.
     other_open_calls: u32,
     load_reported_at: Option<Instant>,
@@ -118,6 +124,7 @@
             is_draining: false,
             left_incarnation: None,
             paused_until: None,
+            stock: None,
             other_open_calls: 0,
             load_reported_at: None,
             last_shed_at: None,
@@ -155,6 +162,7 @@
         self.listed_phase = None;
         self.is_draining = false;
         self.paused_until = None;
+        self.stock = None;
         self.load_reported_at = None;
         self.last_shed_at = None;
         self.unanswered_since = None;
@@ -196,7 +204,7 @@
     ///
     /// Replaces an earlier pause. After its end the target gets one call at a time at first.
     pub(crate) fn pause(&mut self, incarnation: u64, until: Instant) -> bool {
-        let is_listed = self.process.is_some_and(|process| process.incarnation == incarnation);
+        let is_listed = self.incarnation() == Some(incarnation);
         if is_listed {
             self.paused_until = Some(until);
             self.window.reset_size(1);
@@ -204,15 +212,17 @@
         is_listed
     }
 
-    /// Returns the end of the pause that the target asked for, if it is not over.
+    /// Returns the end of the pause that the target asked for, or until when its rate limit allows no call, if that is
+    /// not over.
     pub(crate) fn paused_until(&self, now: Instant) -> Option<Instant> {
-        self.paused_until.filter(|until| now < *until)
+        let closed_until = self.stock.as_ref().and_then(|stock| stock.closed_until(now));
+        self.paused_until.filter(|until| now < *until).max(closed_until)
     }
 
     /// Returns whether the listed process announced in a reply that it leaves.
     pub(crate) fn is_leaving(&self) -> bool {
-        let listed = self.process.map(|process| process.incarnation);
-        listed.is_some_and(|listed| self.left_incarnation.is_some_and(|left| listed <= left))
+        self.incarnation()
+            .is_some_and(|listed| self.left_incarnation.is_some_and(|left| listed <= left))
     }
 
     /// Returns whether the target serves: it may get new calls unless it asked for a pause.
@@ -223,11 +233,87 @@
             && self.window.has_connections()
     }
 
-    /// Returns whether the target may get a new call now.
+    /// Returns whether the target may get a new call now, or soon if a permit for it has to be waited for.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
         self.is_usable() && self.paused_until(now).is_none()
     }
 
+    /// Returns whether a call that was chosen for the target with this permit may leave now.
+    pub(crate) fn may_send(
+        &self,
+        permit: Option<&CallPermit>,
+        now: Instant,
+        wall: SystemTime,
+    ) -> bool {
+        let is_paused = self.paused_until.is_some_and(|until| now < until);
+        let is_permitted =
+            self.stock.is_none() || permit.is_some_and(|permit| permit.is_valid(now, wall));
+        self.is_usable() && !is_paused && is_permitted
+    }
+
+    /// Returns whether a call may be sent now: the window has room, and a rate limit allows it.
+    pub(crate) fn has_room(&self, now: Instant) -> bool {
+        self.window.has_capacity() && !self.lacks_permit(now)
+    }
+
+    /// Returns whether only a permit is missing for a call now.
+    pub(crate) fn lacks_permit(&self, now: Instant) -> bool {
+        self.stock.as_ref().is_some_and(|stock| !stock.has_usable(now))
+    }
+
+    /// Returns whether a call lacks a permit, and none are asked for or known to be exhausted.
+    pub(crate) fn may_ask_for_permits(&self, now: Instant) -> bool {
+        self.stock.as_ref().is_some_and(|stock| stock.is_unasked(now))
+    }
+
+    /// Takes a permit for a call that leaves now, if the target has a rate limit; returns whether it may leave.
+    pub(crate) fn take_valid_permit(&mut self, now: Instant, wall: SystemTime) -> bool {
+        self.stock.as_mut().is_none_or(|stock| stock.take_valid(now, wall))
+    }
+
+    /// Returns whether the listed process named a rate limit.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.stock.is_some()
+    }
+
+    /// Returns the rate limit and the number of permits in stock.
+    pub(crate) fn limit(&self, now: Instant) -> Option<(RequestRate, usize)> {
+        self.stock.as_ref().map(|stock| (stock.rate, stock.len(now)))
+    }
+
+    /// Sets the rate limit of a process, or its end, if it is the listed one. Permits of the earlier rate stay valid.
+    pub(crate) fn set_limit(&mut self, incarnation: u64, rate: Option<RequestRate>) {
+        if self.incarnation() != Some(incarnation) {
+            return;
+        }
+        match (rate, &mut self.stock) {
+            (None, stock) => *stock = None,
+            (Some(rate), Some(stock)) => stock.rate = rate,
+            (Some(rate), stock) => *stock = Some(PermitStock::new(rate)),
+        }
+    }
+
+    /// Returns the permits for calls, if the listed process is this one and named a rate limit.
+    pub(crate) fn stock_of(&mut self, incarnation: u64) -> Option<&mut PermitStock> {
+        let is_listed = self.incarnation() == Some(incarnation);
+        self.stock.as_mut().filter(|_| is_listed)
+    }
+
+    /// Takes a permit for a call; `None` if the target has no rate limit.
+    pub(crate) fn take_permit(&mut self, now: Instant) -> Option<CallPermit> {
+        self.stock.as_mut().and_then(|stock| stock.take(now))
+    }
+
+    /// Records that `calls` lack a permit; returns whether permits have to be asked for.
+    pub(crate) fn want_permits(&mut self, calls: u32, now: Instant) -> bool {
+        self.stock.as_mut().is_some_and(|stock| stock.want(calls, now))
+    }
+
+    /// Returns the start of the listed process.
+    pub(crate) fn incarnation(&self) -> Option<u64> {
+        self.process.map(|process| process.incarnation)
+    }
+
     /// Returns whether the target has lapsed and is used only as a last resort.
     pub(crate) fn is_lapsed(&self) -> bool {
         self.listed_phase == Some(TargetPhase::Lapsed)
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::FailureDomainId;
+use crate::PermitRequest;
 use crate::ProviderId;
 use crate::ServiceId;
 use crate::TargetId;
@@ -26,6 +27,8 @@
     by_id: HashMap<TargetId, TargetIndex>,
     by_service: HashMap<(ServiceId, ProviderId), Vec<TargetIndex>>,
     free_indices: Vec<TargetIndex>,
+    /// Targets for which permits have to be asked for.
+    lacking_permits: Vec<TargetIndex>,
     generation: u64,
 }
 
@@ -41,6 +44,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             free_indices: Vec::new(),
+            lacking_permits: Vec::new(),
             generation: 0,
         }
     }
@@ -111,6 +115,28 @@
         index
     }
 
+    /// Records that `calls` to a target lack a permit.
+    pub(crate) fn want_permits(&mut self, index: TargetIndex, calls: u32, now: Instant) {
+        if self.state_mut(index).want_permits(calls, now) {
+            self.lacking_permits.push(index);
+        }
+    }
+
+    /// Returns the permits to ask for.
+    pub(crate) fn take_permit_requests(&mut self) -> Vec<PermitRequest> {
+        let mut requests = Vec::new();
+        for index in std::mem::take(&mut self.lacking_permits) {
+            let state = self.state_mut(index);
+            let Some(incarnation) = state.incarnation() else { continue };
+            let wanted = state.stock_of(incarnation).map_or(0, |stock| stock.start_request());
+            if wanted > 0 {
+                let target = state.target.clone();
+                requests.push(PermitRequest { target, incarnation, wanted });
+            }
+        }
+        requests
+    }
+
     /// Applies the platform's full target list.
     pub(crate) fn apply_specs(&mut self, specs: &[TargetSpec], now: Instant) {
         self.generation += 1;
--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -1,5 +1,7 @@
 //! Targets that drain, misreport their load, fail or disappear, and executor slots.
 
+use std::time::SystemTime;
+
 use oleanderwind_policy::ExecutorOutcome;
 use oleanderwind_policy::FanoutAction;
 use oleanderwind_policy::FanoutEngine;
@@ -148,12 +150,12 @@
         fleet.submit(1, plan);
         let call = fleet.waiting_call().unwrap();
         let target = call.target.clone();
-        assert!(fleet.engine.may_send(call.call, fleet.now));
+        assert!(fleet.engine.may_send(call.call, fleet.now, SystemTime::now()));
         match is_pause {
             true => drop(fleet.engine.pause_target(&target, 0, ms(2_000), fleet.now)),
             false => drop(fleet.engine.mark_leaving(&target, 0, fleet.now)),
         }
-        assert!(!fleet.engine.may_send(call.call, fleet.now));
+        assert!(!fleet.engine.may_send(call.call, fleet.now, SystemTime::now()));
         fleet.withdraw(call.call);
         fleet.advance(ms(150));
         assert_eq!(fleet.target(&target).received, 0);
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -35,7 +35,7 @@
 }
 
 /// Status of the routes on the responding VM.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct RoutingStatus {
     /// Configuration version in effect; 0 before the first one is received.
     pub version: u64,
@@ -50,7 +50,7 @@
 }
 
 /// Status of a target as seen by the responding VM.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct TargetStatus {
     /// Id of the target.
     pub target: TargetId,
@@ -72,6 +72,12 @@
     /// Rest of the pause that the target asked for, in milliseconds.
     #[serde(default)]
     pub paused_ms: u64,
+    /// Requests per second that the target takes from all VMs, if it named a rate limit.
+    #[serde(default)]
+    pub limit_per_second: Option<f64>,
+    /// Permits that the VM has for calls to a target with a rate limit.
+    #[serde(default)]
+    pub permits: usize,
     /// Extra calls left in the budget of the target's service.
     pub extra_calls_left: u64,
 }
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use oleanderwind_policy as policy;
 use oleanderwind_policy::FindingList;
@@ -13,6 +14,7 @@
 use super::DrainRecord;
 use super::ExchangeMessage;
 use super::FetchObjectsReply;
+use super::LimitRecord;
 use super::MemberPhase;
 use super::MemberRecord;
 use super::TargetEnd;
@@ -108,6 +110,7 @@
             drains: Vec::new(),
             work_digest: 0,
             works: Vec::new(),
+            limits: Vec::new(),
             revision: message.summary.highest_revision,
             complete_revision: message.summary.complete_revision,
             configuration_digest: message.summary.digest,
@@ -193,6 +196,48 @@
     }
 }
 
+impl LimitRecord {
+    /// Encodes a record at `now`.
+    pub fn encode(record: &policy::LimitRecord, now: Instant) -> LimitRecord {
+        let age = now.saturating_duration_since(record.observed_at);
+        LimitRecord {
+            target: record.target.to_string(),
+            incarnation: record.incarnation,
+            requests_per_second: record.rate.map_or(0.0, policy::RequestRate::per_second),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Decodes a record that arrived at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target is missing or the rate is not one.
+    pub fn decode(&self, now: Instant) -> Result<policy::LimitRecord, FindingList> {
+        let mut findings = FindingList::default();
+        if self.target.is_empty() {
+            findings.add("target", "is empty; name the target");
+        }
+        let rate = match self.requests_per_second {
+            0.0 => None,
+            per_second => match policy::RequestRate::try_from(per_second) {
+                Ok(rate) => Some(rate),
+                Err(error) => {
+                    findings.add("requests_per_second", error.to_string());
+                    None
+                }
+            },
+        };
+        let age = Duration::from_millis(self.age_ms);
+        findings.into_result(policy::LimitRecord {
+            target: self.target.as_str().into(),
+            incarnation: self.incarnation,
+            rate,
+            observed_at: now.checked_sub(age).unwrap_or(now),
+        })
+    }
+}
+
 impl From<policy::TrialDecision> for TrialDecision {
     fn from(decision: policy::TrialDecision) -> TrialDecision {
         match decision {
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -86,6 +86,46 @@
     /// Records that may be new to the receiver.
     #[prost(message, repeated, tag = "8")]
     pub works: ::prost::alloc::vec::Vec<WorkRecord>,
+    /// Changes of targets' rate limits that may be new to the receiver.
+    #[prost(message, repeated, tag = "9")]
+    pub limits: ::prost::alloc::vec::Vec<LimitRecord>,
+}
+/// What is known of the rate limit of one process of a target.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitRecord {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Requests per second that the target takes from all VMs; 0 if its limit has ended.
+    #[prost(double, tag = "3")]
+    pub requests_per_second: f64,
+    /// Time since the call left whose answer said so, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitRequest {
+    /// What the caller knows of the limit.
+    #[prost(message, optional, tag = "1")]
+    pub record: ::core::option::Option<LimitRecord>,
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+    /// Whether a VM that does not hold the limit passes the request on.
+    #[prost(bool, tag = "3")]
+    pub is_relayed: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitReply {
+    /// Time until each permit becomes usable, in microseconds.
+    #[prost(uint32, repeated, tag = "1")]
+    pub delays_us: ::prost::alloc::vec::Vec<u32>,
+    /// Time after which it is worth asking again, in microseconds; 0 if all wanted permits were issued.
+    #[prost(uint32, tag = "2")]
+    pub retry_after_us: u32,
+    /// What the holder knows of the limit.
+    #[prost(message, optional, tag = "3")]
+    pub record: ::core::option::Option<LimitRecord>,
 }
 /// Process of a target that ended while it ran some work.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -528,6 +568,28 @@
                 .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Trial"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks for permits for calls to a target with a rate limit.
+        pub async fn permit(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PermitRequest>,
+        ) -> std::result::Result<tonic::Response<super::PermitReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/oleanderwind.peer.v1.Peer/Permit",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Permit"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Forwards a caller's request once to a VM that has connections to the service.
         pub async fn forward(
             &mut self,
@@ -602,6 +664,11 @@
             &self,
             request: tonic::Request<super::TrialRequest>,
         ) -> std::result::Result<tonic::Response<super::TrialReply>, tonic::Status>;
+        /// Asks for permits for calls to a target with a rate limit.
+        async fn permit(
+            &self,
+            request: tonic::Request<super::PermitRequest>,
+        ) -> std::result::Result<tonic::Response<super::PermitReply>, tonic::Status>;
         /// Forwards a caller's request once to a VM that has connections to the service.
         async fn forward(
             &self,
@@ -943,6 +1010,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/oleanderwind.peer.v1.Peer/Permit" => {
+                    #[allow(non_camel_case_types)]
+                    struct PermitSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::PermitRequest>
+                    for PermitSvc<T> {
+                        type Response = super::PermitReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PermitRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::permit(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PermitSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/oleanderwind.peer.v1.Peer/Forward" => {
                     #[allow(non_camel_case_types)]
                     struct ForwardSvc<T: Peer>(pub Arc<T>);
