fix(policy,daemon): serve by a peer while no target is reached

Cause: nothing told a cut of a VM's own links from faults of targets, and such a VM had no other way to serve.

Now several targets that are silent under more than one work, none replying, mean a cut. Requests go on to a peer's listener for callers as they are, with the time and the attempts that are left, one hop; the VM leaves itself out of address answers, tries one request at a time once a target accepts a connection, and forgets the failures of targets when one replies.

--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -120,6 +120,9 @@
         target: &TargetId,
     ) -> Vec<(HeaderName, HeaderValue)>;
 
+    /// Returns the header that tells another VM the remaining time.
+    fn remaining_header(&self, remaining: Duration) -> (HeaderName, HeaderValue);
+
     /// Parses the metadata of a target's reply.
     fn parse_reply_metadata(&self, status: StatusCode, headers: &HeaderMap) -> ReplyMetadata;
 
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -134,7 +134,9 @@
                     request.clone(),
                 );
                 let task = actix_rt::spawn(sending);
-                self.forward_tasks.borrow_mut().insert(id, ForwardTask { task, witness });
+                self.forward_tasks
+                    .borrow_mut()
+                    .insert(id, ForwardTask { task, witness, begun_at: Instant::now() });
             }
         }
     }
@@ -142,8 +144,9 @@
     /// Cancels a call: closes a forwarded call's connection, or asks the target to drop a search.
     fn cancel(self: &Rc<Self>, call: CallId, target: TargetId) {
         let forward = self.forward_tasks.borrow_mut().remove(&call);
-        if let Some(ForwardTask { task, witness }) = forward {
+        if let Some(ForwardTask { task, witness, begun_at }) = forward {
             task.abort();
+            self.record_cancelled_call(&witness, begun_at);
             return self.examine_cancelled(witness);
         }
         let targets = self.targets.clone();
@@ -221,6 +224,7 @@
         return fanout.handle(quarantined(call.call_id, false, retry_after));
     }
     let target = witness.target.clone();
+    let begun_at = Instant::now();
     fanout.mark_sent(call.call_id);
     let may_send = || fanout.may_send(call.call_id) && fanout.may_leave(&witness);
     let outcome = fanout.targets.search(&target, &call, deadline, may_send).await;
@@ -233,6 +237,9 @@
         }
         CallOutcome::Refused(_) | CallOutcome::NotSent | CallOutcome::Withdrawn => {}
     }
+    if matches!(outcome, CallOutcome::NotSent | CallOutcome::Failed) {
+        fanout.record_silence(&witness, begun_at);
+    }
     if is_draining(&outcome) {
         // Targets of searches have no incarnation.
         fanout.peers.handle_target_drain(&target, 0);
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -74,8 +74,17 @@
     let mut end = CallEnd::default();
     let event = match sent.await {
         ForwardOutcome::Withdrawn => FanoutEvent::Withdrawn { call: call.call },
-        ForwardOutcome::Unsent => FanoutEvent::Unsent { call: call.call },
+        ForwardOutcome::Unsent => {
+            fanout.record_silence(&witness, sent_at);
+            FanoutEvent::Unsent { call: call.call }
+        }
         ForwardOutcome::Failed(failure) => {
+            if matches!(failure, CallFailure::Closed | CallFailure::TimedOut) {
+                fanout.record_silence(&witness, sent_at);
+            }
+            if failure == CallFailure::Closed {
+                fanout.mark_broken_call(call.query);
+            }
             end.failure = Some(failure);
             match fanout.examine_failure(&witness, failure).await {
                 Some(retry_after) => quarantined(call.call, true, retry_after),
--- a/crates/daemon/src/fanout/mod.rs
+++ b/crates/daemon/src/fanout/mod.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod payload;
 mod quarantine;
+mod reach;
 mod service;
 mod work;
 
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -20,12 +20,15 @@
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::QueryId;
+use oleanderwind_policy::ReachState;
+use oleanderwind_policy::ReachTracker;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
 use oleanderwind_policy::WorkFingerprint;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::directory::DirectoryService;
 use crate::edge::CallerProtocol;
@@ -59,12 +62,15 @@
     pub(crate) work: Rc<QueryWork>,
     pub(crate) payload: QueryPayload,
     pub(crate) reply: oneshot::Sender<FanoutReply>,
+    /// Whether a connection broke under one of its calls, which may be due to its work.
+    pub(crate) has_broken_call: bool,
 }
 
 /// A forwarded call in flight. Aborting the task cancels the call.
 pub(crate) struct ForwardTask {
     pub(crate) task: JoinHandle<()>,
     pub(crate) witness: Rc<CallWitness>,
+    pub(crate) begun_at: Instant,
 }
 
 /// The fan-out engine, with the requests, answers and tasks of its queries and calls.
@@ -87,6 +93,11 @@
     pub(crate) hash_seed: u64,
     /// Processes of targets that named a rate limit which is not a rate.
     pub(crate) unreadable_limits: RefCell<HashSet<(TargetId, u64)>>,
+    pub(crate) reach_tracker: RefCell<ReachTracker>,
+    pub(crate) reach: watch::Sender<ReachState>,
+    pub(crate) cut_off_at: Cell<Option<Instant>>,
+    /// Whether a request may be tried while this VM is cut off.
+    pub(crate) is_reach_trial_due: Cell<bool>,
     pub(crate) metrics: Rc<MetricsService>,
     settings: LiveSettings,
     next_query: Cell<QueryId>,
@@ -116,6 +127,10 @@
             trial_ends: Notify::new(),
             hash_seed: rand::random(),
             unreadable_limits: RefCell::default(),
+            reach_tracker: RefCell::default(),
+            reach: watch::Sender::default(),
+            cut_off_at: Cell::default(),
+            is_reach_trial_due: Cell::default(),
             metrics: kernel.metrics()?,
             settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
@@ -137,16 +152,30 @@
         work: Rc<QueryWork>,
         payload: QueryPayload,
     ) -> Option<FanoutReply> {
+        self.begin(plan, work, payload).wait().await
+    }
+
+    /// Starts a query. Dropping the result abandons it.
+    pub(crate) fn begin(
+        self: &Rc<Self>,
+        plan: FanoutPlan,
+        work: Rc<QueryWork>,
+        payload: QueryPayload,
+    ) -> QueryRun {
         let query = self.next_query.get();
         self.next_query.set(query + 1);
         let (sender, receiver) = oneshot::channel();
-        let running = RunningQuery { plan: plan.clone(), work, payload, reply: sender };
+        let running = RunningQuery {
+            plan: plan.clone(),
+            work,
+            payload,
+            reply: sender,
+            has_broken_call: false,
+        };
         self.queries.borrow_mut().insert(query, running);
         let guard = AbandonGuard { fanout: self.clone(), query };
         self.submit(query, plan);
-        let reply = receiver.await.ok();
-        drop(guard);
-        reply
+        QueryRun { receiver, guard }
     }
 
     /// Passes the targets to the engine, with this VM's shares of their connections and of the
@@ -167,6 +196,13 @@
         self.timer_changes.notify_one();
     }
 
+    /// Records that a connection broke under a call of the query.
+    pub(crate) fn mark_broken_call(&self, query: QueryId) {
+        if let Some(running) = self.queries.borrow_mut().get_mut(&query) {
+            running.has_broken_call = true;
+        }
+    }
+
     /// Records that a call leaves this VM now.
     pub(crate) fn mark_sent(&self, call: CallId) {
         self.engine.borrow_mut().mark_sent(call, Instant::now());
@@ -262,6 +298,30 @@
     }
 }
 
+/// A query that was started. It is abandoned if it is dropped while it is still running.
+pub(crate) struct QueryRun {
+    receiver: oneshot::Receiver<FanoutReply>,
+    guard: AbandonGuard,
+}
+
+impl QueryRun {
+    /// Waits until the query ends; returns `None` if it ends without a result. Must not be called again then.
+    pub(crate) async fn wait(&mut self) -> Option<FanoutReply> {
+        (&mut self.receiver).await.ok()
+    }
+
+    /// Returns whether a connection broke under one of its calls. Its work may have ended targets then.
+    pub(crate) fn has_broken_call(&self) -> bool {
+        let queries = self.guard.fanout.queries.borrow();
+        queries.get(&self.guard.query).is_some_and(|running| running.has_broken_call)
+    }
+
+    /// Returns the most targets of one shard that may have run the query so far.
+    pub(crate) fn attempts(&self) -> u8 {
+        self.guard.fanout.engine.borrow().attempts_used(self.guard.query)
+    }
+}
+
 /// Abandons its query if it is dropped while the query is still running.
 struct AbandonGuard {
     fanout: Rc<FanoutService>,
@@ -311,6 +371,7 @@
     let fanout = Rc::downgrade(fanout);
     Rc::new(move |target, incarnation, status, headers| {
         let Some(fanout) = fanout.upgrade() else { return };
+        fanout.record_reply();
         let Some(dialect) = &fanout.dialect else { return };
         let notice = dialect.parse_target_notice(status, headers);
         fanout.handle_target_notice(target, incarnation, notice);
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -56,6 +56,8 @@
     target_notices: Counter<u64>,
     quarantine_steps: Counter<u64>,
     limited_calls: Counter<u64>,
+    reach_changes: Counter<u64>,
+    relays: Counter<u64>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
 }
@@ -84,6 +86,8 @@
             route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
             route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
             target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
+            reach_changes: meter.u64_counter("oleanderwind_reach_changes").build(),
+            relays: meter.u64_counter("oleanderwind_relays").build(),
             limited_calls: meter.u64_counter("oleanderwind_limited_calls").build(),
             quarantine_steps: meter.u64_counter("oleanderwind_quarantine_steps").build(),
             latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
@@ -150,6 +154,16 @@
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records that this VM was cut off from all targets, or reaches them again.
+    pub(crate) fn record_reach(&self, state: &'static str) {
+        self.reach_changes.add(1, &[KeyValue::new("state", state)]);
+    }
+
+    /// Records a request that was passed on to a peer: `replied`, `not_run` or `no_reply`.
+    pub(crate) fn record_relay(&self, outcome: &'static str) {
+        self.relays.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records a step of a call to a target with a rate limit: `asked` and `permitted` count permits, `refused` the
     /// requests for permits without any, `answered` the answers that named a limit.
     pub(crate) fn record_limited_calls(&self, step: &'static str, calls: u64) {
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -22,6 +22,7 @@
 use oleanderwind_policy::NewsTracker;
 use oleanderwind_policy::PermitIssuer;
 use oleanderwind_policy::QuarantineEngine;
+use oleanderwind_policy::ReachState;
 use oleanderwind_policy::ReadinessGate;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -174,6 +175,17 @@
         self.announce(MemberPhase::Leaving);
     }
 
+    /// Announces whether callers should use this VM: it reaches targets or not.
+    pub(crate) fn announce_reach(self: &Rc<Self>, state: ReachState) {
+        if !self.directory.is_configured() || self.directory.is_leaving() {
+            return;
+        }
+        self.announce(match state {
+            ReachState::Reaching => MemberPhase::Serving,
+            ReachState::CutOff => MemberPhase::Leaving,
+        });
+    }
+
     /// Announces that this VM has stopped, then ends all tasks.
     pub(crate) async fn drain(self: &Rc<Self>) {
         self.announce(MemberPhase::Left);
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -20,6 +20,7 @@
 use oleanderwind_wire::peer::BorrowReply;
 use oleanderwind_wire::peer::BorrowRequest;
 use oleanderwind_wire::peer::DemandRecord;
+use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
 use crate::peers::metrics::contact_label;
@@ -168,6 +169,25 @@
         members.filter(|(_, member_state)| *member_state == MemberState::Serving).count()
     }
 
+    /// Chooses a serving VM other than `excluded` that a request may be passed on to, with its address for callers.
+    ///
+    /// VMs are chosen at random by their processor limit, so that the requests of many VMs spread.
+    pub(crate) fn choose_relay(&self, excluded: &[VmId]) -> Option<(VmId, SocketAddr)> {
+        let state = self.state.borrow();
+        let members = state.membership.table().iter();
+        let candidates: Vec<&MemberRecord> = members
+            .filter(|(record, member_state)| {
+                *member_state == MemberState::Serving
+                    && record.incarnation > 0
+                    && !excluded.contains(&record.vm)
+            })
+            .map(|(record, _)| record)
+            .collect();
+        let weight = |record: &&MemberRecord| record.processor_millicores.max(1);
+        let chosen = candidates.choose_weighted(&mut rand::rng(), weight).ok()?;
+        Some((chosen.vm.clone(), chosen.caller_address))
+    }
+
     /// Returns how many VMs that may send calls this one reaches, itself included.
     pub(crate) fn fleet_reach(&self) -> FleetReach {
         let state = self.state.borrow();
--- a/crates/daemon/src/routes/answer.rs
+++ b/crates/daemon/src/routes/answer.rs
@@ -74,7 +74,8 @@
     with_headers(HttpReply::raw(StatusCode::OK, merge_records(&bodies, record_limit)), &headers)
 }
 
-fn with_headers(mut reply: HttpReply, headers: &HeaderMap) -> HttpReply {
+/// Adds headers to a reply.
+pub(crate) fn with_headers(mut reply: HttpReply, headers: &HeaderMap) -> HttpReply {
     for (name, value) in headers {
         reply.add_header(name.as_str().as_bytes(), value.as_bytes());
     }
--- a/crates/daemon/src/routes/mod.rs
+++ b/crates/daemon/src/routes/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod manifests;
+mod relay;
 mod service;
 mod view;
 
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -22,8 +22,10 @@
 use oleanderwind_policy::ClassPriority;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::OperationKind;
+use oleanderwind_policy::ReachState;
 use oleanderwind_policy::RouteContract;
 use oleanderwind_policy::RouteDestination;
+use oleanderwind_policy::RunState;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::WeightedRoundRobin;
 use oleanderwind_wire::UnansweredRequest;
@@ -45,6 +47,10 @@
 use crate::routes::answer::refusal;
 use crate::routes::answer::route_reply;
 use crate::routes::manifests::ManifestCache;
+use crate::routes::relay::RELAYED;
+use crate::routes::relay::RelayPool;
+use crate::routes::relay::RelayTerms;
+use crate::routes::relay::read_relayed_attempts;
 use crate::routes::view::UnansweredLog;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
@@ -55,6 +61,8 @@
 const UNCONFIGURED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum open caller connections. The smallest VM has 3,900 file descriptors for sockets.
 const MAX_CALLER_CONNECTIONS: usize = 2_000;
+/// Time for which a request is tried on the targets while this VM seems to be cut off, before a peer serves it.
+const REACH_TRIAL_TIME: Duration = Duration::from_millis(100);
 /// Part of the drain time reserved for sending the final replies.
 const FINAL_REPLY_TIME: Duration = Duration::from_millis(200);
 /// Customer id under which the queries of all routes run.
@@ -66,12 +74,13 @@
 pub(crate) struct RouteService {
     settings: DaemonSettings,
     live: LiveSettings,
-    dialect: Rc<dyn CallerProtocol>,
+    pub(crate) dialect: Rc<dyn CallerProtocol>,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
     pub(crate) unanswered: UnansweredLog,
-    peers: Rc<PeerService>,
-    metrics: Rc<MetricsService>,
+    pub(crate) peers: Rc<PeerService>,
+    pub(crate) metrics: Rc<MetricsService>,
+    pub(crate) relays: RelayPool,
     manifests: ManifestCache,
     round_robins: RefCell<HashMap<Arc<str>, WeightedRoundRobin>>,
     listeners: RefCell<Vec<HttpListener>>,
@@ -98,6 +107,7 @@
             peers: kernel.peers()?,
             metrics: kernel.metrics()?,
             unanswered: UnansweredLog::default(),
+            relays: RelayPool::default(),
             manifests: ManifestCache::new(directory.clone()),
             directory,
             round_robins: RefCell::new(HashMap::new()),
@@ -189,8 +199,10 @@
         self.peers.can_serve() && self.directory.routes().is_some()
     }
 
-    async fn serve_request(&self, request: OpaqueRequest) -> HttpReply {
+    async fn serve_request(&self, mut request: OpaqueRequest) -> HttpReply {
         let arrived = Instant::now();
+        let relayed = request.headers.remove(RELAYED);
+        let relayed_attempts = relayed.map(|value| read_relayed_attempts(&value));
         let request = Rc::new(request);
         let routes = self.directory.routes().filter(|_| self.peers.can_serve());
         let Some(routes) = routes else {
@@ -217,7 +229,7 @@
             self.record_refused_request(&request, "body_too_long");
             return HttpReply::empty(StatusCode::PAYLOAD_TOO_LARGE).closing();
         }
-        self.run(&routes, &route, request, arrived).await
+        self.run(&routes, &route, request, arrived, relayed_attempts).await
     }
 
     fn record_refused_request(&self, request: &OpaqueRequest, reason: &'static str) {
@@ -234,15 +246,57 @@
         route: &Arc<RouteContract>,
         request: Rc<OpaqueRequest>,
         arrived: Instant,
+        relayed_attempts: Option<u8>,
     ) -> HttpReply {
         let work = QueryWork::of_request(request.clone());
         if let Some(retry_after) = self.fanout.blocked_time(&work) {
             return self.refuse_blocked(route, &request, &work, retry_after);
         }
-        let plan = self.plan(routes, route, &request, arrived);
+        let is_idempotent = route.operation == OperationKind::Search;
+        let is_relayed = relayed_attempts.is_some();
+        let is_trial = self.fanout.is_cut_off()
+            && is_idempotent
+            && !is_relayed
+            && self.fanout.take_reach_trial();
+        let mut plan = self.plan(routes, route, &request, arrived);
+        let attempt_limit = &mut plan.attempt_policy.attempt_limit;
+        *attempt_limit = relayed_attempts.map_or(*attempt_limit, |most| most.min(*attempt_limit));
+        let relayed = RelayTerms {
+            deadline: plan.deadline,
+            attempts_left: *attempt_limit,
+            may_have_run: false,
+        };
+        if self.fanout.is_cut_off() && !is_trial {
+            return match is_relayed {
+                true => self.refuse_relayed(&request, false),
+                false => self.serve_by_peer(route, &request, relayed).await,
+            };
+        }
+        let mut run = self.fanout.begin(plan, work, QueryPayload::forward(request.clone()));
         let mut stop_signal = self.is_stopping.subscribe();
+        let mut reach = self.fanout.subscribe_reach();
+        let cut_off = async {
+            if is_trial {
+                tokio::time::sleep(REACH_TRIAL_TIME).await;
+            }
+            if reach.wait_for(|state| *state == ReachState::CutOff).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
         let reply = tokio::select! {
-            reply = self.fanout.run(plan, work, QueryPayload::forward(request.clone())) => reply,
+            reply = run.wait() => reply,
+            () = cut_off, if is_idempotent => {
+                let attempts = run.attempts();
+                let may_be_deadly = run.has_broken_call();
+                drop(run);
+                if may_be_deadly {
+                    return self.unserved_reply(&request, &relayed.after(attempts.max(1)));
+                }
+                return match is_relayed {
+                    true => self.refuse_relayed(&request, attempts > 0),
+                    false => self.serve_by_peer(route, &request, relayed.after(attempts)).await,
+                };
+            }
             _ = stop_signal.wait_for(|is_stopping| *is_stopping) => {
                 log::warn!(
                     request = request.id.as_str(),
@@ -258,6 +312,12 @@
             log::error!(request = request.id.as_str(); "request ended without a result");
             return HttpReply::empty(StatusCode::BAD_GATEWAY);
         };
+        if self.fanout.is_cut_off() && result.ran == RunState::No {
+            return match is_relayed {
+                true => self.refuse_relayed(&request, false),
+                false => self.serve_by_peer(route, &request, relayed).await,
+            };
+        }
         let (replies, failure) = match payload {
             QueryPayload::Forward { replies, failure, .. } => (replies, failure),
             QueryPayload::Search { .. } => (Vec::new(), None),
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -292,6 +292,11 @@
         })
     }
 
+    /// Returns the addresses of all listed targets.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.pools.borrow().values().map(|entry| entry.pool.address()).collect()
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn close_idle(&self, target: &TargetId) {
         if let Some(pool) = self.pool(target) {
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -11,6 +11,7 @@
 use crate::FanoutEvent;
 use crate::FanoutResult;
 use crate::PermitRequest;
+use crate::QueryId;
 use crate::RefusalCause;
 use crate::RequestRate;
 use crate::TargetId;
@@ -79,6 +80,13 @@
         })
     }
 
+    /// Returns the most calls for one shard of a running query that a target may have run; 0 if it has ended.
+    pub fn attempts_used(&self, query: QueryId) -> u8 {
+        let running = self.queries.get(&query);
+        let shards = running.map_or(&[][..], |running| &running.shards[..]);
+        shards.iter().map(|shard| shard.attempts).max().unwrap_or(0)
+    }
+
     /// Returns whether the call's target is the last one of its shard that seems to live, of several that are listed.
     pub fn is_last_live_replica(&self, call: CallId, now: Instant) -> bool {
         let Some(open) = self.calls.get(&call) else { return false };
@@ -92,6 +100,15 @@
         replicas.len() > 1 && !others.any(lives)
     }
 
+    /// Forgets the failures of all targets, as the cause was not theirs.
+    pub fn forget_failures(&mut self, now: Instant) {
+        self.current_time = Some(now);
+        for index in self.targets.indices() {
+            self.targets.state_mut(index).forget_failures();
+            self.schedule_queue_service(index);
+        }
+    }
+
     /// Sets the rate limit that a process of a target named, or its end if `rate` is `None`.
     ///
     /// From then on a call to it needs a permit.
--- /dev/null
+++ b/crates/policy/src/reach/mod.rs
@@ -0,0 +1,6 @@
+//! Whether this VM reaches the targets, from the calls that it makes.
+
+mod tracker;
+
+pub use tracker::ReachState;
+pub use tracker::ReachTracker;
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -376,6 +376,13 @@
         }
     }
 
+    /// Forgets failures and their effect on the window.
+    pub(crate) fn forget_failures(&mut self) {
+        self.backoff = FailureBackoff::default();
+        self.unanswered_since = None;
+        self.window.reset_size(self.window.slots());
+    }
+
     /// Records a call that failed without a response.
     pub(crate) fn record_failure(&mut self, now: Instant) {
         self.backoff.record_connection_failure(now);
