fix(daemon): take only a reply of a target for a proof that the links to targets live

Cause: a silent host counted as an end of the target if a peer or the platform was heard since. These are other links.

Now another target has to have replied since the call was sent.

--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -19,6 +19,7 @@
 use crate::fanout::FanoutService;
 use crate::fanout::QueryWork;
 use crate::peers::TrialAnswer;
+use crate::targets::EndSign;
 use crate::targets::TargetProcess;
 use crate::time::milliseconds;
 
@@ -326,10 +327,10 @@
             process,
             end,
         };
-        let hears_others = || self.peers.has_contact_since(sent_at);
         let patience = if is_trial { TRIAL_ENDING_TIME } else { ENDING_TIME };
         let targets = &self.targets;
-        if targets.has_ended(&witness.target, process, sent_at, patience, hears_others).await {
+        let sign = targets.end_sign(&witness.target, process, patience).await;
+        if self.proves_end(sign, sent_at) {
             self.record_end(&evidence);
         } else {
             permit.iter().for_each(|permit| permit.is_unclear.set(true));
@@ -338,6 +339,19 @@
         is_trial.then(|| self.blocked_time(&witness.work).unwrap_or(SUSPECT_RETRY_DELAY))
     }
 
+    /// Returns whether a sign that a target ended under a call sent at `sent_at` proves it.
+    ///
+    /// A silent host proves it only if another target has replied since, as this VM's own links may be cut.
+    fn proves_end(&self, sign: Option<EndSign>, sent_at: Instant) -> bool {
+        match sign {
+            Some(EndSign::Succeeded | EndSign::Refused) => true,
+            Some(EndSign::Silent) => {
+                self.reach_tracker.borrow().blames_target(sent_at) == Some(true)
+            }
+            None => false,
+        }
+    }
+
     /// Records that a target ended under a call, unless the call's work was answered recently.
     fn record_end(&self, evidence: &EndEvidence) {
         let EndEvidence { work, service, target, process, end, .. } = evidence;
@@ -390,11 +404,10 @@
     while Instant::now() < end {
         tokio::time::sleep(interval).await;
         interval *= 2;
-        let hears_others = || fanout.peers.has_contact_since(sent_at);
         let has_ended = match target_end.in_trial {
             true => {
-                let patience = TRIAL_ENDING_TIME;
-                targets.has_ended(target, *process, sent_at, patience, hears_others).await
+                let sign = targets.end_sign(target, *process, TRIAL_ENDING_TIME).await;
+                fanout.proves_end(sign, sent_at)
             }
             false => targets.has_successor(target, *process),
         };
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -91,11 +91,6 @@
         self.state.borrow().contact.state(Instant::now())
     }
 
-    /// Returns whether this VM has heard of the platform or of a peer since `at`.
-    pub(crate) fn has_contact_since(&self, at: Instant) -> bool {
-        self.state.borrow().contact.last_contact() > at
-    }
-
     /// Returns whether requests may be served.
     pub(crate) fn can_serve(&self) -> bool {
         self.directory.is_configured() && self.contact_state() != ContactState::Isolated
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -72,8 +72,6 @@
     reply_observer: RefCell<Option<ReplyObserver>>,
     /// Time at which the idle connections were last probed.
     last_probe_at: Cell<Option<Instant>>,
-    /// Time of the last reply of any target.
-    last_reply_at: Cell<Option<Instant>>,
 }
 
 /// A process of a target.
@@ -83,6 +81,17 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Sign that a process of a target has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndSign {
+    /// A later one is listed.
+    Succeeded,
+    /// Nobody listens at its address.
+    Refused,
+    /// Its host does not answer.
+    Silent,
+}
+
 /// Pool of one incarnation of a target.
 struct IncarnationPool {
     incarnation: u64,
@@ -97,7 +106,6 @@
             memory: Rc::new(ReplyMemory::new(REPLY_MEMORY_BYTES)),
             reply_observer: RefCell::default(),
             last_probe_at: Cell::default(),
-            last_reply_at: Cell::default(),
         }
     }
 }
@@ -261,7 +269,6 @@
         let sent_at = Instant::now();
         match timeout(time_until(deadline), connection.client().send(request)).await {
             Ok(Ok(reply)) if is_own_reply(&reply) => {
-                self.last_reply_at.set(Some(Instant::now()));
                 connection.release();
                 ForwardOutcome::Replied(reply)
             }
@@ -309,34 +316,29 @@
         self.process(target).is_some_and(|listed| listed.incarnation > process.incarnation)
     }
 
-    /// Returns whether a process has ended that gave no reply to a call sent at `sent_at`.
-    ///
-    /// It has if a later one is listed, if nobody listens at its address, or if its host is silent while this
-    /// VM is not cut off: `hears_others`, or another target has replied since.
-    pub(crate) async fn has_ended(
+    /// Returns a sign that a process has ended which gave no reply to a call, if there is one.
+    pub(crate) async fn end_sign(
         &self,
         target: &TargetId,
         process: TargetProcess,
-        sent_at: Instant,
         patience: Duration,
-        hears_others: impl Fn() -> bool,
-    ) -> bool {
+    ) -> Option<EndSign> {
         if self.has_successor(target, process) {
-            return true;
+            return Some(EndSign::Succeeded);
         }
         for _ in 0..MAX_CONNECT_PROBES {
             match timeout(CONNECT_PROBE_TIMEOUT, TcpStream::connect(process.address)).await {
-                Ok(Ok(stream)) if stays_open(&stream, patience).await => return false,
+                Ok(Ok(stream)) if stays_open(&stream, patience).await => return None,
                 // A process that is ending may close its connections before its listener.
                 Ok(Ok(_)) => {}
-                Ok(Err(error)) => return error.kind() == io::ErrorKind::ConnectionRefused,
-                Err(_) => {
-                    let hears_target = self.last_reply_at.get().is_some_and(|at| at > sent_at);
-                    return hears_target || hears_others();
+                Ok(Err(error)) => {
+                    let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                    return is_refused.then_some(EndSign::Refused);
                 }
+                Err(_) => return Some(EndSign::Silent),
             }
         }
-        false
+        None
     }
 
     /// Sends a cancel request for a call, if a connection is available immediately.
@@ -361,12 +363,7 @@
     ) -> Option<(PooledConnection, Result<ClientReply, ClientError>)> {
         let sent_at = Instant::now();
         match timeout(max_wait, &mut exchange).await {
-            Ok(reply) => {
-                if reply.is_ok() {
-                    self.last_reply_at.set(Some(Instant::now()));
-                }
-                Some((connection, reply))
-            }
+            Ok(reply) => Some((connection, reply)),
             Err(_) => {
                 connection.release_after_reply(exchange);
                 self.probe_idle(sent_at);
