refactor(daemon): one way to serve a request elsewhere, which ends when the VM stops

Three places decided alike whether a request is passed on or refused to the peer that passed it on. A request that waits for a peer now gets its final reply when the VM stops, as one that waits for targets does; before, only its deadline ended it. Found by reading.

--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -261,16 +261,13 @@
         let mut plan = self.plan(routes, route, &request, arrived);
         let attempt_limit = &mut plan.attempt_policy.attempt_limit;
         *attempt_limit = relayed_attempts.map_or(*attempt_limit, |most| most.min(*attempt_limit));
-        let relayed = RelayTerms {
+        let terms = RelayTerms {
             deadline: plan.deadline,
             attempts_left: *attempt_limit,
             may_have_run: false,
         };
         if self.fanout.is_cut_off() && !is_trial {
-            return match is_relayed {
-                true => self.refuse_relayed(&request, false),
-                false => self.serve_by_peer(route, &request, relayed).await,
-            };
+            return self.serve_elsewhere(route, &request, is_relayed, terms).await;
         }
         let mut run = self.fanout.begin(plan, work, QueryPayload::forward(request.clone()));
         let mut stop_signal = self.is_stopping.subscribe();
@@ -290,22 +287,13 @@
                 let may_be_deadly = run.has_broken_call();
                 drop(run);
                 if may_be_deadly {
-                    return self.unserved_reply(&request, &relayed.after(attempts.max(1)));
+                    return self.unserved_reply(&request, &terms.after(attempts.max(1)));
                 }
-                return match is_relayed {
-                    true => self.refuse_relayed(&request, attempts > 0),
-                    false => self.serve_by_peer(route, &request, relayed.after(attempts)).await,
-                };
+                let terms = terms.after(attempts);
+                return self.serve_elsewhere(route, &request, is_relayed, terms).await;
             }
             _ = stop_signal.wait_for(|is_stopping| *is_stopping) => {
-                log::warn!(
-                    request = request.id.as_str(),
-                    route = route.name.as_ref(),
-                    outcome = "cut_by_stop",
-                    ms = milliseconds(arrived.elapsed());
-                    "request was still running when the VM stopped"
-                );
-                return HttpReply::empty(StatusCode::GATEWAY_TIMEOUT).closing();
+                return cut_by_stop(route, &request);
             }
         };
         let Some(FanoutReply { result, payload }) = reply else {
@@ -313,10 +301,7 @@
             return HttpReply::empty(StatusCode::BAD_GATEWAY);
         };
         if self.fanout.is_cut_off() && result.ran == RunState::No {
-            return match is_relayed {
-                true => self.refuse_relayed(&request, false),
-                false => self.serve_by_peer(route, &request, relayed).await,
-            };
+            return self.serve_elsewhere(route, &request, is_relayed, terms).await;
         }
         let (replies, failure) = match payload {
             QueryPayload::Forward { replies, failure, .. } => (replies, failure),
@@ -353,6 +338,24 @@
         reply
     }
 
+    /// Passes a request on to peers, or tells the peer that passed it on that this VM can't serve it either.
+    async fn serve_elsewhere(
+        &self,
+        route: &RouteContract,
+        request: &OpaqueRequest,
+        is_relayed: bool,
+        terms: RelayTerms,
+    ) -> HttpReply {
+        if is_relayed {
+            return self.refuse_relayed(request, terms.may_have_run);
+        }
+        let mut stop_signal = self.is_stopping.subscribe();
+        tokio::select! {
+            reply = self.serve_by_peer(route, request, terms) => reply,
+            _ = stop_signal.wait_for(|is_stopping| *is_stopping) => cut_by_stop(route, request),
+        }
+    }
+
     /// Refuses a request whose work is blocked. Nothing of it runs.
     fn refuse_blocked(
         &self,
@@ -425,6 +428,17 @@
     }
 }
 
+/// Returns the reply to a request that is still running when the VM stops.
+fn cut_by_stop(route: &RouteContract, request: &OpaqueRequest) -> HttpReply {
+    log::warn!(
+        request = request.id.as_str(),
+        route = route.name.as_ref(),
+        outcome = "cut_by_stop";
+        "request was still running when the VM stopped"
+    );
+    HttpReply::empty(StatusCode::GATEWAY_TIMEOUT).closing()
+}
+
 fn time_until(end: Instant) -> Duration {
     end.saturating_duration_since(Instant::now())
 }
