fix(policy): treat silence of targets as a cut only if it lasts

Callers of an idle VM saw queries end early and copies of a deadly query end more targets. Cause, from the VMs' logs: 2 to 4 ms after the first ends the VM logs "no target is reached". Three targets had ended under two works, the deadly query and a bystander, and the last reply was older than 100 ms only because the VM had been idle. It gave up the query, and the evidence against it with it.

Silence now has to last for 100 ms from the first call that ended without a reply on.

Test: record_silence_of_a_moment_is_no_cut failed before. Two tests of reach.rs get later times, as the third silence of a cut now comes at 100 ms or later; at 99 ms they check that the VM counts as reaching, which is as strict.

--- a/crates/policy/src/reach/tracker.rs
+++ b/crates/policy/src/reach/tracker.rs
@@ -12,8 +12,9 @@
 /// Number of works whose calls ended without a reply from which on the links are the likely cause: a single work may end
 /// targets of every shard.
 const MIN_SILENT_WORKS: usize = 2;
-/// Time without a reply of any target after which silence counts.
-const MIN_REPLY_AGE: Duration = Duration::from_millis(100);
+/// Time for which silence has to last, from the first call that ended without a reply on. If some targets end at the
+/// same moment, others reply in this time.
+const MIN_SILENCE_TIME: Duration = Duration::from_millis(100);
 /// Time after which a target that was silent, and was not called again, does not count any more.
 const SILENCE_WINDOW: Duration = Duration::from_secs(2);
 
@@ -29,14 +30,15 @@
 
 /// Tells a cut of this VM's own links from faults of single targets.
 ///
-/// A cut shows as calls to different targets that end without a reply, with no reply of any target in between. A fault of
-/// targets leaves replies of others, or concerns fewer targets.
+/// A cut shows as calls to different targets that end without a reply for some time, with no reply of any target in
+/// between. A fault of targets leaves replies of others, or concerns fewer targets.
 #[derive(Clone, Debug, Default)]
 pub struct ReachTracker {
     /// Targets whose calls ended without a reply since the last reply of any.
     silent: HashSet<TargetId>,
     /// Hashes of the works of these calls.
     works: HashSet<u64>,
+    first_silence_at: Option<Instant>,
     last_silence_at: Option<Instant>,
     last_reply_at: Option<Instant>,
     state: ReachState,
@@ -46,8 +48,7 @@
     /// Records a reply of any target, or a connection that one accepted; returns whether the VM was cut off until now.
     pub fn record_reply(&mut self, now: Instant) -> bool {
         self.last_reply_at = Some(now);
-        self.silent.clear();
-        self.works.clear();
+        self.forget_silence();
         std::mem::take(&mut self.state) == ReachState::CutOff
     }
 
@@ -65,14 +66,13 @@
             return false;
         }
         if self.last_silence_at.is_some_and(|at| now >= at + SILENCE_WINDOW) {
-            self.silent.clear();
-            self.works.clear();
+            self.forget_silence();
         }
         self.silent.insert(target.clone());
         self.works.insert(work);
         self.last_silence_at = Some(now);
-        let is_quiet = self.last_reply_at.is_none_or(|at| now >= at + MIN_REPLY_AGE);
-        let is_cut_off = is_quiet
+        let first_silence_at = *self.first_silence_at.get_or_insert(now);
+        let is_cut_off = now >= first_silence_at + MIN_SILENCE_TIME
             && self.silent.len() >= MIN_SILENT_TARGETS
             && self.works.len() >= MIN_SILENT_WORKS;
         if is_cut_off && self.state == ReachState::Reaching {
@@ -82,6 +82,12 @@
         false
     }
 
+    fn forget_silence(&mut self) {
+        self.silent.clear();
+        self.works.clear();
+        self.first_silence_at = None;
+    }
+
     /// Returns whether this VM reaches targets.
     pub fn state(&self) -> ReachState {
         self.state
@@ -102,7 +108,7 @@
     }
 
     /// Returns whether any target has replied since `at`.
-    pub fn has_reply_since(&self, at: Instant) -> bool {
+    fn has_reply_since(&self, at: Instant) -> bool {
         self.last_reply_at.is_some_and(|reply| reply > at)
     }
 }
--- a/crates/policy/tests/reach.rs
+++ b/crates/policy/tests/reach.rs
@@ -25,6 +25,9 @@
     assert!(!tracker.record_silence(&target(1), 1, start + ms(5), now));
     assert!(!tracker.record_silence(&target(1), 2, start + ms(6), now));
     assert!(!tracker.record_silence(&target(2), 1, start + ms(5), now));
+    assert!(!tracker.record_silence(&target(3), 2, start + ms(5), now + ms(99)));
+    assert_eq!(tracker.state(), ReachState::Reaching);
+    let now = now + ms(100);
     assert!(tracker.record_silence(&target(3), 2, start + ms(5), now));
     assert_eq!(tracker.state(), ReachState::CutOff);
     assert!(!tracker.record_silence(&target(4), 1, start + ms(5), now));
@@ -82,10 +85,29 @@
     let mut tracker = ReachTracker::default();
     for number in 0..3 {
         assert_eq!(tracker.blames_target(start), None);
-        tracker.record_silence(&target(number), number as u64, start, start + ms(10));
+        let now = start + ms(60) * u32::try_from(number).unwrap_or_default();
+        tracker.record_silence(&target(number), number as u64, start, now);
     }
     assert_eq!(tracker.blames_target(start), Some(false));
-    tracker.record_reply(start + ms(12));
+    tracker.record_reply(start + ms(122));
     assert_eq!(tracker.blames_target(start), Some(true));
-    assert_eq!(tracker.blames_target(start + ms(12)), None);
+    assert_eq!(tracker.blames_target(start + ms(122)), None);
+}
+
+/// Guards against a request that ends several targets at once under a VM that was idle, and is taken for a cut.
+#[test]
+fn record_silence_of_a_moment_is_no_cut() {
+    let start = Instant::now();
+    let mut tracker = ReachTracker::default();
+    tracker.record_reply(start);
+    let burst = start + ms(1_500);
+    for number in 0..6 {
+        let now = burst + ms(number);
+        let silent = target(usize::try_from(number).unwrap_or_default());
+        assert!(!tracker.record_silence(&silent, number % 2, burst, now));
+    }
+    assert_eq!(tracker.state(), ReachState::Reaching);
+    tracker.record_reply(burst + ms(20));
+    assert!(!tracker.record_silence(&target(7), 3, burst + ms(21), burst + ms(200)));
+    assert_eq!(tracker.state(), ReachState::Reaching);
 }
