refactor(daemon,policy): one way to build a message that is sent on, to relay a reply, and to list the VMs that decide

A request whose path is not a valid URI is logged when it is passed on to a peer, as on the way to a target. ContactTracker::last_contact had no caller.

--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -7,8 +7,11 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use http::Request;
 use http::StatusCode;
+use http::Uri;
 use http::header;
+use http_body_util::Full;
 use oleanderwind_http::HttpCall;
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FailureDomainId;
@@ -75,6 +78,22 @@
             &self.body,
         ]
     }
+
+    /// Returns the request as it is sent on, with no headers but those to forward; `None` if its path is not a valid URI.
+    pub(crate) fn message(&self) -> Option<Request<Full<Bytes>>> {
+        let uri: Uri = match self.path_and_query.parse() {
+            Ok(uri) => uri,
+            Err(error) => {
+                log::error!(request = self.id.as_str(); "request path is not a valid URI: {error}");
+                return None;
+            }
+        };
+        let mut message = Request::new(Full::new(self.body.clone()));
+        *message.method_mut() = self.method.clone();
+        *message.uri_mut() = uri;
+        *message.headers_mut() = self.headers.clone();
+        Some(message)
+    }
 }
 
 /// Metadata of a target's reply.
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use http::Request;
-use http::Uri;
 use http_body_util::Full;
 use oleanderwind_http::ClientReply;
 use oleanderwind_policy::CallId;
@@ -175,17 +174,7 @@
     call: &ForwardCall,
     request: &OpaqueRequest,
 ) -> Option<Request<Full<bytes::Bytes>>> {
-    let uri: Uri = match request.path_and_query.parse() {
-        Ok(uri) => uri,
-        Err(error) => {
-            log::error!(request = request.id.as_str(); "request path is not a valid URI: {error}");
-            return None;
-        }
-    };
-    let mut message = Request::new(Full::new(request.body.clone()));
-    *message.method_mut() = request.method.clone();
-    *message.uri_mut() = uri;
-    *message.headers_mut() = request.headers.clone();
+    let mut message = request.message()?;
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     for (name, value) in dialect.call_headers(remaining, &call.target) {
         message.headers_mut().insert(name, value);
--- a/crates/daemon/src/peers/limits.rs
+++ b/crates/daemon/src/peers/limits.rs
@@ -7,7 +7,6 @@
 use oleanderwind_policy as policy;
 use oleanderwind_policy::LimitChange;
 use oleanderwind_policy::LimitRecord;
-use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::PermitGrant;
 use oleanderwind_policy::TargetSpec;
@@ -175,14 +174,11 @@
 
     /// Returns the VM that issues the permits for a target, in this VM's view of the fleet.
     fn limit_holder(&self, record: &LimitRecord) -> VmId {
-        let state = self.state.borrow();
-        let own = state.membership.own();
-        let mut vms = state.membership.serving_vms();
-        if own.phase == MemberPhase::Serving || vms.is_empty() {
-            vms.push(own.vm.clone());
-        }
-        let own = own.vm.clone();
-        rank_limit_holders(&record.target, &vms).into_iter().next().unwrap_or(own)
+        let holders = rank_limit_holders(&record.target, &self.deciding_vms());
+        holders
+            .into_iter()
+            .next()
+            .unwrap_or_else(|| self.state.borrow().membership.own().vm.clone())
     }
 
     fn issue_permits(&self, record: &LimitRecord, wanted: u32) -> PermitGrant {
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use futures_util::future::select_ok;
-use oleanderwind_policy::MemberPhase;
 use oleanderwind_policy::MembershipEngine;
 use oleanderwind_policy::QuarantineEngine;
 use oleanderwind_policy::ServiceId;
@@ -305,13 +304,7 @@
 
     /// Returns the VMs that may permit trials of a service's work, in the order in which they are asked.
     fn arbiters(&self, service: &str) -> Vec<VmId> {
-        let state = self.state.borrow();
-        let own = state.membership.own();
-        let mut vms = state.membership.serving_vms();
-        if own.phase == MemberPhase::Serving || vms.is_empty() {
-            vms.push(own.vm.clone());
-        }
-        trial_arbiters(service, &vms)
+        trial_arbiters(service, &self.deciding_vms())
     }
 
     fn decide_trial(
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -47,6 +47,17 @@
         vms.iter().filter_map(address).collect()
     }
 
+    /// Returns the VMs that may decide for the fleet: those that serve, or this VM if it knows of none.
+    pub(crate) fn deciding_vms(&self) -> Vec<VmId> {
+        let state = self.state.borrow();
+        let own = state.membership.own();
+        let mut vms = state.membership.serving_vms();
+        if own.phase == MemberPhase::Serving || vms.is_empty() {
+            vms.push(own.vm.clone());
+        }
+        vms
+    }
+
     /// Returns the VM addresses that a caller in `failure_domain` should use, in no fixed order.
     pub(crate) fn select_addresses_for_caller(
         &self,
--- a/crates/daemon/src/routes/answer.rs
+++ b/crates/daemon/src/routes/answer.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
+use oleanderwind_http::ClientReply;
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::FinishReason;
@@ -44,21 +45,22 @@
         RouteDestination::Single(_) | RouteDestination::Weighted(_) => {
             match (replies.into_iter().next(), failure) {
                 (Some(signed), _) => {
-                    RouteReply { reply: relayed_reply(dialect, signed), outcome: "answered" }
-                }
-                (None, Some(signed)) => {
-                    RouteReply { reply: relayed_reply(dialect, signed), outcome: "target_failed" }
+                    RouteReply { reply: relayed_reply(dialect, signed.reply), outcome: "answered" }
                 }
+                (None, Some(signed)) => RouteReply {
+                    reply: relayed_reply(dialect, signed.reply),
+                    outcome: "target_failed",
+                },
                 (None, None) => unanswered_reply(result),
             }
         }
     }
 }
 
-/// Returns a target's reply with its body unchanged and the headers that the dialect relays.
-fn relayed_reply(dialect: &dyn CallerProtocol, signed: SignedReply) -> HttpReply {
-    let headers = dialect.answer_headers(&signed.reply.headers);
-    with_headers(HttpReply::raw(status(signed.reply.status), signed.reply.body), &headers)
+/// Returns the reply of a target or a peer with its body unchanged and the headers that the dialect relays.
+pub(crate) fn relayed_reply(dialect: &dyn CallerProtocol, reply: ClientReply) -> HttpReply {
+    let headers = dialect.answer_headers(&reply.headers);
+    with_headers(HttpReply::raw(status(reply.status), reply.body), &headers)
 }
 
 fn merged_reply(
@@ -75,7 +77,7 @@
 }
 
 /// Adds headers to a reply.
-pub(crate) fn with_headers(mut reply: HttpReply, headers: &HeaderMap) -> HttpReply {
+fn with_headers(mut reply: HttpReply, headers: &HeaderMap) -> HttpReply {
     for (name, value) in headers {
         reply.add_header(name.as_str().as_bytes(), value.as_bytes());
     }
--- a/crates/daemon/src/routes/relay.rs
+++ b/crates/daemon/src/routes/relay.rs
@@ -10,8 +10,6 @@
 use actix_http::StatusCode;
 use http::HeaderName;
 use http::HeaderValue;
-use http::Request;
-use http_body_util::Full;
 use oleanderwind_http::ClientContext;
 use oleanderwind_http::ClientError;
 use oleanderwind_http::ClientReply;
@@ -26,7 +24,7 @@
 
 use crate::edge::OpaqueRequest;
 use crate::routes::answer::refusal;
-use crate::routes::answer::with_headers;
+use crate::routes::answer::relayed_reply;
 use crate::routes::service::RouteService;
 use crate::time::milliseconds;
 
@@ -192,7 +190,9 @@
             );
             self.metrics.record_relay(end);
             match outcome {
-                RelayOutcome::Replied(reply) => return self.relayed_reply(reply),
+                RelayOutcome::Replied(reply) => {
+                    return relayed_reply(self.dialect.as_ref(), reply);
+                }
                 RelayOutcome::NotRun => {}
                 RelayOutcome::Unknown => terms = terms.after(attempts),
             }
@@ -225,11 +225,7 @@
         attempts: u8,
         is_idempotent: bool,
     ) -> RelayOutcome {
-        let Ok(uri) = request.path_and_query.parse() else { return RelayOutcome::NotRun };
-        let mut message = Request::new(Full::new(request.body.clone()));
-        *message.method_mut() = request.method.clone();
-        *message.uri_mut() = uri;
-        *message.headers_mut() = request.headers.clone();
+        let Some(mut message) = request.message() else { return RelayOutcome::NotRun };
         let (name, value) = self.dialect.remaining_header(left);
         message.headers_mut().insert(name, value);
         message.headers_mut().insert(RELAYED, HeaderValue::from(u16::from(attempts)));
@@ -252,13 +248,6 @@
         }
     }
 
-    fn relayed_reply(&self, reply: ClientReply) -> HttpReply {
-        let headers = self.dialect.answer_headers(&reply.headers);
-        let status = StatusCode::from_u16(reply.status.as_u16());
-        let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-        with_headers(HttpReply::raw(status, reply.body), &headers)
-    }
-
     /// Returns the final reply to a request that no VM can serve in time.
     pub(crate) fn unserved_reply(&self, request: &OpaqueRequest, terms: &RelayTerms) -> HttpReply {
         let RelayTerms { deadline, may_have_run, .. } = *terms;
--- a/crates/policy/src/objects/contact.rs
+++ b/crates/policy/src/objects/contact.rs
@@ -42,11 +42,6 @@
         self.last_contact = self.last_contact.max(now);
     }
 
-    /// Returns the time of the last contact.
-    pub fn last_contact(&self) -> Instant {
-        self.last_contact
-    }
-
     /// Returns the state of the contact at `now`.
     pub fn state(&self, now: Instant) -> ContactState {
         match now.saturating_duration_since(self.last_contact) {
