fix(http,daemon): look again where a probe of an ended target is reset while it connects

A target that ended under a request was treated as alive, the request was sent on at once, and a second target ended with it.

Cause: the listener of a process that ends may be closed between the handshake of the probe's connection and the accept. The probe then ends with "connection reset", not "connection refused", which counted as no sign. It is now treated as a connection that was accepted and closed again: the next probe is refused. Ruled out: a lost update among VMs, as the second call left before any record was sent, and hedges, as the first call had ended.

The probe moves to oleanderwind_http, where a test can close the listener at that moment.

--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +18,9 @@
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientReply;
 use oleanderwind_http::HeadObserver;
+use oleanderwind_http::ListenerState;
 use oleanderwind_http::ReplyMemory;
+use oleanderwind_http::probe_listener;
 use oleanderwind_policy::CallId;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
@@ -32,7 +33,6 @@
 use oleanderwind_wire::ShardCall;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::targets::CallFailure;
@@ -54,13 +54,6 @@
 /// Minimum interval between two probes of all idle connections.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time in which a host that is up accepts or refuses a connection.
-const CONNECT_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Number of connections that are accepted and closed at once, after which a process counts as alive: a target
-/// closes those beyond its limit.
-const MAX_CONNECT_PROBES: u32 = 3;
-
 /// Called with the head of each reply of a target, and the target's incarnation.
 pub(crate) type ReplyObserver = Rc<dyn Fn(&TargetId, u64, StatusCode, &HeaderMap)>;
 
@@ -326,19 +319,11 @@
         if self.has_successor(target, process) {
             return Some(EndSign::Succeeded);
         }
-        for _ in 0..MAX_CONNECT_PROBES {
-            match timeout(CONNECT_PROBE_TIMEOUT, TcpStream::connect(process.address)).await {
-                Ok(Ok(stream)) if stays_open(&stream, patience).await => return None,
-                // A process that is ending may close its connections before its listener.
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => {
-                    let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                    return is_refused.then_some(EndSign::Refused);
-                }
-                Err(_) => return Some(EndSign::Silent),
-            }
+        match probe_listener(process.address, patience).await {
+            ListenerState::Listening => None,
+            ListenerState::Refusing => Some(EndSign::Refused),
+            ListenerState::Silent => Some(EndSign::Silent),
         }
-        None
     }
 
     /// Sends a cancel request for a call, if a connection is available immediately.
@@ -429,8 +414,3 @@
 fn time_until(deadline: Instant) -> Duration {
     deadline.saturating_duration_since(Instant::now())
 }
-
-/// Returns whether a new connection is still open after `patience`.
-async fn stays_open(stream: &TcpStream, patience: Duration) -> bool {
-    timeout(patience, stream.readable()).await.is_err()
-}
