fix(daemon): notice targets whose listener outlives their connections

Cause: a broken call proves an end only if new connections are refused within 3 ms. After that only the next process in the store's list was looked for, and connections only after a trial.

A VM now waits up to 15 ms before it repeats such a call, and probes the process again 0.1 and 0.3 s later. A refused connection is no proof while this VM reaches no target, as those probes come late enough to meet a cut of its own.

Test: repeated_request_ends_at_most_three_targets_whose_listeners_close_last failed before.

--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -36,11 +36,11 @@
 const SILENT_CALL_TIME: Duration = Duration::from_millis(300);
 /// Time in which a process that closed a connection because it is ending closes its listener. It is waited for before
 /// the call is repeated.
-const ENDING_TIME: Duration = Duration::from_millis(3);
-/// The same after a trial.
-const TRIAL_ENDING_TIME: Duration = Duration::from_millis(15);
+const ENDING_TIME: Duration = Duration::from_millis(15);
 /// Time in which a process that is slow to end is gone, or the entry of one that was started at once is listed.
 const PROCESS_WATCH_TIME: Duration = Duration::from_secs(3);
+/// Time in which connections find out whether a process is gone, unless the call was a trial.
+const PROCESS_PROBE_TIME: Duration = Duration::from_millis(400);
 /// Time after which it is looked at first; doubled each time.
 const PROCESS_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -327,9 +327,7 @@
             process,
             end,
         };
-        let patience = if is_trial { TRIAL_ENDING_TIME } else { ENDING_TIME };
-        let targets = &self.targets;
-        let sign = targets.end_sign(&witness.target, process, patience).await;
+        let sign = self.targets.end_sign(&witness.target, process, ENDING_TIME).await;
         if self.proves_end(sign, sent_at) {
             self.record_end(&evidence);
         } else {
@@ -341,10 +339,12 @@
 
     /// Returns whether a sign that a target ended under a call sent at `sent_at` proves it.
     ///
-    /// A silent host proves it only if another target has replied since, as this VM's own links may be cut.
+    /// A silent host proves it only if another target has replied since, as this VM's own links may be cut, and a
+    /// refused connection only as long as targets are reached.
     fn proves_end(&self, sign: Option<EndSign>, sent_at: Instant) -> bool {
         match sign {
-            Some(EndSign::Succeeded | EndSign::Refused) => true,
+            Some(EndSign::Succeeded) => true,
+            Some(EndSign::Refused) => !self.is_cut_off(),
             Some(EndSign::Silent) => {
                 self.reach_tracker.borrow().blames_target(sent_at) == Some(true)
             }
@@ -395,18 +395,18 @@
 }
 
 /// Records the end of a process that seemed to live if it turns out soon: another one was started at its address
-/// at once, or it was slow to end. Only for a trial is it worth connections to find out the latter.
+/// at once, or it was slow to end.
 async fn watch_process(fanout: Rc<FanoutService>, evidence: EndEvidence, sent_at: Instant) {
     let targets = &fanout.targets;
     let EndEvidence { target, process, end: target_end, .. } = &evidence;
-    let end = Instant::now() + PROCESS_WATCH_TIME;
+    let begun_at = Instant::now();
     let mut interval = PROCESS_POLL_INTERVAL;
-    while Instant::now() < end {
+    while begun_at.elapsed() < PROCESS_WATCH_TIME {
         tokio::time::sleep(interval).await;
         interval *= 2;
-        let has_ended = match target_end.in_trial {
+        let has_ended = match target_end.in_trial || begun_at.elapsed() < PROCESS_PROBE_TIME {
             true => {
-                let sign = targets.end_sign(target, *process, TRIAL_ENDING_TIME).await;
+                let sign = targets.end_sign(target, *process, ENDING_TIME).await;
                 fanout.proves_end(sign, sent_at)
             }
             false => targets.has_successor(target, *process),
