fix(policy): keep a pause when the process that asked for it is listed only afterwards

Cause: while a restored copy of the store lists an earlier process of the target, its reply is attributed to that one; when the later process is listed, the pause is dropped with all that was observed of the earlier one.

The pause now stays if the later process has the same address and had started, by its entry, when the pause was asked for. A process that started after that has no pause, as before. Clocks that differ may keep a new process at rest until the end of the earlier one's pause.

--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -221,7 +221,9 @@
         }
         if let Some(pause) = notice.pause {
             let now = Instant::now();
-            let is_listed = self.engine.borrow_mut().pause_target(target, incarnation, pause, now);
+            let mut engine = self.engine.borrow_mut();
+            let is_listed = engine.pause_target(target, incarnation, pause, now, SystemTime::now());
+            drop(engine);
             if is_listed {
                 log::info!(
                     target = target.as_ref(),
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -55,17 +55,19 @@
     /// Records that a process of a target asked for no calls for `pause`, which replaces an earlier
     /// pause; returns whether it is the listed process.
     ///
-    /// Calls that wait for the target are sent to others or given up.
+    /// Calls that wait for the target are sent to others or given up. `wall` is the time now on the wall clock: the pause
+    /// stays if a process is listed later at the same address that had started by then.
     pub fn pause_target(
         &mut self,
         target: &TargetId,
         incarnation: u64,
         pause: Duration,
         now: Instant,
+        wall: SystemTime,
     ) -> bool {
         self.current_time = Some(now);
         let Some(index) = self.targets.index_of(target) else { return false };
-        let is_listed = self.targets.state_mut(index).pause(incarnation, now + pause);
+        let is_listed = self.targets.state_mut(index).pause(incarnation, now + pause, wall);
         self.schedule_queue_service(index);
         is_listed
     }
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -91,8 +91,10 @@
     is_draining: bool,
     /// Newest incarnation that announced in a reply that it leaves.
     left_incarnation: Option<u64>,
-    /// End of the pause that the process asked for.
+    /// End of the pause that a process asked for.
     paused_until: Option<Instant>,
+    /// When the process asked for it.
+    pause_asked_at: SystemTime,
     /// Permits for calls; `None` if the process named no rate limit.
     stock: Option<PermitStock>,
     /// Calls from other callers by the last load report, bounded.
@@ -124,6 +126,7 @@
             is_draining: false,
             left_incarnation: None,
             paused_until: None,
+            pause_asked_at: SystemTime::UNIX_EPOCH,
             stock: None,
             other_open_calls: 0,
             load_reported_at: None,
@@ -136,14 +139,19 @@
     /// Applies the platform's entry for the target.
     pub(crate) fn apply_spec(&mut self, spec: &TargetSpec) {
         let process = TargetProcess { incarnation: spec.incarnation, address: spec.address };
-        if self.process.replace(process).is_some_and(|before| before != process) {
+        let mut slots = spec.slots;
+        if let Some(before) = self.process.replace(process).filter(|before| *before != process) {
             self.reset_observations();
+            match self.paused_until.is_some() && self.was_paused_by(process, before) {
+                true => slots = 1,
+                false => self.paused_until = None,
+            }
             // An entry of an earlier process than the one that left is outdated.
             self.left_incarnation =
                 self.left_incarnation.filter(|left| process.incarnation < *left);
         }
         if self.listed_phase.is_none() {
-            self.window.reset_size(spec.slots);
+            self.window.reset_size(slots);
         }
         self.window.set_limits(spec.slots, spec.connection_limit);
         // The platform's listing may lag behind the target's own notice of draining. The target
@@ -155,13 +163,18 @@
         self.unlisted_at = None;
     }
 
-    /// Discards the observations of an earlier process; its open calls stay counted.
+    /// Returns whether the pause may be that of a process that is listed only now: it ran already at the address.
+    fn was_paused_by(&self, process: TargetProcess, before: TargetProcess) -> bool {
+        let started_at = SystemTime::UNIX_EPOCH + Duration::from_millis(process.incarnation);
+        process.address == before.address && started_at <= self.pause_asked_at
+    }
+
+    /// Discards the observations of an earlier process but for a pause; its open calls stay counted.
     fn reset_observations(&mut self) {
         self.latency = LatencyEwma::default();
         self.backoff = FailureBackoff::default();
         self.listed_phase = None;
         self.is_draining = false;
-        self.paused_until = None;
         self.stock = None;
         self.load_reported_at = None;
         self.last_shed_at = None;
@@ -202,11 +215,13 @@
     /// Records that a process asked for no calls until `until`; returns whether it is the listed
     /// one.
     ///
-    /// Replaces an earlier pause. After its end the target gets one call at a time at first.
-    pub(crate) fn pause(&mut self, incarnation: u64, until: Instant) -> bool {
+    /// Replaces an earlier pause. After its end the target gets one call at a time at first. `wall` is the time now on
+    /// the wall clock, which tells whether a process that is listed later is the one that asked.
+    pub(crate) fn pause(&mut self, incarnation: u64, until: Instant, wall: SystemTime) -> bool {
         let is_listed = self.incarnation() == Some(incarnation);
         if is_listed {
             self.paused_until = Some(until);
+            self.pause_asked_at = wall;
             self.window.reset_size(1);
         }
         is_listed
