--- a/crates/policy/src/quarantine/arbiter.rs
+++ b/crates/policy/src/quarantine/arbiter.rs
@@ -8,7 +8,7 @@
 use crate::TargetId;
 use crate::VmId;
 use crate::WorkFingerprint;
-use crate::subset::rendezvous_weight;
+use crate::subset::rank_by_weight;
 
 /// Time after a trial ended a target in which work that has done so gets no further one, so that the service keeps
 /// most of its targets. Targets are back after some seconds.
@@ -123,7 +123,5 @@
 /// });
 /// ```
 pub fn trial_arbiters(service: &str, vms: &[VmId]) -> Vec<VmId> {
-    let mut arbiters = vms.to_vec();
-    arbiters.sort_by_key(|vm| std::cmp::Reverse(rendezvous_weight(&["trials", service], vm)));
-    arbiters
+    rank_by_weight(&["trials", service], vms)
 }
--- a/crates/policy/src/subset/mod.rs
+++ b/crates/policy/src/subset/mod.rs
@@ -20,4 +20,5 @@
 pub use holders::holders_by_service;
 pub use holders::service_holders;
 pub use rendezvous::SubsetCandidate;
+pub(crate) use rendezvous::rank_by_weight;
 pub use rendezvous::rendezvous_weight;
--- a/crates/policy/src/subset/rendezvous.rs
+++ b/crates/policy/src/subset/rendezvous.rs
@@ -20,6 +20,15 @@
     seeded_weight(rendezvous_seed(parts), vm)
 }
 
+/// Returns the VMs by their weight for the key made of `parts`, the highest first.
+///
+/// VMs with the same view of the fleet rank alike, and a VM that leaves changes nothing in the order of the others.
+pub(crate) fn rank_by_weight(parts: &[&str], vms: &[VmId]) -> Vec<VmId> {
+    let mut ranked = vms.to_vec();
+    ranked.sort_by_key(|vm| std::cmp::Reverse(rendezvous_weight(parts, vm)));
+    ranked
+}
+
 /// Returns the seed for [`seeded_weight`] of the key made of `parts`.
 pub(crate) fn rendezvous_seed(parts: &[&str]) -> u64 {
     // The hash of each part seeds the next one, so that similar keys get unrelated weights.
