refactor(policy,daemon): ask the table whether a limit is in force, merge without copies

The daemon held the question twice, with two words. A record is copied when it is stored, not for each answer of a target. One constant bounds the permits asked for and those issued at once. Behaviour is unchanged; a test asks for the limit of the process too, in place of the target's.

--- a/crates/daemon/src/fanout/limits.rs
+++ b/crates/daemon/src/fanout/limits.rs
@@ -39,7 +39,7 @@
         }
         let record =
             LimitRecord { target: target.clone(), incarnation, rate, observed_at: sent_at };
-        let change = self.peers.observe_limit(record.clone());
+        let change = self.peers.observe_limit(&record);
         self.apply_limit(&record, change, "answer");
     }
 
--- a/crates/daemon/src/peers/limits.rs
+++ b/crates/daemon/src/peers/limits.rs
@@ -26,8 +26,6 @@
 const UNREACHABLE_TIME: Duration = Duration::from_millis(250);
 /// Minimum time between two probes of holders that do not answer.
 const HOLDER_PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of permits issued at once.
-const MAX_WANTED: u32 = 64;
 
 /// Answer to a VM that asks for permits.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,7 +39,7 @@
 /// What VMs tell each other.
 impl PeerService {
     /// Merges what an answer of a target said of its limit, and notifies peers of a change; returns what changed.
-    pub(crate) fn observe_limit(self: &Rc<Self>, record: LimitRecord) -> LimitChange {
+    pub(crate) fn observe_limit(self: &Rc<Self>, record: &LimitRecord) -> LimitChange {
         let change = self.state.borrow_mut().limits.merge(record, Instant::now());
         if change != LimitChange::Unchanged {
             self.notify(MembershipEngine::NOTIFY_FANOUT);
@@ -52,12 +50,8 @@
     /// Returns the limits in force of the listed processes.
     pub(crate) fn limits_of(&self, specs: &[TargetSpec]) -> Vec<LimitRecord> {
         let state = self.state.borrow();
-        let record = |spec: &TargetSpec| {
-            let record = state.limits.record(&spec.target)?;
-            (record.incarnation == spec.incarnation && record.rate.is_some())
-                .then(|| record.clone())
-        };
-        specs.iter().filter_map(record).collect()
+        let limit = |spec: &TargetSpec| state.limits.limit_in_force(&spec.target, spec.incarnation);
+        specs.iter().filter_map(limit).cloned().collect()
     }
 
     /// Adds recent changes to a heartbeat.
@@ -93,7 +87,7 @@
 
     /// Merges a record from a peer; returns whether it changes something.
     fn merge_limit(&self, record: LimitRecord) -> bool {
-        let change = self.state.borrow_mut().limits.merge(record.clone(), Instant::now());
+        let change = self.state.borrow_mut().limits.merge(&record, Instant::now());
         if change == LimitChange::Unchanged {
             return false;
         }
@@ -129,7 +123,7 @@
         reply: oneshot::Sender<PermitReply>,
     ) {
         let Some(record) = self.decode_permit_request(&request) else { return };
-        let wanted = request.wanted.min(MAX_WANTED);
+        let wanted = request.wanted.min(policy::PermitRequest::MAX_WANTED);
         let holder = self.limit_holder(&record);
         if holder == self.settings.vm {
             let grant = self.issue_permits(&record, wanted);
@@ -164,12 +158,10 @@
         Some(known.unwrap_or(record))
     }
 
-    /// Returns what is known of the limit of a request's process, if it is in force.
+    /// Returns the limit of a request's process, if it is in force.
     fn limit_in_force(&self, request: &policy::PermitRequest) -> Option<LimitRecord> {
         let state = self.state.borrow();
-        let record = state.limits.record(&request.target)?;
-        let is_in_force = record.rate.is_some() && record.incarnation == request.incarnation;
-        is_in_force.then(|| record.clone())
+        state.limits.limit_in_force(&request.target, request.incarnation).cloned()
     }
 
     /// Returns the VM that issues the permits for a target, in this VM's view of the fleet.
--- a/crates/policy/src/limit/permit.rs
+++ b/crates/policy/src/limit/permit.rs
@@ -66,6 +66,11 @@
     pub wanted: u32,
 }
 
+impl PermitRequest {
+    /// Maximum number of permits wanted at once.
+    pub const MAX_WANTED: u32 = 64;
+}
+
 /// Answer of a holder to a VM that asks for permits.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PermitGrant {
--- a/crates/policy/src/limit/permit_stock.rs
+++ b/crates/policy/src/limit/permit_stock.rs
@@ -5,11 +5,9 @@
 use std::time::SystemTime;
 
 use crate::CallPermit;
+use crate::PermitRequest;
 use crate::RequestRate;
 
-/// Maximum number of permits asked for at once.
-const MAX_WANTED: u32 = 64;
-
 /// The permits of one VM for one target, and what it knows of further ones.
 #[derive(Debug)]
 pub(crate) struct PermitStock {
@@ -54,25 +52,27 @@
         self.permits.pop_front_if(|permit| permit.usable_from() <= now)
     }
 
+    fn is_closed(&self, now: Instant) -> bool {
+        self.closed_until.is_some_and(|until| now < until)
+    }
+
     /// Returns until when there are no permits, if there are none in stock.
     pub(crate) fn closed_until(&self, now: Instant) -> Option<Instant> {
-        let until = self.closed_until.filter(|until| now < *until)?;
-        (self.len(now) == 0).then_some(until)
+        self.closed_until.filter(|_| self.is_closed(now) && self.len(now) == 0)
     }
 
     /// Records that `calls` lack a permit; returns whether permits have to be asked for.
     pub(crate) fn want(&mut self, calls: u32, now: Instant) -> bool {
-        if self.closed_until.is_some_and(|until| now < until) {
+        if self.is_closed(now) {
             return false;
         }
-        self.wanted = self.wanted.saturating_add(calls).min(MAX_WANTED);
+        self.wanted = self.wanted.saturating_add(calls).min(PermitRequest::MAX_WANTED);
         !self.is_asked
     }
 
     /// Returns whether there are no permits, and none are asked for or known to be exhausted.
     pub(crate) fn is_unasked(&self, now: Instant) -> bool {
-        let is_closed = self.closed_until.is_some_and(|until| now < until);
-        self.len(now) == 0 && !self.is_asked && !is_closed
+        self.len(now) == 0 && !self.is_asked && !self.is_closed(now)
     }
 
     /// Takes a permit for a call that leaves now; it must be valid by both clocks.
--- a/crates/policy/src/limit/table.rs
+++ b/crates/policy/src/limit/table.rs
@@ -65,13 +65,14 @@
 
 impl LimitTable {
     /// Merges a record, and returns its effect.
-    pub fn merge(&mut self, record: LimitRecord, now: Instant) -> LimitChange {
+    pub fn merge(&mut self, record: &LimitRecord, now: Instant) -> LimitChange {
         let held = self.entries.get_mut(&record.target);
         let Some(entry) = held else {
             if record.rate.is_none() {
                 return LimitChange::Unchanged;
             }
-            self.entries.insert(record.target.clone(), LimitEntry { record, changed_at: now });
+            let entry = LimitEntry { record: record.clone(), changed_at: now };
+            self.entries.insert(record.target.clone(), entry);
             self.evict_oldest(now);
             return LimitChange::Named;
         };
@@ -86,7 +87,7 @@
             (Some(_), None) => LimitChange::Ended,
             (None, None) => LimitChange::Unchanged,
         };
-        entry.record = record;
+        entry.record = record.clone();
         if change != LimitChange::Unchanged {
             entry.changed_at = now;
         }
@@ -98,9 +99,10 @@
         self.entries.get(target).map(|entry| &entry.record)
     }
 
-    /// Returns whether a limit of the target is known that has not ended.
-    pub fn is_limited(&self, target: &TargetId) -> bool {
-        self.record(target).is_some_and(|record| record.rate.is_some())
+    /// Returns the limit of a process of a target, if one is known that has not ended.
+    pub fn limit_in_force(&self, target: &TargetId, incarnation: u64) -> Option<&LimitRecord> {
+        self.record(target)
+            .filter(|record| record.rate.is_some() && record.incarnation == incarnation)
     }
 
     /// Returns the changes for the next heartbeat, newest first.
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -58,15 +58,15 @@
 fn merge_keeps_the_word_of_the_latest_call_and_process() {
     let now = Instant::now();
     let mut table = LimitTable::default();
-    assert_eq!(table.merge(record(1, None, now), now), LimitChange::Unchanged);
-    assert_eq!(table.merge(record(1, Some(5.0), now + ms(10)), now), LimitChange::Named);
-    assert_eq!(table.merge(record(1, None, now + ms(5)), now), LimitChange::Unchanged);
-    assert_eq!(table.merge(record(1, Some(6.0), now + ms(20)), now), LimitChange::Changed);
-    assert_eq!(table.merge(record(1, None, now + ms(30)), now), LimitChange::Ended);
-    assert_eq!(table.merge(record(1, Some(6.0), now + ms(25)), now), LimitChange::Unchanged);
-    assert_eq!(table.merge(record(2, Some(2.0), now), now), LimitChange::Named);
-    assert_eq!(table.merge(record(1, None, now + ms(90)), now), LimitChange::Unchanged);
-    assert!(table.is_limited(&"t".into()));
+    assert_eq!(table.merge(&record(1, None, now), now), LimitChange::Unchanged);
+    assert_eq!(table.merge(&record(1, Some(5.0), now + ms(10)), now), LimitChange::Named);
+    assert_eq!(table.merge(&record(1, None, now + ms(5)), now), LimitChange::Unchanged);
+    assert_eq!(table.merge(&record(1, Some(6.0), now + ms(20)), now), LimitChange::Changed);
+    assert_eq!(table.merge(&record(1, None, now + ms(30)), now), LimitChange::Ended);
+    assert_eq!(table.merge(&record(1, Some(6.0), now + ms(25)), now), LimitChange::Unchanged);
+    assert_eq!(table.merge(&record(2, Some(2.0), now), now), LimitChange::Named);
+    assert_eq!(table.merge(&record(1, None, now + ms(90)), now), LimitChange::Unchanged);
+    assert!(table.limit_in_force(&"t".into(), 2).is_some());
 }
 
 #[test]
--- a/crates/policy/tests/limits/fleet.rs
+++ b/crates/policy/tests/limits/fleet.rs
@@ -293,7 +293,7 @@
         let known = peer.map(|peer| self.vms[peer].limits.limits_in_force()).unwrap_or_default();
         for record in known {
             vm.engine.set_limit(&record.target, record.incarnation, record.rate, self.now);
-            vm.limits.merge(record, self.now);
+            vm.limits.merge(&record, self.now);
         }
         self.vms[number] = vm;
     }
@@ -517,7 +517,7 @@
     fn merge(&mut self, vm: usize, record: LimitRecord) -> bool {
         let (now, _) = self.clocks(vm);
         let state = &mut self.vms[vm];
-        let change = state.limits.merge(record.clone(), now);
+        let change = state.limits.merge(&record, now);
         if change != LimitChange::Unchanged {
             state.engine.set_limit(&record.target, record.incarnation, record.rate, now);
         }
