refactor(daemon): keep whether targets are reached in one place

The state stood in the tracker and in a channel that had to be set beside it. Behaviour is unchanged. A constant that had the name of another one with another value gets its own.

--- a/crates/daemon/src/fanout/quarantine.rs
+++ b/crates/daemon/src/fanout/quarantine.rs
@@ -345,9 +345,7 @@
         match sign {
             Some(EndSign::Succeeded) => true,
             Some(EndSign::Refused) => !self.is_cut_off(),
-            Some(EndSign::Silent) => {
-                self.reach_tracker.borrow().blames_target(sent_at) == Some(true)
-            }
+            Some(EndSign::Silent) => self.reach.borrow().blames_target(sent_at) == Some(true),
             None => false,
         }
     }
--- a/crates/daemon/src/fanout/reach.rs
+++ b/crates/daemon/src/fanout/reach.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use oleanderwind_policy::ReachState;
+use oleanderwind_policy::ReachTracker;
 use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -19,16 +20,16 @@
 /// Time in which a target that is reachable accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a call that is cancelled without a reply counts as silence of its target.
-const SILENT_CALL_TIME: Duration = Duration::from_millis(100);
+const CANCELLED_CALL_TIME: Duration = Duration::from_millis(100);
 
 impl FanoutService {
     /// Returns whether this VM reaches no target, while targets are likely to live.
     pub(crate) fn is_cut_off(&self) -> bool {
-        *self.reach.borrow() == ReachState::CutOff
+        self.reach.borrow().state() == ReachState::CutOff
     }
 
     /// Subscribes to changes of whether this VM reaches targets.
-    pub(crate) fn subscribe_reach(&self) -> watch::Receiver<ReachState> {
+    pub(crate) fn subscribe_reach(&self) -> watch::Receiver<ReachTracker> {
         self.reach.subscribe()
     }
 
@@ -40,13 +41,12 @@
     /// Records a reply of a target.
     pub(crate) fn record_reply(&self) {
         let now = Instant::now();
-        if !self.reach_tracker.borrow_mut().record_reply(now) {
+        if !self.reach.send_if_modified(|tracker| tracker.record_reply(now)) {
             return;
         }
         let cut_for = self.cut_off_at.take().map(|at| now.duration_since(at));
         log::info!(cut_off_ms = cut_for.map(milliseconds); "targets are reached again");
         self.metrics.record_reach("reached");
-        self.reach.send_replace(ReachState::Reaching);
         self.engine.borrow_mut().forget_failures(now);
         self.timer_changes.notify_one();
         self.peers.announce_reach(ReachState::Reaching);
@@ -56,23 +56,23 @@
     pub(crate) fn record_silence(self: &Rc<Self>, witness: &CallWitness, begun_at: Instant) {
         let now = Instant::now();
         let work = witness.work.hash(self.hash_seed);
-        let mut tracker = self.reach_tracker.borrow_mut();
-        if !tracker.record_silence(&witness.target, work, begun_at, now) {
+        let target = &witness.target;
+        let record =
+            |tracker: &mut ReachTracker| tracker.record_silence(target, work, begun_at, now);
+        if !self.reach.send_if_modified(record) {
             return;
         }
-        drop(tracker);
-        let silent = self.reach_tracker.borrow().silent_targets();
+        let silent = self.reach.borrow().silent_targets();
         log::warn!(silent_targets = silent; "no target is reached, requests are passed on to peers");
         self.metrics.record_reach("cut_off");
         self.cut_off_at.set(Some(now));
-        self.reach.send_replace(ReachState::CutOff);
         self.peers.announce_reach(ReachState::CutOff);
         actix_rt::spawn(probe_targets(self.clone()));
     }
 
     /// Records the cancelling of a call begun at `begun_at`.
     pub(crate) fn record_cancelled_call(self: &Rc<Self>, witness: &CallWitness, begun_at: Instant) {
-        if begun_at.elapsed() >= SILENT_CALL_TIME {
+        if begun_at.elapsed() >= CANCELLED_CALL_TIME {
             self.record_silence(witness, begun_at);
         }
     }
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -20,7 +20,6 @@
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::QueryId;
-use oleanderwind_policy::ReachState;
 use oleanderwind_policy::ReachTracker;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::TargetId;
@@ -93,8 +92,8 @@
     pub(crate) hash_seed: u64,
     /// Processes of targets that named a rate limit which is not a rate.
     pub(crate) unreadable_limits: RefCell<HashSet<(TargetId, u64)>>,
-    pub(crate) reach_tracker: RefCell<ReachTracker>,
-    pub(crate) reach: watch::Sender<ReachState>,
+    /// Whether this VM reaches the targets; receivers are notified when that changes.
+    pub(crate) reach: watch::Sender<ReachTracker>,
     pub(crate) cut_off_at: Cell<Option<Instant>>,
     /// Whether a request may be tried while this VM is cut off.
     pub(crate) is_reach_trial_due: Cell<bool>,
@@ -127,7 +126,6 @@
             trial_ends: Notify::new(),
             hash_seed: rand::random(),
             unreadable_limits: RefCell::default(),
-            reach_tracker: RefCell::default(),
             reach: watch::Sender::default(),
             cut_off_at: Cell::default(),
             is_reach_trial_due: Cell::default(),
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -276,7 +276,7 @@
             if is_trial {
                 tokio::time::sleep(REACH_TRIAL_TIME).await;
             }
-            if reach.wait_for(|state| *state == ReachState::CutOff).await.is_err() {
+            if reach.wait_for(|tracker| tracker.state() == ReachState::CutOff).await.is_err() {
                 std::future::pending::<()>().await;
             }
         };
