fix(daemon): log a limit that a peer reports as changed as such

What a peer's record changes was computed, dropped, and guessed again from the record, so that each new rate was logged as named. The change now comes with the record. Nothing but that field of the line differs.

--- a/crates/daemon/src/fanout/limits.rs
+++ b/crates/daemon/src/fanout/limits.rs
@@ -124,11 +124,7 @@
 /// Puts rate limits in force that peers report.
 pub(crate) async fn watch_limits(fanout: Rc<FanoutService>) {
     let Some(mut limits) = fanout.peers.take_peer_limits() else { return };
-    while let Some(record) = limits.recv().await {
-        let change = match record.rate {
-            Some(_) => LimitChange::Named,
-            None => LimitChange::Ended,
-        };
+    while let Some((record, change)) = limits.recv().await {
         fanout.apply_limit(&record, change, "peer");
     }
 }
--- a/crates/daemon/src/peers/limits.rs
+++ b/crates/daemon/src/peers/limits.rs
@@ -92,7 +92,7 @@
             return false;
         }
         // Fails if the fan-out service is not running, which then has no calls either.
-        let _ = self.limit_sender.send(record);
+        let _ = self.limit_sender.send((record, change));
         true
     }
 }
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -13,6 +13,7 @@
 use oleanderwind_policy::DrainTable;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::GossipEngine;
+use oleanderwind_policy::LimitChange;
 use oleanderwind_policy::LimitRecord;
 use oleanderwind_policy::LimitTable;
 use oleanderwind_policy::MemberPhase;
@@ -57,6 +58,9 @@
     pub(crate) permits: PermitIssuer,
 }
 
+/// A limit of a target that was learned from a peer, and what it changed.
+pub(crate) type PeerLimit = (LimitRecord, LimitChange);
+
 /// Service for communication with the other VMs.
 pub(crate) struct PeerService {
     pub(crate) settings: DaemonSettings,
@@ -69,8 +73,8 @@
     /// Sends drain notices that were received from peers.
     pub(crate) drain_sender: mpsc::UnboundedSender<DrainRecord>,
     /// Sends limits of targets that were learned from peers.
-    pub(crate) limit_sender: mpsc::UnboundedSender<LimitRecord>,
-    limit_receiver: RefCell<Option<mpsc::UnboundedReceiver<LimitRecord>>>,
+    pub(crate) limit_sender: mpsc::UnboundedSender<PeerLimit>,
+    limit_receiver: RefCell<Option<mpsc::UnboundedReceiver<PeerLimit>>>,
     /// Sends loan requests from peers.
     pub(crate) loan_request_sender: mpsc::UnboundedSender<IncomingLoanRequest>,
     loan_request_receiver: RefCell<Option<mpsc::UnboundedReceiver<IncomingLoanRequest>>>,
@@ -157,7 +161,7 @@
     /// Takes the receiver of limits of targets that were learned from peers.
     ///
     /// Returns `None` after the first call.
-    pub(crate) fn take_peer_limits(&self) -> Option<mpsc::UnboundedReceiver<LimitRecord>> {
+    pub(crate) fn take_peer_limits(&self) -> Option<mpsc::UnboundedReceiver<PeerLimit>> {
         self.limit_receiver.borrow_mut().take()
     }
 
