--- a/review/standin/src/machine.rs
+++ b/review/standin/src/machine.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -18,13 +19,15 @@
 use crate::names::name;
 use crate::record::Record;
 
-pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
+const SIGKILL: usize = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
     safe fn kill(pid: i32, signal: i32) -> i32;
+    safe fn prctl(option: i32, value: usize) -> i32;
 }
 
 /// One machine. Its process is killed when this is dropped.
@@ -96,6 +99,14 @@
         command.args(arguments).current_dir(&self.root).env_clear();
         command.env("LANG", "C.UTF-8").env("PATH", "/usr/bin:/bin");
         command.stdin(Stdio::null()).stdout(log("out")?).stderr(log("err")?);
+        // The machines end with this process, whatever ends it.
+        // SAFETY: the closure makes one system call.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            })
+        };
         self.child = Some(command.spawn()?);
         self.starts += 1;
         self.record.add(format!("{}: started", self.name));
