--- a/review/standin/src/stuck_refusal.rs
+++ b/review/standin/src/stuck_refusal.rs
@@ -18,6 +18,8 @@
 const CALM_TIME: Duration = Duration::from_secs(6);
 /// How long the processes of all machines are down.
 const DOWN_TIME: Duration = Duration::from_secs(1);
+/// Longest time that is waited for the machines to be ready again.
+const READY_TIME: Duration = Duration::from_secs(5);
 /// How long the searchers are down.
 const CRASH_TIME: Duration = Duration::from_millis(4_500);
 /// Silence after which an entry is removed: three heartbeats of 1,200 ms.
@@ -78,6 +80,10 @@
         }
     }
     let back_at = Instant::now();
+    // The searchers crash when the machines are ready, which takes some two seconds.
+    deployment.machines.iter().for_each(|machine| {
+        machine.wait_ready(READY_TIME);
+    });
     if has_trouble {
         let crashed = deployment.searchers.clone();
         crashed.iter().for_each(crate::searcher::Searcher::crash);
