--- a/review/standin/src/machine.rs
+++ b/review/standin/src/machine.rs
@@ -113,7 +113,7 @@
     fn settings(&self) -> std::io::Result<String> {
         let template = std::fs::read_to_string(self.root.join("deploy/settings.template"))?;
         let values = [
-            ("node_name", self.name.clone()),
+            (name("vm_setting"), self.name.clone()),
             ("zone", self.zone.clone()),
             ("region", "bengal-east".to_owned()),
             ("platform.addr", self.store.to_string()),
--- a/review/standin/src/names.rs
+++ b/review/standin/src/names.rs
@@ -45,7 +45,7 @@
     /// Whether its requests may be repeated.
     pub is_idempotent: bool,
     pub timeout_ms: u64,
-    pub goal_ms: u64,
+    pub objective_ms: u64,
     pub attempts: u32,
     /// JSON members that name the services.
     pub destination: String,
@@ -86,7 +86,7 @@
 
 fn route_text(route: &Route<'_>) -> String {
     let kind = if route.is_idempotent { "idempotent" } else { name("unsafe_kind") };
-    let (timeout, goal) = (route.timeout_ms.to_string(), route.goal_ms.to_string());
+    let (timeout, goal) = (route.timeout_ms.to_string(), route.objective_ms.to_string());
     let attempts = route.attempts.to_string();
     let values = [
         ("NAME", route.name),
--- a/review/standin/src/one_shard.rs
+++ b/review/standin/src/one_shard.rs
@@ -55,7 +55,7 @@
             prefix: "/quick/",
             is_idempotent: true,
             timeout_ms: 1_000,
-            goal_ms: 60,
+            objective_ms: 60,
             attempts: 2,
             destination: gather(&["inspection-desk"]),
         }],
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -141,7 +141,7 @@
         let items = state.objects.iter().filter(|((own, key), _)| own == kind && **key > *after);
         let items: Vec<String> = items.map(|((_, key), object)| object_text(key, object)).collect();
         let revision = state.revision;
-        let at = name("store_revision");
+        let at = name("store_position");
         (200, format!("{{\"items\":[{}],\"more\":false,\"{at}\":{revision}}}", items.join(",")))
     }
 
@@ -158,7 +158,7 @@
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                let (at, revision) = (name("store_revision"), state.revision);
+                let (at, revision) = (name("store_position"), state.revision);
                 let events = events.join(",");
                 return (200, format!("{{\"events\":[{events}],\"{at}\":{revision}}}"));
             }
--- a/review/standin/src/stuck_refusal.rs
+++ b/review/standin/src/stuck_refusal.rs
@@ -35,7 +35,7 @@
         prefix: "/booking/",
         is_idempotent: false,
         timeout_ms,
-        goal_ms: 500,
+        objective_ms: 500,
         attempts: 3,
         destination: single("registry-clerk"),
     }
--- a/review/standin/src/unproven_promise.rs
+++ b/review/standin/src/unproven_promise.rs
@@ -50,7 +50,7 @@
             prefix: "/booking/",
             is_idempotent: false,
             timeout_ms: 4_000,
-            goal_ms: 500,
+            objective_ms: 500,
             attempts: 3,
             destination: single("registry-clerk"),
         }],
--- a/review/standin/src/unreadable_entry.rs
+++ b/review/standin/src/unreadable_entry.rs
@@ -23,7 +23,7 @@
         prefix: "/card/",
         is_idempotent: true,
         timeout_ms: 2_000,
-        goal_ms: 500,
+        objective_ms: 500,
         attempts: 2,
         destination: single(service),
     }
