feat(policy,daemon,platform): organisations with keys in the configuration

Cause: a configuration may name organisations whose keys admit requests; nothing read them, so every request ran for nobody in particular. Change: organisations, public routes, regions of routes and the rate of cold targets are part of the checked configuration. Keys are hashed where a call is parsed and where the configuration is read; processes and peers hold digests only. A request without a known key is answered 401, targets are told the organisation. Fields that are not set are left out, so that earlier builds read the configuration of deployments without organisations.

--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -8,6 +8,7 @@
 
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::CustomerId;
+use oleanderwind_policy::OrganisationTable;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::RawContract;
 use oleanderwind_policy::RawRouteConfiguration;
@@ -50,6 +51,7 @@
 pub(crate) struct ActiveRoutes {
     pub(crate) configuration: RouteConfiguration,
     pub(crate) table: RouteTable,
+    pub(crate) organisations: OrganisationTable,
 }
 
 /// All configuration in effect.
@@ -221,7 +223,8 @@
             "routes took effect"
         );
         let table = RouteTable::new(&configuration);
-        self.routes = Some(Rc::new(ActiveRoutes { configuration, table }));
+        let organisations = OrganisationTable::new(&configuration);
+        self.routes = Some(Rc::new(ActiveRoutes { configuration, table, organisations }));
     }
 }
 
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -16,8 +16,10 @@
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FailureDomainId;
 use oleanderwind_policy::FindingList;
+use oleanderwind_policy::KeyDigest;
 use oleanderwind_policy::LimitNotice;
 use oleanderwind_policy::LoadReport;
+use oleanderwind_policy::OrganisationId;
 use oleanderwind_policy::TargetId;
 
 /// Parsed call to the VM's listener for callers.
@@ -55,6 +57,10 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Digest of the key that the caller sent. The key itself is not among `headers`.
+    pub key: Option<KeyDigest>,
+    /// Organisation on whose behalf the request is served, once that is known.
+    pub organisation: Option<OrganisationId>,
     /// How long the caller waits for the answer, if given.
     pub timeout: Option<Duration>,
 }
@@ -68,15 +74,17 @@
     /// Returns the parts that make up what the request asks for, whatever its id.
     ///
     /// The caller counts by its credentials, as the same path may mean other work for another caller.
-    pub(crate) fn work_parts(&self) -> [&[u8]; 5] {
+    pub(crate) fn work_parts(&self) -> Vec<&[u8]> {
         let credentials = self.headers.get(header::AUTHORIZATION);
-        [
+        let mut parts: Vec<&[u8]> = vec![
             self.method.as_str().as_bytes(),
             self.authority.as_bytes(),
             self.path_and_query.as_bytes(),
             credentials.map_or(b"", |value| value.as_bytes()),
             &self.body,
-        ]
+        ];
+        parts.extend(self.organisation.as_ref().map(|name| name.as_bytes()));
+        parts
     }
 
     /// Returns the request as it is sent on, with no headers but those to forward; `None` if its path is not a valid URI.
@@ -139,6 +147,12 @@
         target: &TargetId,
     ) -> Vec<(HeaderName, HeaderValue)>;
 
+    /// Returns the header that tells a target on whose behalf it is called; `None` if the name is not a header value.
+    fn organisation_header(
+        &self,
+        organisation: &OrganisationId,
+    ) -> Option<(HeaderName, HeaderValue)>;
+
     /// Returns the header that tells another VM the remaining time.
     fn remaining_header(&self, remaining: Duration) -> (HeaderName, HeaderValue);
 
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -179,6 +179,10 @@
     for (name, value) in dialect.call_headers(remaining, &call.target) {
         message.headers_mut().insert(name, value);
     }
+    if let Some(organisation) = &request.organisation {
+        let (name, value) = dialect.organisation_header(organisation)?;
+        message.headers_mut().insert(name, value);
+    }
     Some(message)
 }
 
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -18,6 +18,7 @@
 use oleanderwind_policy::AnswerPreference;
 use oleanderwind_policy::AttemptPolicy;
 use oleanderwind_policy::BudgetOwner;
+use oleanderwind_policy::CallerIdentity;
 use oleanderwind_policy::CallerLimits;
 use oleanderwind_policy::ClassPriority;
 use oleanderwind_policy::FanoutPlan;
@@ -203,7 +204,6 @@
         let arrived = Instant::now();
         let relayed = request.headers.remove(RELAYED);
         let relayed_attempts = relayed.map(|value| read_relayed_attempts(&value));
-        let request = Rc::new(request);
         let routes = self.directory.routes().filter(|_| self.peers.can_serve());
         let Some(routes) = routes else {
             self.record_refused_request(&request, "no_configuration");
@@ -221,6 +221,13 @@
             self.metrics.record_refusal("no_route");
             return HttpReply::empty(StatusCode::NOT_FOUND);
         };
+        let identity = routes.organisations.identify(&route, request.key.as_ref());
+        if identity == CallerIdentity::Unknown {
+            self.record_refused_request(&request, "unknown_key");
+            return HttpReply::empty(StatusCode::UNAUTHORIZED);
+        }
+        request.organisation = identity.organisation().cloned();
+        let request = Rc::new(request);
         if request.head_bytes > routes.configuration.limits.max_head_bytes {
             self.record_refused_request(&request, "head_too_long");
             return HttpReply::empty(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE).closing();
--- a/crates/policy/src/ids/mod.rs
+++ b/crates/policy/src/ids/mod.rs
@@ -16,6 +16,10 @@
 pub type TargetId = Arc<str>;
 /// Name of a failure domain.
 pub type FailureDomainId = Arc<str>;
+/// Name of a region, a set of failure domains.
+pub type RegionId = Arc<str>;
+/// Name of an organisation on whose behalf callers ask.
+pub type OrganisationId = Arc<str>;
 /// Number of a shard within one snapshot, counted from 0.
 pub type ShardId = u32;
 /// Version of a service's index; increases with every snapshot.
--- /dev/null
+++ b/crates/policy/src/organisation/table.rs
@@ -0,0 +1,43 @@
+//! Lookup of organisations by key.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::KeyDigest;
+use crate::OrganisationContract;
+use crate::organisation::CallerIdentity;
+use crate::route::RouteConfiguration;
+use crate::route::RouteContract;
+
+/// Organisations by the digests of their keys.
+#[derive(Clone, Debug, Default)]
+pub struct OrganisationTable {
+    /// `None` if the configuration names no organisations, so that no request needs a key.
+    by_key: Option<HashMap<KeyDigest, Arc<OrganisationContract>>>,
+}
+
+impl OrganisationTable {
+    /// Indexes the organisations of `configuration`.
+    pub fn new(configuration: &RouteConfiguration) -> OrganisationTable {
+        let by_key = configuration.organisations.as_ref().map(|organisations| {
+            let contracts = organisations.iter().map(|contract| Arc::new(contract.clone()));
+            let entries = contracts.flat_map(|contract| {
+                let keys = contract.keys.clone().into_iter();
+                keys.map(move |key| (key, contract.clone()))
+            });
+            entries.collect()
+        });
+        OrganisationTable { by_key }
+    }
+
+    /// Returns on whose behalf a request of `route` with this key is served.
+    pub fn identify(&self, route: &RouteContract, key: Option<&KeyDigest>) -> CallerIdentity {
+        let Some(by_key) = self.by_key.as_ref().filter(|_| !route.is_public) else {
+            return CallerIdentity::Anonymous;
+        };
+        match key.and_then(|key| by_key.get(key)) {
+            Some(contract) => CallerIdentity::Organisation(contract.clone()),
+            None => CallerIdentity::Unknown,
+        }
+    }
+}
--- a/crates/policy/src/route/configuration.rs
+++ b/crates/policy/src/route/configuration.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::FindingList;
+use crate::OrganisationContract;
 use crate::ServiceId;
 use crate::route::RawCallerLimits;
 use crate::route::RawRouteConfiguration;
@@ -19,10 +20,12 @@
     pub services: Vec<ServiceConfiguration>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
+    /// Organisations whose keys admit requests; `None` if requests need no key.
+    pub organisations: Option<Vec<OrganisationContract>>,
 }
 
 /// Settings of one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceConfiguration {
     /// Name of the service.
     pub service: ServiceId,
@@ -30,6 +33,8 @@
     pub connection_limit: u32,
     /// Path of the health check on its targets.
     pub health_path: String,
+    /// Requests per second that one of its targets takes while it is cold; 0 if none is named.
+    pub cold_requests_per_second: f64,
 }
 
 /// Limits on the size of callers' requests and the time to send them.
@@ -61,12 +66,25 @@
             service: service.service.as_str().into(),
             connection_limit: service.connection_limit,
             health_path: service.health_path.clone(),
+            cold_requests_per_second: service.cold_requests_per_second,
+        });
+        let organisations = raw.organisations.as_ref().map(|organisations| {
+            let mut contracts = Vec::with_capacity(organisations.len());
+            for (index, organisation) in organisations.iter().enumerate() {
+                let place = format!("organisations[{index}]");
+                match OrganisationContract::from_raw(organisation, &place) {
+                    Ok(contract) => contracts.push(contract),
+                    Err(found) => findings.extend(found),
+                }
+            }
+            contracts
         });
         let configuration = RouteConfiguration {
             version: raw.version,
             routes,
             services: services.collect(),
             limits: CallerLimits::from(&raw.limits),
+            organisations,
         };
         findings.into_result(configuration)
     }
--- a/crates/policy/src/route/contract.rs
+++ b/crates/policy/src/route/contract.rs
@@ -6,6 +6,7 @@
 
 use crate::FindingList;
 use crate::OperationKind;
+use crate::RegionId;
 use crate::ServiceId;
 use crate::route::RawRoute;
 use crate::route::RawShardSet;
@@ -38,6 +39,10 @@
     pub priority: u32,
     /// Services that answer the route's requests.
     pub destination: RouteDestination,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// Regions whose targets may serve the route; none for all.
+    pub regions: Vec<RegionId>,
 }
 
 impl RouteContract {
@@ -71,6 +76,8 @@
             attempt_limit: raw.attempts,
             priority: raw.rank,
             destination,
+            is_public: raw.is_public,
+            regions: raw.regions.iter().map(|region| region.as_str().into()).collect(),
         })
     }
 }
--- a/crates/policy/src/route/raw.rs
+++ b/crates/policy/src/route/raw.rs
@@ -4,10 +4,12 @@
 use serde::Serialize;
 
 use crate::OperationKind;
+use crate::RawOrganisation;
 
 /// All routes of one configuration version, before validation.
+///
+/// Fields of later builds are ignored, and those that are not set are left out for earlier builds.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawRouteConfiguration {
     /// Version number; increases with every change, but not always by 1.
     pub version: u64,
@@ -17,11 +19,13 @@
     pub services: Vec<RawServiceConfiguration>,
     /// Limits on callers' requests and connections.
     pub limits: RawCallerLimits,
+    /// Organisations whose keys admit requests; `None` if requests need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<Vec<RawOrganisation>>,
 }
 
 /// One route; exactly one of `service`, `shares` and `shards` must be given.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawRoute {
     /// Unique name.
     pub name: String,
@@ -48,6 +52,12 @@
     /// Services that each hold one shard of the data.
     #[serde(default)]
     pub shards: Option<RawShardSet>,
+    /// Whether requests need no key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
+    /// Regions whose targets may serve the route; none for all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<String>,
 }
 
 /// A service and its share of a route's requests.
@@ -73,8 +83,7 @@
 }
 
 /// Settings of one service.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct RawServiceConfiguration {
     /// Name of the service.
     pub service: String,
@@ -82,6 +91,9 @@
     pub connection_limit: u32,
     /// Path of the health check on its targets.
     pub health_path: String,
+    /// Requests per second that one of its targets takes while it is cold; 0 if none is named.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_requests_per_second: f64,
 }
 
 /// Limits on the size of callers' requests and the time to send them.
@@ -97,3 +109,7 @@
     /// Maximum idle time between two requests on one connection, in milliseconds.
     pub idle_ms: u64,
 }
+
+fn is_zero(value: &f64) -> bool {
+    *value == 0.0
+}
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -30,6 +30,8 @@
         service: Some("records".to_owned()),
         shares: None,
         shards: None,
+        is_public: false,
+        regions: Vec::new(),
     }
 }
 
@@ -44,6 +46,7 @@
             head_ms: 3_000,
             idle_ms: 15_000,
         },
+        organisations: None,
     }
 }
 
