feat(policy,daemon): reports of targets' load count less as they get older

Cause: a report of a target's load counted in full for a second. Every VM that had the same report chose the same target by it, so targets were overrun in turns while replicas had free slots. Change: the estimate moves from the report to the target's average within the time that a call takes. With many VMs that see a target seldom, calls are still spread as by chance.

--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -341,6 +341,7 @@
     engine.seed = settings.seed;
     engine.hedge = settings.hedge;
     engine.routing = settings.routing;
+    engine.load_news = settings.load_news;
     engine.floor_wait = settings.floor_wait;
     engine.own_domain = Some(settings.failure_domain.clone());
     engine.crossing_cost = settings.crossing_cost;
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -11,6 +11,7 @@
 use oleanderwind_policy::FindingList;
 use oleanderwind_policy::FloorWait;
 use oleanderwind_policy::HedgePolicy;
+use oleanderwind_policy::LoadNews;
 use oleanderwind_policy::RoutingPolicy;
 use oleanderwind_policy::VmId;
 use xxhash_rust::xxh3::xxh3_64;
@@ -72,6 +73,8 @@
     pub hedge: HedgePolicy,
     /// How a target is chosen among a shard's replicas.
     pub routing: RoutingPolicy,
+    /// How a report of a target's load is taken as it gets older.
+    pub load_news: LoadNews,
     /// How long a query that meets its coverage floor waits for missing shards.
     pub floor_wait: FloorWait,
     /// Address of a listener that serves only the readiness check.
@@ -156,6 +159,7 @@
             ),
             hedge: hedge(&raw.hedge, &mut findings),
             routing: routing(&raw.routing, &mut findings),
+            load_news: load_news(&raw.load_news, &mut findings),
             floor_wait: floor_wait(&raw.floor_wait, &mut findings),
             readiness_listen: optional_address(
                 &raw.readiness_listen,
@@ -243,6 +247,7 @@
         writeln!(f, "drain-patience-ms={}", milliseconds(self.drain_patience))?;
         writeln!(f, "hedge={:?}", self.hedge)?;
         writeln!(f, "routing={:?}", self.routing)?;
+        writeln!(f, "load-news={:?}", self.load_news)?;
         writeln!(f, "floor-wait={:?}", self.floor_wait)?;
         writeln!(f, "readiness-listen={}", text_or_none(self.readiness_listen))?;
         writeln!(f, "address-listen={}", text_or_none(self.address_listen))?;
@@ -460,6 +465,19 @@
     }
 }
 
+fn load_news(option: &Option<String>, findings: &mut FindingList) -> LoadNews {
+    let default = FanoutSettings::default().load_news;
+    match option.as_deref() {
+        None => default,
+        Some("decayed") => LoadNews::Decayed,
+        Some("held") => LoadNews::Held,
+        Some(text) => {
+            findings.add(place("--load-news"), format!("is \"{text}\"; give decayed or held"));
+            default
+        }
+    }
+}
+
 fn floor_wait(option: &Option<String>, findings: &mut FindingList) -> FloorWait {
     let default = FanoutSettings::default().floor_wait;
     let Some(text) = option else { return default };
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -57,6 +57,9 @@
     /// expected-wait
     #[argh(option)]
     pub routing: Option<String>,
+    /// how old reports of a target's load are taken: decayed or held; default: decayed
+    #[argh(option)]
+    pub load_news: Option<String>,
     /// how long a query that meets its coverage floor waits for missing shards, for contracts that
     /// prefer latency: late, hedge or share:PERMILLE of the deadline; default: hedge
     #[argh(option)]
@@ -196,6 +199,7 @@
             ("DRAIN_PATIENCE_MS", &mut self.drain_patience_ms),
             ("HEDGE", &mut self.hedge),
             ("ROUTING", &mut self.routing),
+            ("LOAD_NEWS", &mut self.load_news),
             ("FLOOR_WAIT", &mut self.floor_wait),
             ("READINESS_LISTEN", &mut self.readiness_listen),
             ("ADDRESS_LISTEN", &mut self.address_listen),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -23,6 +23,8 @@
         "often",
         "--routing",
         "random",
+        "--load-news",
+        "fresh",
         "--log-level",
         "loud",
     ]);
@@ -34,6 +36,7 @@
         --drain-patience-ms or OLEANDERWIND_DRAIN_PATIENCE_MS: is 600001; give a number from 0 to 600000
         --hedge or OLEANDERWIND_HEDGE: is "often"; give none, fixed:MS or quantile:PERMILLE
         --routing or OLEANDERWIND_ROUTING: is "random"; give expected-wait, least-outstanding or round-robin
+        --load-news or OLEANDERWIND_LOAD_NEWS: is "fresh"; give decayed or held
         --log-level or OLEANDERWIND_LOG_LEVEL: is "loud"; give error, warn, info, debug or trace"#]].assert_eq(&findings.to_string());
 }
 
@@ -129,6 +132,7 @@
         drain-patience-ms=15000
         hedge=Quantile { permille: 950 }
         routing=ExpectedWait
+        load-news=Decayed
         floor-wait=HedgeAnswer
         readiness-listen=(none)
         address-listen=(none)
@@ -155,7 +159,7 @@
 fn from_args_explains_every_flag() {
     let help = RawSettings::from_args(&["oleanderwindd"], &["--help"]).unwrap_err().output;
     expect![[r#"
-        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
+        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--load-news <load-news>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
 
         Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 
@@ -181,6 +185,8 @@
                             default: quantile:950
           --routing         how to choose a target: expected-wait, least-outstanding or
                             round-robin; default: expected-wait
+          --load-news       how old reports of a target's load are taken: decayed or
+                            held; default: decayed
           --floor-wait      how long a query that meets its coverage floor waits for
                             missing shards, for contracts that prefer latency: late,
                             hedge or share:PERMILLE of the deadline; default: hedge
--- a/crates/policy/benches/large_fleet/mod.rs
+++ b/crates/policy/benches/large_fleet/mod.rs
@@ -79,7 +79,7 @@
     pub(crate) fn answer(&mut self) {
         let mut actions = Vec::new();
         for call in std::mem::take(&mut self.open) {
-            let load = LoadReport { busy: 1, queued: 0, slots: 2 };
+            let load = LoadReport { busy: 1, queued: 0, slots: 2, pace_percent: 0 };
             let event = FanoutEvent::Answered { call, documents: 1_000, load, draining: false };
             self.engine.handle(event, self.now, &mut actions);
             self.record_actions(&actions);
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -120,7 +120,11 @@
     pub fn new(settings: FanoutSettings) -> FanoutEngine {
         FanoutEngine {
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
-            targets: TargetTable::new(settings.own_domain.clone(), settings.crossing_cost),
+            targets: TargetTable::new(
+                settings.own_domain.clone(),
+                settings.crossing_cost,
+                settings.load_news,
+            ),
             latencies: LatencyTable::new(settings.hedge.permille(), settings.cold_latency),
             budgets: BudgetTable::new(
                 settings.customer_burst,
--- a/crates/policy/src/fanout/settings.rs
+++ b/crates/policy/src/fanout/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::FailureDomainId;
+use crate::LoadNews;
 use crate::RoutingPolicy;
 
 /// Default quantile of a shard's latency after which it is hedged, in thousandths.
@@ -52,6 +53,8 @@
     pub seed: u64,
     /// How a target is chosen among a shard's replicas.
     pub routing: RoutingPolicy,
+    /// How a report of a target's load is taken as it gets older.
+    pub load_news: LoadNews,
     /// When a hedge is sent.
     pub hedge: HedgePolicy,
     /// Longest hedge delay, in thousandths of the time left to the query's objective.
@@ -84,6 +87,7 @@
             call_id_prefix: 1,
             seed: 1,
             routing: RoutingPolicy::ExpectedWait,
+            load_news: LoadNews::default(),
             hedge: HedgePolicy::Quantile { permille: DEFAULT_HEDGE_PERMILLE },
             max_hedge_delay_permille: 400,
             floor_wait: FloorWait::HedgeAnswer,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -107,6 +107,7 @@
 pub use limit::RequestRate;
 pub use limit::RequestRateError;
 pub use limit::rank_limit_holders;
+pub use load::LoadNews;
 pub use load::LoadReport;
 pub use membership::ExchangeMessage;
 pub use membership::MemberPhase;
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -7,6 +7,7 @@
 use std::time::SystemTime;
 
 use crate::CallPermit;
+use crate::LoadNews;
 use crate::LoadReport;
 use crate::RefusalCause;
 use crate::RequestRate;
@@ -15,15 +16,11 @@
 use crate::TargetSpec;
 use crate::latency::LatencyEwma;
 use crate::limit::PermitStock;
+use crate::load::LoadEstimate;
 use crate::routing::FailureBackoff;
 use crate::slots::ConcurrencyWindow;
 use crate::slots::WaitingCallQueue;
 
-/// Age after which a load report is ignored.
-const LOAD_REPORT_TTL: Duration = Duration::from_secs(1);
-/// Maximum number of calls from other callers that a load report can add to the expected wait, per
-/// slot of the target.
-const MAX_OTHER_CALLS_PER_SLOT: u32 = 4;
 /// How long a target counts as shedding load after it shed a call.
 const SHEDDING_PERIOD: Duration = Duration::from_secs(1);
 /// An open call is overdue after this multiple of the expected latency.
@@ -97,9 +94,8 @@
     pause_asked_at: SystemTime,
     /// Permits for calls; `None` if the process named no rate limit.
     stock: Option<PermitStock>,
-    /// Calls from other callers by the last load report, bounded.
-    other_open_calls: u32,
-    load_reported_at: Option<Instant>,
+    /// Calls from other callers and pace, by the target's reports.
+    load: LoadEstimate,
     last_shed_at: Option<Instant>,
     /// Moving average of the fraction of refused calls, 0 to 1, as of the last call.
     refusal_rate: f64,
@@ -108,7 +104,7 @@
 
 impl TargetState {
     /// Returns the state of a target that the platform has not listed yet.
-    pub(crate) fn new(target: TargetId) -> TargetState {
+    pub(crate) fn new(target: TargetId, news: LoadNews) -> TargetState {
         TargetState {
             target,
             window: ConcurrencyWindow::new(1, 0),
@@ -128,8 +124,7 @@
             paused_until: None,
             pause_asked_at: SystemTime::UNIX_EPOCH,
             stock: None,
-            other_open_calls: 0,
-            load_reported_at: None,
+            load: LoadEstimate::new(news),
             last_shed_at: None,
             refusal_rate: 0.0,
             refusal_rate_at: None,
@@ -176,7 +171,7 @@
         self.listed_phase = None;
         self.is_draining = false;
         self.stock = None;
-        self.load_reported_at = None;
+        self.load.reset();
         self.last_shed_at = None;
         self.unanswered_since = None;
         self.refusal_rate = 0.0;
@@ -477,20 +472,13 @@
         let latency = self.expected_latency(now);
         let latency =
             if self.is_overdue(now) { latency.max(self.unanswered_seconds(now)) } else { latency };
-        let is_fresh = self
-            .load_reported_at
-            .is_some_and(|at| now.saturating_duration_since(at) < LOAD_REPORT_TTL);
-        let others = if is_fresh { self.other_open_calls } else { 0 };
-        let ahead = f64::from(self.window.open() + others);
+        let latency = latency * self.load.pace(now);
+        let ahead = f64::from(self.window.open()) + self.load.others(latency, now);
         let refusal_cost = self.refusal_rate(now) * REFUSAL_PENALTY_SECONDS;
         latency * (1.0 + ahead / f64::from(self.window.slots())) + self.crossing_cost + refusal_cost
     }
 
     fn record_load(&mut self, load: LoadReport, now: Instant) {
-        let reported = load.busy.saturating_add(load.queued);
-        let others = reported.saturating_sub(self.window.open());
-        self.other_open_calls =
-            others.min(self.window.slots().saturating_mul(MAX_OTHER_CALLS_PER_SLOT));
-        self.load_reported_at = Some(now);
+        self.load.record(load, self.window.open(), self.window.slots(), now);
     }
 }
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::FailureDomainId;
+use crate::LoadNews;
 use crate::PermitRequest;
 use crate::ProviderId;
 use crate::ServiceId;
@@ -23,6 +24,7 @@
 pub(crate) struct TargetTable {
     own_domain: Option<FailureDomainId>,
     crossing_cost: f64,
+    news: LoadNews,
     states: Vec<TargetState>,
     by_id: HashMap<TargetId, TargetIndex>,
     by_service: HashMap<(ServiceId, ProviderId), Vec<TargetIndex>>,
@@ -36,8 +38,13 @@
     /// Returns an empty table for a VM in `own_domain`.
     ///
     /// `crossing_cost` is added to the expected wait of targets in other failure domains.
-    pub(crate) fn new(own_domain: Option<FailureDomainId>, crossing_cost: Duration) -> TargetTable {
+    pub(crate) fn new(
+        own_domain: Option<FailureDomainId>,
+        crossing_cost: Duration,
+        news: LoadNews,
+    ) -> TargetTable {
         TargetTable {
+            news,
             own_domain,
             crossing_cost: crossing_cost.as_secs_f64(),
             states: Vec::new(),
@@ -100,7 +107,7 @@
         if let Some(index) = self.index_of(target) {
             return index;
         }
-        let state = TargetState::new(target.clone());
+        let state = TargetState::new(target.clone(), self.news);
         let index = match self.free_indices.pop() {
             Some(index) => {
                 self.states[index as usize] = state;
--- a/crates/policy/tests/fanout/fake_target.rs
+++ b/crates/policy/tests/fanout/fake_target.rs
@@ -80,6 +80,7 @@
             busy: self.running.len() as u32,
             queued: self.queue.len() as u32,
             slots: self.slots,
+            pace_percent: 0,
         })
     }
 }
--- a/crates/policy/tests/fanout/invariants.rs
+++ b/crates/policy/tests/fanout/invariants.rs
@@ -161,7 +161,7 @@
     }
 
     fn event(&mut self, call: CallId, kind: u8, documents: u64, queued: u32, draining: bool) {
-        let load = LoadReport { busy: 2, queued, slots: 2 };
+        let load = LoadReport { busy: 2, queued, slots: 2, pace_percent: 0 };
         let event = match kind {
             0..=4 => FanoutEvent::Answered { call, documents, load, draining },
             5 => FanoutEvent::Failed { call },
--- a/crates/policy/tests/fanout/targets.rs
+++ b/crates/policy/tests/fanout/targets.rs
@@ -273,7 +273,7 @@
         let mut fleet = warm_fleet(FanoutSettings::default());
         for name in &misreporting {
             fleet.target(name).reported_load =
-                Some(LoadReport { busy: 2, queued: 9_999, slots: 2 });
+                Some(LoadReport { busy: 2, queued: 9_999, slots: 2, pace_percent: 0 });
         }
         fleet.submit_every(1, 200, ms(8));
         let whole = (1..=200).filter(|query| fleet.result(*query).reason == FinishReason::Complete);
@@ -291,7 +291,8 @@
 #[test]
 fn reported_idleness_does_not_attract_calls_to_a_slow_target() {
     let mut fleet = warm_fleet(FanoutSettings::default());
-    fleet.target("s3r0").reported_load = Some(LoadReport { busy: 0, queued: 0, slots: 2 });
+    fleet.target("s3r0").reported_load =
+        Some(LoadReport { busy: 0, queued: 0, slots: 2, pace_percent: 0 });
     fleet.target("s3r0").base_time = ms(60);
     let before = (fleet.target("s3r0").received, fleet.target("s3r1").received);
     fleet.submit_every(1, 200, ms(20));
--- a/crates/standin/src/searcher/fault.rs
+++ b/crates/standin/src/searcher/fault.rs
@@ -141,7 +141,7 @@
             }
             SearcherFault::MisleadHealth { well } => self.health_override = Some(well),
             SearcherFault::MisleadLoad { busy, queued } => {
-                self.load_override = Some(LoadReport { busy, queued, slots });
+                self.load_override = Some(LoadReport { busy, queued, slots, pace_percent: 0 });
             }
             SearcherFault::Clear => self.clear(),
             SearcherFault::SilenceConnections | SearcherFault::Down | SearcherFault::Up => {}
--- a/crates/standin/src/searcher/node.rs
+++ b/crates/standin/src/searcher/node.rs
@@ -116,7 +116,12 @@
     pub(crate) fn load(&self) -> LoadReport {
         let slots = self.identity.plan.slots;
         let free = u32::try_from(self.slots.available_permits()).unwrap_or(slots);
-        LoadReport { busy: slots.saturating_sub(free), queued: self.queued.get(), slots }
+        LoadReport {
+            busy: slots.saturating_sub(free),
+            queued: self.queued.get(),
+            slots,
+            pace_percent: 0,
+        }
     }
 
     /// Returns whether a drain is in progress.
