fix(policy,daemon): make no promise without proof and no part of a failure

Change: policy/outcome/reply.rs holds the table of each status, with and without the proof, idempotent or not, one target or shards. Where a status would promise, the caller gets 502 of our own without the signature, as a signed failure must keep the target's status. Gathering is what the route says, whatever the number of shards. A peer of an earlier build that relays such a reply is corrected too.

Ways weighed: the signature left off and the status kept (still a promise); 500 with the signature (another status than the target's). 421 stays proof: another target was meant.

--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -115,7 +115,7 @@
                 let call = shard_call(running, text, &outgoing, shard, index_version);
                 actix_rt::spawn(send_call(self.clone(), witness, call, outgoing.deadline));
             }
-            QueryPayload::Forward { request, .. } => {
+            QueryPayload::Forward { request, is_gathered, .. } => {
                 let Some(dialect) = self.dialect.clone() else { return };
                 let call = ForwardCall {
                     query: outgoing.query,
@@ -123,7 +123,7 @@
                     target: outgoing.target,
                     deadline: outgoing.deadline,
                     is_idempotent: running.plan.attempt_policy.is_idempotent,
-                    relays_failures: running.plan.manifest.shards.len() == 1,
+                    is_gathered: *is_gathered,
                 };
                 let id = call.call;
                 let sending = send_forward_call(
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -13,7 +13,9 @@
 use oleanderwind_policy::LoadReport;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::RefusalCause;
+use oleanderwind_policy::ReplyUse;
 use oleanderwind_policy::TargetId;
+use oleanderwind_policy::TargetReply;
 
 use crate::edge::CallerProtocol;
 use crate::edge::OpaqueRequest;
@@ -37,9 +39,21 @@
     pub(crate) deadline: Instant,
     /// Whether a call that may already have run may be sent again.
     pub(crate) is_idempotent: bool,
-    /// Whether a failure reported by the target may be relayed to the caller; set if the query has
-    /// a single shard.
-    pub(crate) relays_failures: bool,
+    /// Whether the answers of several shards are merged, be it only one at present.
+    pub(crate) is_gathered: bool,
+}
+
+impl ForwardCall {
+    /// Returns what may be done with a reply.
+    fn classify(&self, status: http::StatusCode, marks: &ReplyMetadata) -> ReplyUse {
+        let reply = TargetReply {
+            status: status.as_u16(),
+            is_not_run: marks.is_not_run,
+            is_misdirected: marks.is_misdirected,
+            is_whole: marks.signature.is_some() && !marks.is_encoded,
+        };
+        reply.use_for(self.is_idempotent, self.is_gathered)
+    }
 }
 
 /// Forwards a request and reports the outcome to the engine.
@@ -195,27 +209,24 @@
 ) -> FanoutEvent {
     let id = call.call;
     let load = marks.load.unwrap_or_default();
-    if marks.is_not_run || marks.is_misdirected {
-        let cause = match marks.is_misdirected {
-            true => RefusalCause::Draining,
-            false => RefusalCause::Shedding,
-        };
-        return FanoutEvent::Refused { call: id, cause, load, draining: false };
-    }
-    let Some(signature) = marks.signature.filter(|_| !marks.is_encoded) else {
-        return FanoutEvent::Failed { call: id };
-    };
-    let is_success = reply.status.is_success();
-    let is_final = is_success || (call.relays_failures && !reply.status.is_server_error());
-    let signed = SignedReply { signature, reply };
-    if is_final {
-        fanout.pending_answers.borrow_mut().insert(id, CallAnswer::Reply(Box::new(signed)));
-        return answered(id, load);
-    }
-    if call.relays_failures {
-        store_failure(fanout, call.query, signed);
+    let reply_use = call.classify(reply.status, &marks);
+    let signed = marks.signature.map(|signature| SignedReply { signature, reply });
+    match (reply_use, signed) {
+        (ReplyUse::Refusal(cause), _) => {
+            FanoutEvent::Refused { call: id, cause, load, draining: false }
+        }
+        (ReplyUse::Answer, Some(signed)) => {
+            fanout.pending_answers.borrow_mut().insert(id, CallAnswer::Reply(Box::new(signed)));
+            answered(id, load)
+        }
+        (ReplyUse::Failure, Some(signed)) => {
+            store_failure(fanout, call.query, signed);
+            FanoutEvent::Failed { call: id }
+        }
+        (ReplyUse::Nothing, _) | (ReplyUse::Answer | ReplyUse::Failure, None) => {
+            FanoutEvent::Failed { call: id }
+        }
     }
-    FanoutEvent::Failed { call: id }
 }
 
 fn answered(call: CallId, load: LoadReport) -> FanoutEvent {
--- a/crates/daemon/src/fanout/payload.rs
+++ b/crates/daemon/src/fanout/payload.rs
@@ -21,6 +21,8 @@
     /// A request that is forwarded without being parsed.
     Forward {
         request: Rc<OpaqueRequest>,
+        /// Whether the replies are parts of one answer, whatever their number.
+        is_gathered: bool,
         /// Merged replies.
         replies: Vec<SignedReply>,
         /// Most recent signed failure reply of a target.
@@ -54,8 +56,8 @@
     }
 
     /// Returns the payload of a forwarded request without replies.
-    pub(crate) fn forward(request: Rc<OpaqueRequest>) -> QueryPayload {
-        QueryPayload::Forward { request, replies: Vec::new(), failure: None }
+    pub(crate) fn forward(request: Rc<OpaqueRequest>, is_gathered: bool) -> QueryPayload {
+        QueryPayload::Forward { request, is_gathered, replies: Vec::new(), failure: None }
     }
 
     /// Adds an answer that the engine merged.
--- a/crates/daemon/src/routes/relay.rs
+++ b/crates/daemon/src/routes/relay.rs
@@ -20,6 +20,7 @@
 use oleanderwind_policy::OperationKind;
 use oleanderwind_policy::RouteContract;
 use oleanderwind_policy::VmId;
+use oleanderwind_policy::is_promise;
 use tokio::time::timeout;
 
 use crate::edge::OpaqueRequest;
@@ -191,7 +192,7 @@
             self.metrics.record_relay(end);
             match outcome {
                 RelayOutcome::Replied(reply) => {
-                    return relayed_reply(self.dialect.as_ref(), reply);
+                    return self.peer_reply(is_idempotent, reply);
                 }
                 RelayOutcome::NotRun => {}
                 RelayOutcome::Unknown => terms = terms.after(attempts),
@@ -202,6 +203,17 @@
         self.unserved_reply(request, &terms)
     }
 
+    /// Returns the reply to a request that a peer served.
+    ///
+    /// An earlier build relays the signed status of a target as it is, also where it would be a promise.
+    fn peer_reply(&self, is_idempotent: bool, reply: ClientReply) -> HttpReply {
+        let marks = self.dialect.parse_reply_metadata(reply.status, &reply.headers);
+        match !is_idempotent && marks.signature.is_some() && is_promise(reply.status.as_u16()) {
+            true => HttpReply::empty(StatusCode::BAD_GATEWAY),
+            false => relayed_reply(self.dialect.as_ref(), reply),
+        }
+    }
+
     /// Returns the reply to a request that was passed on to this VM, which reaches no target either.
     pub(crate) fn refuse_relayed(&self, request: &OpaqueRequest, may_have_run: bool) -> HttpReply {
         log::info!(
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -276,7 +276,9 @@
         if self.fanout.is_cut_off() && !is_trial {
             return self.serve_elsewhere(route, &request, is_relayed, terms).await;
         }
-        let mut run = self.fanout.begin(plan, work, QueryPayload::forward(request.clone()));
+        let is_gathered = matches!(route.destination, RouteDestination::Sharded(_));
+        let payload = QueryPayload::forward(request.clone(), is_gathered);
+        let mut run = self.fanout.begin(plan, work, payload);
         let mut stop_signal = self.is_stopping.subscribe();
         let mut reach = self.fanout.subscribe_reach();
         let cut_off = async {
--- a/crates/policy/src/outcome/mod.rs
+++ b/crates/policy/src/outcome/mod.rs
@@ -1,5 +1,11 @@
 //! Outcomes of requests, and reasons for refused calls.
 
+mod reply;
+
+pub use reply::ReplyUse;
+pub use reply::TargetReply;
+pub use reply::is_promise;
+
 use serde::Deserialize;
 use serde::Serialize;
 
