fix(policy,daemon): never send a request twice on one connection

Cause: a reply was tied to a request by its id, which all sends of one attempt share, and the connection on which a request was rejected was handed out first for its next send.

Change: policy/connection/history.rs remembers per connection the requests that may be sent again, until their deadline; the pool hands a connection out only for a request it has not carried. A final answer forgets its request. If all idle connections have carried it, the least recent one is closed for a new one.

Ways weighed: looking for bytes that wait before a send (the copy comes with the request); closing the connection after each rejection (a new connection for each rejection, also where none is sent again). Copies of a reply to another request close the connection as before.

--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -29,6 +29,7 @@
 use crate::fanout::quarantine::CallWitness;
 use crate::targets::CallFailure;
 use crate::targets::ForwardOutcome;
+use crate::targets::ReplyMatch;
 use crate::time::milliseconds;
 
 /// A forwarded call that the engine asked the driver to send.
@@ -70,20 +71,34 @@
     let Some(message) = build_request(dialect.as_ref(), &call, &request) else {
         return fanout.handle(FanoutEvent::Unsent { call: call.call });
     };
-    // Set by `is_own`, so that the headers are parsed only once.
+    // Set by `match_reply`, so that the headers are parsed only once.
     let reply_marks: RefCell<Option<ReplyMetadata>> = RefCell::new(None);
-    let is_own = |reply: &ClientReply| {
+    let match_reply = |reply: &ClientReply| {
         let marks = dialect.parse_reply_metadata(reply.status, &reply.headers);
         let is_own = marks.request_id.as_ref().is_none_or(|id| id == request.id.as_bytes());
+        let is_final = call.classify(reply.status, &marks) == ReplyUse::Answer;
         reply_marks.replace(Some(marks));
-        is_own
+        match (is_own, is_final) {
+            (false, _) => ReplyMatch::Other,
+            (true, false) => ReplyMatch::Own,
+            (true, true) => ReplyMatch::Final,
+        }
     };
     fanout.mark_sent(call.call);
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
     let may_send = || fanout.may_send(call.call) && fanout.may_leave(&witness);
-    let sent =
-        targets.forward(&call.target, message, call.is_idempotent, call.deadline, may_send, is_own);
+    let request_hash =
+        xxhash_rust::xxh3::xxh3_64_with_seed(request.id.as_bytes(), fanout.hash_seed);
+    let sent = targets.forward(
+        &call.target,
+        message,
+        request_hash,
+        call.is_idempotent,
+        call.deadline,
+        may_send,
+        match_reply,
+    );
     let mut end = CallEnd::default();
     let event = match sent.await {
         ForwardOutcome::Withdrawn => FanoutEvent::Withdrawn { call: call.call },
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) use outcome::CallFailure;
 pub(crate) use outcome::CallOutcome;
 pub(crate) use outcome::ForwardOutcome;
+pub(crate) use outcome::ReplyMatch;
 pub(crate) use service::EndSign;
 pub(crate) use service::ReplyObserver;
 pub(crate) use service::TargetProcess;
--- a/crates/daemon/src/targets/outcome.rs
+++ b/crates/daemon/src/targets/outcome.rs
@@ -31,6 +31,17 @@
     Failed(CallFailure),
 }
 
+/// Whether a reply belongs to a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReplyMatch {
+    /// It belongs to another request.
+    Other,
+    /// It belongs to this one, which may be sent again.
+    Own,
+    /// It is the final answer to this one.
+    Final,
+}
+
 /// How a call that was sent ended without a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallFailure {
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -12,6 +12,7 @@
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientSettings;
 use oleanderwind_http::HttpClient;
+use oleanderwind_policy::ConnectionHistory;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
 use tokio::sync::OwnedSemaphorePermit;
@@ -57,6 +58,16 @@
     permit: OwnedSemaphorePermit,
     /// Time of the most recent reply on this connection.
     last_reply_at: Instant,
+    history: ConnectionHistory,
+}
+
+/// A request that a connection is acquired for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PooledRequest {
+    /// Hash of the request's id, which all its sends share.
+    pub(crate) hash: u64,
+    /// Time after which it is not sent again.
+    pub(crate) deadline: Instant,
 }
 
 /// A connection taken from its pool. It is closed when dropped, unless it is released.
@@ -66,6 +77,7 @@
     /// Permit of `total_permits`.
     permit: OwnedSemaphorePermit,
     _active_permit: OwnedSemaphorePermit,
+    history: ConnectionHistory,
 }
 
 impl TargetPool {
@@ -106,17 +118,30 @@
 
     /// Acquires a connection, or returns `None` if none becomes available within `max_wait`.
     pub(crate) async fn acquire(self: &Rc<Self>, max_wait: Duration) -> Option<PooledConnection> {
-        timeout(max_wait, self.acquire_next()).await.ok().flatten()
+        timeout(max_wait, self.acquire_next(None)).await.ok().flatten()
+    }
+
+    /// Acquires a connection that has not carried the request yet, or returns `None` if none becomes available by its
+    /// deadline.
+    pub(crate) async fn acquire_for(
+        self: &Rc<Self>,
+        request: PooledRequest,
+    ) -> Option<PooledConnection> {
+        let max_wait = request.deadline.saturating_duration_since(Instant::now());
+        let acquiring = self.acquire_next(Some(request));
+        let mut connection = timeout(max_wait, acquiring).await.ok().flatten()?;
+        connection.history.record_send(request.hash, request.deadline, Instant::now());
+        Some(connection)
     }
 
     /// Acquires a connection if one is available immediately.
     pub(crate) fn try_acquire(self: &Rc<Self>) -> Option<PooledConnection> {
         let active_permit = self.active_permits.clone().try_acquire_owned().ok()?;
-        if let Some(idle) = self.pop_open_idle() {
-            return Some(self.check_out(idle.client, idle.permit, active_permit));
+        if let Some(idle) = self.pop_open_idle(None) {
+            return Some(self.check_out(idle, active_permit));
         }
         let permit = self.total_permits.clone().try_acquire_owned().ok()?;
-        Some(self.check_out(self.new_client(), permit, active_permit))
+        Some(self.check_out(self.new_idle(permit), active_permit))
     }
 
     /// Probes idle connections whose last reply is older than `since`. They return to the pool only
@@ -127,9 +152,7 @@
         for idle in unproven {
             let exchange = idle.client.get(PROBE_PATH);
             let pool = self.clone();
-            actix_rt::spawn(
-                async move { pool.await_late(exchange, idle.client, idle.permit).await },
-            );
+            actix_rt::spawn(async move { pool.await_late(exchange, idle).await });
         }
     }
 
@@ -161,60 +184,78 @@
     /// `LATE_REPLY_TIMEOUT`.
     ///
     /// Its permit is held for that time, since the target may still count the connection.
-    async fn await_late(
-        self: Rc<Self>,
-        exchange: ClientExchange,
-        client: HttpClient,
-        permit: OwnedSemaphorePermit,
-    ) {
+    async fn await_late(self: Rc<Self>, exchange: ClientExchange, connection: IdleConnection) {
         if let Ok(Ok(_)) = timeout(LATE_REPLY_TIMEOUT, exchange).await {
-            self.return_idle(client, permit);
+            self.return_idle(connection);
         }
     }
 
-    fn return_idle(&self, client: HttpClient, permit: OwnedSemaphorePermit) {
+    fn return_idle(&self, connection: IdleConnection) {
         if self.is_retired.get() {
             return;
         }
-        self.idle.borrow_mut().push(IdleConnection {
-            client,
-            permit,
-            last_reply_at: Instant::now(),
-        });
+        let connection = IdleConnection { last_reply_at: Instant::now(), ..connection };
+        self.idle.borrow_mut().push(connection);
     }
 
-    async fn acquire_next(self: &Rc<Self>) -> Option<PooledConnection> {
+    async fn acquire_next(
+        self: &Rc<Self>,
+        request: Option<PooledRequest>,
+    ) -> Option<PooledConnection> {
         let active_permit = self.active_permits.clone().acquire_owned().await.ok()?;
-        if let Some(idle) = self.pop_open_idle() {
-            return Some(self.check_out(idle.client, idle.permit, active_permit));
+        if let Some(idle) = self.pop_open_idle(request) {
+            return Some(self.check_out(idle, active_permit));
         }
-        let permit = self.total_permits.clone().acquire_owned().await.ok()?;
-        Some(self.check_out(self.new_client(), permit, active_permit))
+        let permit = match self.total_permits.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => match self.close_least_recent() {
+                Some(permit) => permit,
+                None => self.total_permits.clone().acquire_owned().await.ok()?,
+            },
+        };
+        Some(self.check_out(self.new_idle(permit), active_permit))
     }
 
-    /// Removes and returns the most recently used idle connection that is open. Drops closed ones
-    /// that it finds first.
-    fn pop_open_idle(&self) -> Option<IdleConnection> {
+    /// Removes and returns the most recently used idle connection that is open and may carry the request. Drops all closed
+    /// ones.
+    fn pop_open_idle(&self, request: Option<PooledRequest>) -> Option<IdleConnection> {
+        let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(last) = idle.pop() {
-            if last.client.is_open() {
-                return Some(last);
-            }
-        }
-        None
+        idle.retain(|connection| connection.client.is_open());
+        let allows = |connection: &IdleConnection| {
+            request.is_none_or(|request| connection.history.allows(request.hash, now))
+        };
+        let position = idle.iter().rposition(allows)?;
+        Some(idle.remove(position))
     }
 
-    fn new_client(&self) -> HttpClient {
-        HttpClient::with_context(self.address, CONNECTION_SETTINGS, self.context.clone())
+    /// Closes the idle connection that was used least recently, all of which have carried the request; returns its permit.
+    fn close_least_recent(&self) -> Option<OwnedSemaphorePermit> {
+        let mut idle = self.idle.borrow_mut();
+        (!idle.is_empty()).then(|| idle.remove(0).permit)
+    }
+
+    /// Returns a connection that is opened on first use.
+    fn new_idle(&self, permit: OwnedSemaphorePermit) -> IdleConnection {
+        let client =
+            HttpClient::with_context(self.address, CONNECTION_SETTINGS, self.context.clone());
+        let history = ConnectionHistory::default();
+        IdleConnection { client, permit, last_reply_at: Instant::now(), history }
     }
 
     fn check_out(
         self: &Rc<Self>,
-        client: HttpClient,
-        permit: OwnedSemaphorePermit,
+        connection: IdleConnection,
         active_permit: OwnedSemaphorePermit,
     ) -> PooledConnection {
-        PooledConnection { pool: self.clone(), client, permit, _active_permit: active_permit }
+        let IdleConnection { client, permit, history, .. } = connection;
+        PooledConnection {
+            pool: self.clone(),
+            client,
+            permit,
+            _active_permit: active_permit,
+            history,
+        }
     }
 }
 
@@ -225,7 +266,14 @@
 
     /// Returns the connection to the pool.
     pub(crate) fn release(self) {
-        self.pool.return_idle(self.client, self.permit);
+        let (pool, connection) = self.into_idle();
+        pool.return_idle(connection);
+    }
+
+    /// Returns the connection to the pool after the final answer to a request.
+    pub(crate) fn release_answered(mut self, request: PooledRequest) {
+        self.history.forget(request.hash);
+        self.release();
     }
 
     /// Frees the active slot immediately. Returns the connection to the pool once its late reply
@@ -233,7 +281,13 @@
     ///
     /// The late reply proves that the connection still works. An unresponsive connection is closed.
     pub(crate) fn release_after_reply(self, exchange: ClientExchange) {
-        actix_rt::spawn(self.pool.await_late(exchange, self.client, self.permit));
+        let (pool, connection) = self.into_idle();
+        actix_rt::spawn(pool.await_late(exchange, connection));
+    }
+
+    fn into_idle(self) -> (Rc<TargetPool>, IdleConnection) {
+        let PooledConnection { pool, client, permit, history, _active_permit } = self;
+        (pool, IdleConnection { client, permit, last_reply_at: Instant::now(), history })
     }
 }
 
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -39,7 +39,9 @@
 use crate::targets::CallOutcome;
 use crate::targets::ExecuteDeadline;
 use crate::targets::ForwardOutcome;
+use crate::targets::ReplyMatch;
 use crate::targets::pool::PooledConnection;
+use crate::targets::pool::PooledRequest;
 use crate::targets::pool::TargetPool;
 
 /// Time-out of a cancel request.
@@ -234,25 +236,27 @@
     }
 
     /// Forwards a request if `may_send` still allows it once a connection is free. The connection is
-    /// reused only if `is_own_reply` accepts the reply.
+    /// reused only if `match_reply` accepts the reply.
     ///
-    /// A request that is not idempotent uses a new connection or one that has replied within
-    /// `LIVENESS_WINDOW`. Dropping the future closes the connection, which cancels the request at
-    /// the target.
+    /// `request_hash` is a hash of the request's id: no connection carries a request twice, as a late copy of the first
+    /// reply would pass for the second one. A request that is not idempotent uses a new connection or one that has replied
+    /// within `LIVENESS_WINDOW`. Dropping the future closes the connection, which cancels the request at the target.
     pub(crate) async fn forward(
         &self,
         target: &TargetId,
         request: Request<Full<Bytes>>,
+        request_hash: u64,
         is_idempotent: bool,
         deadline: Instant,
         may_send: impl Fn() -> bool,
-        is_own_reply: impl Fn(&ClientReply) -> bool,
+        match_reply: impl Fn(&ClientReply) -> ReplyMatch,
     ) -> ForwardOutcome {
         let Some(pool) = self.pool(target) else { return ForwardOutcome::Unsent };
         if !is_idempotent && let Some(since) = Instant::now().checked_sub(LIVENESS_WINDOW) {
             pool.close_idle(since);
         }
-        let Some(connection) = pool.acquire(time_until(deadline)).await else {
+        let pooled = PooledRequest { hash: request_hash, deadline };
+        let Some(connection) = pool.acquire_for(pooled).await else {
             return ForwardOutcome::Unsent;
         };
         if !may_send() {
@@ -261,15 +265,21 @@
         }
         let sent_at = Instant::now();
         match timeout(time_until(deadline), connection.client().send(request)).await {
-            Ok(Ok(reply)) if is_own_reply(&reply) => {
-                connection.release();
-                ForwardOutcome::Replied(reply)
-            }
+            Ok(Ok(reply)) => match match_reply(&reply) {
+                ReplyMatch::Own => {
+                    connection.release();
+                    ForwardOutcome::Replied(reply)
+                }
+                ReplyMatch::Final => {
+                    connection.release_answered(pooled);
+                    ForwardOutcome::Replied(reply)
+                }
+                ReplyMatch::Other => {
+                    log::warn!(target = target.as_ref(); "reply belongs to another request");
+                    ForwardOutcome::Failed(CallFailure::OtherRequest)
+                }
+            },
             Ok(Err(ClientError::NotConnected)) => ForwardOutcome::Unsent,
-            Ok(Ok(_)) => {
-                log::warn!(target = target.as_ref(); "reply belongs to another request");
-                ForwardOutcome::Failed(CallFailure::OtherRequest)
-            }
             Ok(Err(ClientError::Broken)) => ForwardOutcome::Failed(CallFailure::Closed),
             Ok(Err(ClientError::OverLimit)) => {
                 pool.log_over_limit(target);
--- a/crates/policy/src/connection/mod.rs
+++ b/crates/policy/src/connection/mod.rs
@@ -1,4 +1,8 @@
-//! Connection limits of one VM for one target.
+//! Connections of one VM to one target: their limits, and what was sent on each.
+
+mod history;
+
+pub use history::ConnectionHistory;
 
 use crate::ConnectionBudget;
 
