fix(policy,daemon): a VM that is cut off finds out by itself that targets answer

Cause: a VM that takes itself for cut off leaves that state only by a reply of a target, and tried only requests that may be repeated.

Change: such a VM asks one listed target after the other, each 250 ms, for its health; any reply ends the state, with no traffic as well. Where no health path is configured or checks get no reply, one request is tried: one that may be repeated once a target accepts a connection, any other once three do (or as many as are listed), 2 s after the cut and after one another at the earliest, since it may be lost.

Ways weighed: trials of requests alone (need traffic, and lose requests); ending the state by time (each cut VM would try all requests again and lose them in turn).

--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -152,6 +152,14 @@
         self.state.borrow().routes.clone()
     }
 
+    /// Returns the path of the health check on the targets of a service, if one is configured.
+    pub(crate) fn health_path(&self, service: &ServiceId) -> Option<String> {
+        let routes = self.routes()?;
+        let mut services = routes.configuration.services.iter();
+        let path = services.find(|own| own.service == *service).map(|own| own.health_path.clone());
+        path.filter(|path| !path.is_empty())
+    }
+
     /// Returns the highest revision applied.
     pub(crate) fn revision(&self) -> Revision {
         self.state.borrow().highest_revision
--- a/crates/daemon/src/fanout/reach.rs
+++ b/crates/daemon/src/fanout/reach.rs
@@ -6,19 +6,19 @@
 
 use oleanderwind_policy::ReachState;
 use oleanderwind_policy::ReachTracker;
-use rand::seq::IteratorRandom;
-use tokio::net::TcpStream;
+use oleanderwind_policy::TargetSpec;
+use rand::seq::IndexedRandom;
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 use crate::fanout::FanoutService;
 use crate::fanout::quarantine::CallWitness;
+use crate::targets::HealthReply;
 use crate::time::milliseconds;
 
-/// Interval at which a VM that is cut off tries to connect to one target.
+/// Interval at which a VM that is cut off asks one target for its health.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Time in which a target that is reachable accepts a connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time in which the reply is waited for. A busy target may have it wait for a slot.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after which a call that is cancelled without a reply counts as silence of its target.
 const CANCELLED_CALL_TIME: Duration = Duration::from_millis(100);
 
@@ -33,9 +33,16 @@
         self.reach.subscribe()
     }
 
-    /// Takes the permission to try one request on the targets while this VM is cut off: one of them accepted a connection.
-    pub(crate) fn take_reach_trial(&self) -> bool {
-        self.is_reach_trial_due.take()
+    /// Takes the permission to try one request on the targets while this VM is cut off.
+    pub(crate) fn take_reach_trial(&self, is_idempotent: bool) -> bool {
+        let mut is_due = false;
+        // The state does not change, so that nobody is notified.
+        self.reach.send_if_modified(|tracker| {
+            let listed = self.targets.addresses().len();
+            is_due = tracker.take_trial(is_idempotent, listed, Instant::now());
+            false
+        });
+        is_due
     }
 
     /// Records a reply of a target.
@@ -78,17 +85,29 @@
     }
 }
 
-/// Connects to one target after the other until a reply shows that they are reached again.
-///
-/// A connection that is accepted proves little: a request is tried then.
+/// Asks one target after the other for its health until a reply shows that they are reached again, whether callers send
+/// requests or not. At most `PROBE_TIMEOUT / PROBE_INTERVAL` checks are under way.
 async fn probe_targets(fanout: Rc<FanoutService>) {
     while fanout.is_cut_off() {
         tokio::time::sleep(PROBE_INTERVAL).await;
-        let Some(address) = fanout.targets.addresses().into_iter().choose(&mut rand::rng()) else {
+        let Some(spec) = fanout.directory.targets().choose(&mut rand::rng()).cloned() else {
             continue;
         };
-        if let Ok(Ok(_)) = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-            fanout.is_reach_trial_due.set(true);
+        actix_rt::spawn(probe_target(fanout.clone(), spec));
+    }
+}
+
+async fn probe_target(fanout: Rc<FanoutService>, spec: TargetSpec) {
+    let path = fanout.directory.health_path(&spec.service);
+    match fanout.targets.ask_health(spec.address, path.as_deref(), PROBE_TIMEOUT).await {
+        HealthReply::Replied => fanout.record_reply(),
+        // A connection that is accepted proves little: a request is tried then.
+        HealthReply::Connected => {
+            fanout.reach.send_if_modified(|tracker| {
+                tracker.record_accepted(&spec.target);
+                false
+            });
         }
+        HealthReply::Unreachable => {}
     }
 }
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -95,8 +95,7 @@
     /// Whether this VM reaches the targets; receivers are notified when that changes.
     pub(crate) reach: watch::Sender<ReachTracker>,
     pub(crate) cut_off_at: Cell<Option<Instant>>,
-    /// Whether a request may be tried while this VM is cut off.
-    pub(crate) is_reach_trial_due: Cell<bool>,
+    pub(crate) directory: Rc<DirectoryService>,
     pub(crate) metrics: Rc<MetricsService>,
     settings: LiveSettings,
     next_query: Cell<QueryId>,
@@ -128,7 +127,7 @@
             unreadable_limits: RefCell::default(),
             reach: watch::Sender::default(),
             cut_off_at: Cell::default(),
-            is_reach_trial_due: Cell::default(),
+            directory: directory.clone(),
             metrics: kernel.metrics()?,
             settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -261,10 +261,8 @@
         }
         let is_idempotent = route.operation == OperationKind::Search;
         let is_relayed = relayed_attempts.is_some();
-        let is_trial = self.fanout.is_cut_off()
-            && is_idempotent
-            && !is_relayed
-            && self.fanout.take_reach_trial();
+        let is_trial =
+            self.fanout.is_cut_off() && !is_relayed && self.fanout.take_reach_trial(is_idempotent);
         let mut plan = self.plan(routes, route, &request, arrived);
         let attempt_limit = &mut plan.attempt_policy.attempt_limit;
         *attempt_limit = relayed_attempts.map_or(*attempt_limit, |most| most.min(*attempt_limit));
--- a/crates/daemon/src/targets/mod.rs
+++ b/crates/daemon/src/targets/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) use outcome::ForwardOutcome;
 pub(crate) use outcome::ReplyMatch;
 pub(crate) use service::EndSign;
+pub(crate) use service::HealthReply;
 pub(crate) use service::ReplyObserver;
 pub(crate) use service::TargetProcess;
 pub(crate) use service::TargetService;
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -26,7 +26,7 @@
 const OVER_LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Settings of each connection. A reachable target accepts a connection within a few milliseconds,
 /// and the network latency is of the same order.
-const CONNECTION_SETTINGS: ClientSettings = ClientSettings {
+pub(crate) const CONNECTION_SETTINGS: ClientSettings = ClientSettings {
     connect_timeout: Duration::from_millis(250),
     unacknowledged_timeout: Duration::from_millis(1_000),
     keepalive_interval: None,
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -18,6 +18,7 @@
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientReply;
 use oleanderwind_http::HeadObserver;
+use oleanderwind_http::HttpClient;
 use oleanderwind_http::ListenerState;
 use oleanderwind_http::ReplyMemory;
 use oleanderwind_http::probe_listener;
@@ -33,6 +34,7 @@
 use oleanderwind_wire::ShardCall;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::targets::CallFailure;
@@ -40,6 +42,7 @@
 use crate::targets::ExecuteDeadline;
 use crate::targets::ForwardOutcome;
 use crate::targets::ReplyMatch;
+use crate::targets::pool::CONNECTION_SETTINGS;
 use crate::targets::pool::PooledConnection;
 use crate::targets::pool::PooledRequest;
 use crate::targets::pool::TargetPool;
@@ -87,6 +90,17 @@
     Silent,
 }
 
+/// What came of asking a target for its health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HealthReply {
+    /// It replied, whatever it says about its health.
+    Replied,
+    /// It accepted a connection.
+    Connected,
+    /// It accepted no connection.
+    Unreachable,
+}
+
 /// Pool of one incarnation of a target.
 struct IncarnationPool {
     incarnation: u64,
@@ -307,6 +321,31 @@
         self.pools.borrow().values().map(|entry| entry.pool.address()).collect()
     }
 
+    /// Asks for the health of the target at an address, on a connection of its own.
+    ///
+    /// Without a path, or with one that is no path, only the connection is tried.
+    pub(crate) async fn ask_health(
+        &self,
+        address: SocketAddr,
+        path: Option<&str>,
+        patience: Duration,
+    ) -> HealthReply {
+        let Some(path) = path.filter(|path| path.starts_with('/')) else {
+            return match timeout(patience, TcpStream::connect(address)).await {
+                Ok(Ok(_)) => HealthReply::Connected,
+                Ok(Err(_)) | Err(_) => HealthReply::Unreachable,
+            };
+        };
+        let client = HttpClient::new(address, CONNECTION_SETTINGS, self.connects.clone());
+        match timeout(patience, client.get(path)).await {
+            Ok(Ok(_)) => HealthReply::Replied,
+            Ok(Err(ClientError::NotConnected)) => HealthReply::Unreachable,
+            Ok(Err(ClientError::Broken | ClientError::OverLimit)) | Err(_) => {
+                HealthReply::Connected
+            }
+        }
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn close_idle(&self, target: &TargetId) {
         if let Some(pool) = self.pool(target) {
--- a/crates/policy/src/reach/tracker.rs
+++ b/crates/policy/src/reach/tracker.rs
@@ -18,6 +18,12 @@
 /// Time after which a target that was silent, and was not called again, does not count any more.
 const SILENCE_WINDOW: Duration = Duration::from_secs(2);
 
+/// Number of targets that have to accept a connection before a request that may not be repeated is tried, if so many are
+/// listed. A connection that is accepted proves little.
+const MIN_ACCEPTING_TARGETS: usize = 3;
+/// Minimum time between two trials of requests that may not be repeated, and from the cut on. Each may be lost.
+const UNSAFE_TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Whether this VM reaches targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReachState {
@@ -42,10 +48,17 @@
     last_silence_at: Option<Instant>,
     last_reply_at: Option<Instant>,
     state: ReachState,
+    /// Targets that accepted a connection since the cut was found out, or since the last trial of a request that may not be
+    /// repeated.
+    accepting: HashSet<TargetId>,
+    /// Whether a target accepted a connection since the last trial.
+    has_new_connection: bool,
+    /// Time from which on a request that may not be repeated may be tried.
+    unsafe_trial_at: Option<Instant>,
 }
 
 impl ReachTracker {
-    /// Records a reply of any target, or a connection that one accepted; returns whether the VM was cut off until now.
+    /// Records a reply of any target, also to a health check; returns whether the VM was cut off until now.
     pub fn record_reply(&mut self, now: Instant) -> bool {
         self.last_reply_at = Some(now);
         self.forget_silence();
@@ -77,11 +90,46 @@
             && self.works.len() >= MIN_SILENT_WORKS;
         if is_cut_off && self.state == ReachState::Reaching {
             self.state = ReachState::CutOff;
+            self.accepting.clear();
+            self.has_new_connection = false;
+            self.unsafe_trial_at = Some(now + UNSAFE_TRIAL_INTERVAL);
             return true;
         }
         false
     }
 
+    /// Records that a target accepted a connection while this VM was cut off.
+    pub fn record_accepted(&mut self, target: &TargetId) {
+        if self.state == ReachState::CutOff {
+            self.accepting.insert(target.clone());
+            self.has_new_connection = true;
+        }
+    }
+
+    /// Takes the permission to try one request on the targets while this VM is cut off, of `listed` of them.
+    ///
+    /// One that may be repeated is tried as soon as a target accepts a connection, any other only once several do: if it is
+    /// lost, its caller learns nothing. So a VM whose callers send only such requests leaves this state too.
+    pub fn take_trial(&mut self, is_idempotent: bool, listed: usize, now: Instant) -> bool {
+        let is_due = self.state == ReachState::CutOff
+            && match is_idempotent {
+                true => self.has_new_connection,
+                false => {
+                    self.has_new_connection
+                        && self.accepting.len() >= MIN_ACCEPTING_TARGETS.min(listed)
+                        && self.unsafe_trial_at.is_none_or(|at| now >= at)
+                }
+            };
+        if is_due {
+            self.has_new_connection = false;
+        }
+        if is_due && !is_idempotent {
+            self.accepting.clear();
+            self.unsafe_trial_at = Some(now + UNSAFE_TRIAL_INTERVAL);
+        }
+        is_due
+    }
+
     fn forget_silence(&mut self) {
         self.silent.clear();
         self.works.clear();
