--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -261,10 +261,8 @@
         }
         let is_idempotent = route.operation == OperationKind::Search;
         let is_relayed = relayed_attempts.is_some();
-        let is_trial = self.fanout.is_cut_off()
-            && is_idempotent
-            && !is_relayed
-            && self.fanout.take_reach_trial();
+        let is_trial =
+            self.fanout.is_cut_off() && !is_relayed && self.fanout.take_reach_trial(is_idempotent);
         let mut plan = self.plan(routes, route, &request, arrived);
         let attempt_limit = &mut plan.attempt_policy.attempt_limit;
         *attempt_limit = relayed_attempts.map_or(*attempt_limit, |most| most.min(*attempt_limit));
@@ -276,7 +274,9 @@
         if self.fanout.is_cut_off() && !is_trial {
             return self.serve_elsewhere(route, &request, is_relayed, terms).await;
         }
-        let mut run = self.fanout.begin(plan, work, QueryPayload::forward(request.clone()));
+        let is_gathered = matches!(route.destination, RouteDestination::Sharded(_));
+        let payload = QueryPayload::forward(request.clone(), is_gathered);
+        let mut run = self.fanout.begin(plan, work, payload);
         let mut stop_signal = self.is_stopping.subscribe();
         let mut reach = self.fanout.subscribe_reach();
         let cut_off = async {
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -18,6 +18,7 @@
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientReply;
 use oleanderwind_http::HeadObserver;
+use oleanderwind_http::HttpClient;
 use oleanderwind_http::ListenerState;
 use oleanderwind_http::ReplyMemory;
 use oleanderwind_http::probe_listener;
@@ -33,13 +34,17 @@
 use oleanderwind_wire::ShardCall;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::targets::CallFailure;
 use crate::targets::CallOutcome;
 use crate::targets::ExecuteDeadline;
 use crate::targets::ForwardOutcome;
+use crate::targets::ReplyMatch;
+use crate::targets::pool::CONNECTION_SETTINGS;
 use crate::targets::pool::PooledConnection;
+use crate::targets::pool::PooledRequest;
 use crate::targets::pool::TargetPool;
 
 /// Time-out of a cancel request.
@@ -85,6 +90,17 @@
     Silent,
 }
 
+/// What came of asking a target for its health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HealthReply {
+    /// It replied, whatever it says about its health.
+    Replied,
+    /// It accepted a connection.
+    Connected,
+    /// It accepted no connection.
+    Unreachable,
+}
+
 /// Pool of one incarnation of a target.
 struct IncarnationPool {
     incarnation: u64,
@@ -234,25 +250,27 @@
     }
 
     /// Forwards a request if `may_send` still allows it once a connection is free. The connection is
-    /// reused only if `is_own_reply` accepts the reply.
+    /// reused only if `match_reply` accepts the reply.
     ///
-    /// A request that is not idempotent uses a new connection or one that has replied within
-    /// `LIVENESS_WINDOW`. Dropping the future closes the connection, which cancels the request at
-    /// the target.
+    /// `request_hash` is a hash of the request's id: no connection carries a request twice, as a late copy of the first
+    /// reply would pass for the second one. A request that is not idempotent uses a new connection or one that has replied
+    /// within `LIVENESS_WINDOW`. Dropping the future closes the connection, which cancels the request at the target.
     pub(crate) async fn forward(
         &self,
         target: &TargetId,
         request: Request<Full<Bytes>>,
+        request_hash: u64,
         is_idempotent: bool,
         deadline: Instant,
         may_send: impl Fn() -> bool,
-        is_own_reply: impl Fn(&ClientReply) -> bool,
+        match_reply: impl Fn(&ClientReply) -> ReplyMatch,
     ) -> ForwardOutcome {
         let Some(pool) = self.pool(target) else { return ForwardOutcome::Unsent };
         if !is_idempotent && let Some(since) = Instant::now().checked_sub(LIVENESS_WINDOW) {
             pool.close_idle(since);
         }
-        let Some(connection) = pool.acquire(time_until(deadline)).await else {
+        let pooled = PooledRequest { hash: request_hash, deadline };
+        let Some(connection) = pool.acquire_for(pooled).await else {
             return ForwardOutcome::Unsent;
         };
         if !may_send() {
@@ -261,15 +279,21 @@
         }
         let sent_at = Instant::now();
         match timeout(time_until(deadline), connection.client().send(request)).await {
-            Ok(Ok(reply)) if is_own_reply(&reply) => {
-                connection.release();
-                ForwardOutcome::Replied(reply)
-            }
+            Ok(Ok(reply)) => match match_reply(&reply) {
+                ReplyMatch::Own => {
+                    connection.release();
+                    ForwardOutcome::Replied(reply)
+                }
+                ReplyMatch::Final => {
+                    connection.release_answered(pooled);
+                    ForwardOutcome::Replied(reply)
+                }
+                ReplyMatch::Other => {
+                    log::warn!(target = target.as_ref(); "reply belongs to another request");
+                    ForwardOutcome::Failed(CallFailure::OtherRequest)
+                }
+            },
             Ok(Err(ClientError::NotConnected)) => ForwardOutcome::Unsent,
-            Ok(Ok(_)) => {
-                log::warn!(target = target.as_ref(); "reply belongs to another request");
-                ForwardOutcome::Failed(CallFailure::OtherRequest)
-            }
             Ok(Err(ClientError::Broken)) => ForwardOutcome::Failed(CallFailure::Closed),
             Ok(Err(ClientError::OverLimit)) => {
                 pool.log_over_limit(target);
@@ -297,6 +321,31 @@
         self.pools.borrow().values().map(|entry| entry.pool.address()).collect()
     }
 
+    /// Asks for the health of the target at an address, on a connection of its own.
+    ///
+    /// Without a path, or with one that is no path, only the connection is tried.
+    pub(crate) async fn ask_health(
+        &self,
+        address: SocketAddr,
+        path: Option<&str>,
+        patience: Duration,
+    ) -> HealthReply {
+        let Some(path) = path.filter(|path| path.starts_with('/')) else {
+            return match timeout(patience, TcpStream::connect(address)).await {
+                Ok(Ok(_)) => HealthReply::Connected,
+                Ok(Err(_)) | Err(_) => HealthReply::Unreachable,
+            };
+        };
+        let client = HttpClient::new(address, CONNECTION_SETTINGS, self.connects.clone());
+        match timeout(patience, client.get(path)).await {
+            Ok(Ok(_)) => HealthReply::Replied,
+            Ok(Err(ClientError::NotConnected)) => HealthReply::Unreachable,
+            Ok(Err(ClientError::Broken | ClientError::OverLimit)) | Err(_) => {
+                HealthReply::Connected
+            }
+        }
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn close_idle(&self, target: &TargetId) {
         if let Some(pool) = self.pool(target) {
