--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -34,6 +34,7 @@
         for target in &self.targets {
             let failing = if target.is_failing { ", failing" } else { "" };
             let leaving = if target.is_leaving { ", leaving by its own word" } else { "" };
+            let evacuated = if target.is_evacuated { ", evacuated" } else { "" };
             let paused = match target.paused_ms {
                 0 => String::new(),
                 rest => format!(", paused for {rest} ms"),
@@ -45,7 +46,7 @@
                 }
             };
             text += &format!(
-                "{} {} in {}: {:?}{failing}{leaving}{paused}{limited}, {} of {} calls open, \
+                "{} {} in {}: {:?}{failing}{leaving}{evacuated}{paused}{limited}, {} of {} calls open, \
                  {} extra calls left\n",
                 target.service,
                 target.target,
@@ -77,6 +78,9 @@
         write_line!(text, "contracts       {}", self.contracts);
         write_line!(text, "targets         {}", self.targets);
         write_line!(text, "platform calls  {}", self.platform_calls);
+        if !self.evacuated.is_empty() {
+            write_line!(text, "evacuated       {}", self.evacuated.join(", "));
+        }
         text
     }
 }
--- a/crates/daemon/src/admin/service.rs
+++ b/crates/daemon/src/admin/service.rs
@@ -195,6 +195,7 @@
             contracts: self.directory.contracts().len(),
             targets: self.directory.targets().len(),
             platform_calls: self.platform.calls(),
+            evacuated: self.peers.evacuated_domains().iter().map(ToString::to_string).collect(),
         }
     }
 
--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -96,7 +96,10 @@
             // Routes contain the connection limits of targets.
             ObjectKind::Targets | ObjectKind::Routes => &self.target_changes,
             ObjectKind::Contracts => &self.contract_changes,
-            ObjectKind::Snapshots | ObjectKind::Vms | ObjectKind::Ledger => return,
+            ObjectKind::Snapshots
+            | ObjectKind::Vms
+            | ObjectKind::Ledger
+            | ObjectKind::Evacuations => return,
         };
         if has_changed {
             changes.send_modify(|count| *count += 1);
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -83,8 +83,8 @@
             ObjectKind::Snapshots => self.apply_snapshot(object),
             ObjectKind::Targets => self.apply_target(object, source),
             ObjectKind::Routes => self.apply_routes(object),
-            // Membership holds the VMs, and the ledger service its segments.
-            ObjectKind::Vms | ObjectKind::Ledger => {}
+            // Membership holds the VMs, the ledger service its segments, and the peer service the evacuations.
+            ObjectKind::Vms | ObjectKind::Ledger | ObjectKind::Evacuations => {}
         }
         true
     }
@@ -109,7 +109,8 @@
                 self.snapshots.retain(|key, _| key.object_name() != name);
             }
             // Deleted routes stay in effect, as callers are better served by the last ones than by none.
-            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger => {}
+            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger | ObjectKind::Evacuations => {
+            }
         }
         true
     }
@@ -128,7 +129,8 @@
             ObjectKind::Snapshots => {
                 self.snapshots.retain(|key, _| names.contains(key.object_name().as_str()));
             }
-            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger => {}
+            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger | ObjectKind::Evacuations => {
+            }
         }
         self.count(kind) != before
     }
@@ -138,7 +140,9 @@
             ObjectKind::Contracts => self.contracts.len(),
             ObjectKind::Targets => self.targets.len(),
             ObjectKind::Snapshots => self.snapshots.len(),
-            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger => 0,
+            ObjectKind::Routes | ObjectKind::Vms | ObjectKind::Ledger | ObjectKind::Evacuations => {
+                0
+            }
         }
     }
 
--- a/crates/daemon/src/edge/platform.rs
+++ b/crates/daemon/src/edge/platform.rs
@@ -27,6 +27,8 @@
     Routes,
     /// Ledger segments.
     Ledger,
+    /// Evacuated failure domains.
+    Evacuations,
 }
 
 impl ObjectKind {
@@ -39,6 +41,7 @@
             ObjectKind::Vms => "vms",
             ObjectKind::Routes => "routes",
             ObjectKind::Ledger => "ledger",
+            ObjectKind::Evacuations => "evacuations",
         }
     }
 }
@@ -117,6 +120,9 @@
     /// Returns the kinds of configuration objects that the platform stores.
     fn kinds(&self) -> &'static [policy::ObjectKind];
 
+    /// Returns whether the platform lists failure domains that are to be evacuated.
+    fn has_evacuations(&self) -> bool;
+
     /// Returns whether each VM must register itself in the platform's VM list.
     fn requires_self_registration(&self) -> bool;
 
--- a/crates/daemon/src/fanout/mod.rs
+++ b/crates/daemon/src/fanout/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the fan-out engine: executes its actions and passes events to it.
 
 mod driver;
+mod evacuations;
 mod forward;
 mod limits;
 mod payload;
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -37,6 +37,7 @@
 use crate::fanout::QueryWork;
 use crate::fanout::driver::connection_share;
 use crate::fanout::driver::run_timers;
+use crate::fanout::evacuations::watch_evacuations;
 use crate::fanout::limits::watch_limits;
 use crate::fanout::payload::CallAnswer;
 use crate::fanout::quarantine::CallWitness;
@@ -137,6 +138,7 @@
         actix_rt::spawn(watch_targets(fanout.clone(), directory));
         actix_rt::spawn(watch_drains(fanout.clone()));
         actix_rt::spawn(watch_limits(fanout.clone()));
+        actix_rt::spawn(watch_evacuations(fanout.clone()));
         actix_rt::spawn(run_timers(fanout.clone()));
         Ok(fanout)
     }
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -106,6 +106,7 @@
         message.drains = records.iter().map(Into::into).collect();
         self.add_works(&mut message, peer_digest);
         self.add_limits(&mut message);
+        self.add_evacuations(&mut message);
         message
     }
 
@@ -180,6 +181,8 @@
     /// Handles the contents of a heartbeat or of a reply to one, apart from the member records.
     fn handle_message(self: &Rc<Self>, message: &policy::ExchangeMessage, raw: &ExchangeMessage) {
         let now = Instant::now();
+        // Before the summary, which may open the gate of a VM that starts.
+        self.handle_peer_evacuations(&raw.evacuations);
         let action = {
             let mut state = self.state.borrow_mut();
             state.contact.record_contact(now);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod configuration;
 mod drains;
+mod evacuations;
 mod heartbeat;
 mod limits;
 mod metrics;
--- a/crates/daemon/src/peers/quarantine.rs
+++ b/crates/daemon/src/peers/quarantine.rs
@@ -200,6 +200,7 @@
                 let reply = peers.clients.exchange(address, message).await.ok_or(())?;
                 peers.handle_peer_works(&reply.works);
                 peers.handle_peer_limits(&reply.limits);
+                peers.handle_peer_evacuations(&reply.evacuations);
                 Ok::<(), ()>(())
             })
         };
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use oleanderwind_policy::ContactTracker;
 use oleanderwind_policy::DrainRecord;
 use oleanderwind_policy::DrainTable;
+use oleanderwind_policy::EvacuationTable;
+use oleanderwind_policy::FailureDomainId;
 use oleanderwind_policy::FleetShape;
 use oleanderwind_policy::GossipEngine;
 use oleanderwind_policy::LimitChange;
@@ -56,6 +59,7 @@
     pub(crate) quarantine: QuarantineEngine,
     pub(crate) limits: LimitTable,
     pub(crate) permits: PermitIssuer,
+    pub(crate) evacuations: EvacuationTable,
 }
 
 /// A limit of a target that was learned from a peer, and what it changed.
@@ -72,6 +76,8 @@
     pub(crate) fleet_shape: watch::Sender<FleetShape>,
     /// Sends drain notices that were received from peers.
     pub(crate) drain_sender: mpsc::UnboundedSender<DrainRecord>,
+    /// Evacuated failure domains.
+    pub(crate) evacuated: watch::Sender<BTreeSet<FailureDomainId>>,
     /// Sends limits of targets that were learned from peers.
     pub(crate) limit_sender: mpsc::UnboundedSender<PeerLimit>,
     limit_receiver: RefCell<Option<mpsc::UnboundedReceiver<PeerLimit>>>,
@@ -114,6 +120,7 @@
             clients: PeerClientPool::default(),
             fleet_shape: watch::Sender::new(FleetShape::uniform(1)),
             drain_sender,
+            evacuated: watch::Sender::default(),
             limit_sender,
             limit_receiver: RefCell::new(Some(limit_receiver)),
             loan_request_sender,
@@ -270,5 +277,6 @@
         quarantine: QuarantineEngine::default(),
         limits: LimitTable::default(),
         permits: PermitIssuer::default(),
+        evacuations: EvacuationTable::default(),
     }
 }
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -111,6 +111,10 @@
         ]
     }
 
+    fn has_evacuations(&self) -> bool {
+        false
+    }
+
     fn requires_self_registration(&self) -> bool {
         false
     }
--- a/crates/daemon/src/routes/view.rs
+++ b/crates/daemon/src/routes/view.rs
@@ -65,6 +65,7 @@
             window: view.window,
             is_failing: view.is_failing,
             is_leaving: view.is_leaving,
+            is_evacuated: view.is_evacuated,
             paused_ms: milliseconds(view.paused_for),
             limit_per_second: view.limit.map(|rate| rate.per_second()),
             permits: view.permits,
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration sync from the platform, on the VMs that hold its watches.
 
+mod evacuations;
 mod registration;
 
 use std::cell::Cell;
@@ -10,9 +11,11 @@
 
 use actix_rt::task::JoinHandle;
 use futures_util::StreamExt;
+use futures_util::future::try_join;
 use futures_util::future::try_join_all;
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::Era;
+use oleanderwind_policy::MissingObjects;
 use oleanderwind_policy::ObjectKind;
 use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::OutageTracker;
@@ -73,6 +76,8 @@
     outages: Cell<OutageTracker>,
     /// Era of the platform's store at the last list.
     listed_era: Cell<Option<Era>>,
+    /// Revision after which the next watch of evacuations starts; `None` while this VM holds no watches.
+    evacuation_revision: Cell<Option<Revision>>,
 }
 
 /// Revision after which the next watch of each kind starts.
@@ -94,6 +99,7 @@
             unreachable_since: Cell::new(None),
             outages: Cell::new(OutageTracker::new(kernel.settings().lapse_hold)),
             listed_era: Cell::new(None),
+            evacuation_revision: Cell::new(None),
         };
         let backoff = WatchBackoff::new(
             kernel.settings().seed,
@@ -126,6 +132,7 @@
             if self.directory.is_configured() && !self.peers.is_watch_holder() {
                 // Gossip keeps the store up to date; the next watch starts at its revision.
                 revisions = None;
+                self.evacuation_revision.set(None);
                 self.peers.forget_platform_words();
                 tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
                 continue;
@@ -248,6 +255,11 @@
         }
     }
 
+    /// Returns whether entries of an earlier era of the store are kept, as it was restored from a copy recently.
+    fn holds_earlier_eras(&self) -> bool {
+        self.outages.get().missing_objects(Instant::now()) == MissingObjects::KeepEarlierEras
+    }
+
     /// Returns whether entries that vanish are kept, as the platform was away until recently.
     fn holds_removals(&self) -> bool {
         self.outages.get().holds_removals(Instant::now())
@@ -292,7 +304,7 @@
             let objects = list.items.iter().map(|object| configuration_object(kind, object));
             Ok::<_, PlatformError>(KindListing { kind, revision, objects: objects.collect() })
         });
-        let lists = try_join_all(lists).await?;
+        let (lists, evacuations) = try_join(try_join_all(lists), self.list_evacuations()).await?;
         self.record_contact(self.platform.kinds());
         let revision = lists.iter().map(|list| list.revision).min().unwrap_or(0);
         let era = era_of(revision);
@@ -307,6 +319,10 @@
         if is_restored {
             self.update_outages(|outages| outages.record_restore(Instant::now()));
         }
+        // Before the listing, which opens the gate of a VM that starts.
+        if let Some(evacuations) = evacuations {
+            self.apply_evacuations(&evacuations);
+        }
         let objects: Vec<ConfigurationObject> =
             lists.iter().flat_map(|list| list.objects.iter().cloned()).collect();
         let mut listing = ObjectListing::from_platform(&objects, revision);
@@ -321,7 +337,8 @@
     async fn watch_all(&self, held: KindRevisions) -> Result<KindRevisions, PlatformError> {
         self.peers.begin_watches();
         let progress: Vec<WatchProgress> = held.into_iter().map(WatchProgress::from).collect();
-        try_join_all(progress.iter().map(|own| self.watch_one(own, &progress))).await?;
+        let watches = try_join_all(progress.iter().map(|own| self.watch_one(own, &progress)));
+        try_join(watches, self.watch_evacuations()).await?;
         Ok(progress.iter().map(|own| (own.kind, own.revision.get())).collect())
     }
 
--- a/crates/policy/src/fanout/executor.rs
+++ b/crates/policy/src/fanout/executor.rs
@@ -66,11 +66,13 @@
         }
     }
 
-    /// Returns whether a call in a reserved slot may leave now. Takes a permit, if the target has a rate limit.
+    /// Returns whether a call in a reserved slot may leave now: its target's failure domain is not evacuated. Takes a permit,
+    /// if the target has a rate limit.
     pub fn permit_executor(&mut self, target: &TargetId, now: Instant, wall: SystemTime) -> bool {
         self.current_time = Some(now);
         let Some(index) = self.targets.index_of(target) else { return false };
-        self.targets.state_mut(index).take_valid_permit(now, wall)
+        let state = self.targets.state_mut(index);
+        !state.is_evacuated() && state.take_valid_permit(now, wall)
     }
 
     /// Releases the slot that [`pick_executor`](FanoutEngine::pick_executor) reserved and records
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -1,5 +1,6 @@
 //! Updates of target state from the platform, from peers and from replies.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -7,6 +8,7 @@
 use crate::CallId;
 use crate::CallPermit;
 use crate::CustomerId;
+use crate::FailureDomainId;
 use crate::FanoutEngine;
 use crate::FanoutEvent;
 use crate::FanoutResult;
@@ -33,6 +35,17 @@
         }
     }
 
+    /// Sets the evacuated failure domains. Their targets get no new call from then on; calls that wait for one are sent to
+    /// others or given up, and what is under way ends. Targets of a domain that is none any more get one call at a time
+    /// at first.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<FailureDomainId>, now: Instant) {
+        self.current_time = Some(now);
+        self.targets.set_evacuated(domains);
+        for index in self.targets.indices() {
+            self.schedule_queue_service(index);
+        }
+    }
+
     /// Records that a target announced, to this VM or to a peer, that it is draining.
     pub fn mark_draining(&mut self, target: &TargetId, now: Instant) {
         self.current_time = Some(now);
--- a/crates/policy/src/fanout/view.rs
+++ b/crates/policy/src/fanout/view.rs
@@ -19,6 +19,8 @@
     pub is_failing: bool,
     /// Whether the target announced in a reply that it leaves.
     pub is_leaving: bool,
+    /// Whether the target's failure domain is evacuated, so that it gets no new calls.
+    pub is_evacuated: bool,
     /// Rest of the pause that the target asked for.
     pub paused_for: Duration,
     /// Rate limit that the target named.
@@ -40,6 +42,7 @@
             window: state.window.limit(),
             is_failing: state.backoff.is_failing(),
             is_leaving: state.is_leaving(),
+            is_evacuated: state.is_evacuated(),
             paused_for: state
                 .paused_until(now)
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
--- a/crates/policy/src/news/pace.rs
+++ b/crates/policy/src/news/pace.rs
@@ -77,7 +77,16 @@
         position: WatchPosition,
         time_of_day: Duration,
     ) -> Duration {
-        let period = self.period(kind, position.holders).as_millis().max(1);
+        Self::time_to_turn(self.period(kind, position.holders), position, time_of_day)
+    }
+
+    /// Returns how long the platform may hold a call about evacuations open, which have to take effect within a limit.
+    pub fn evacuation_hold(&self, position: WatchPosition, time_of_day: Duration) -> Duration {
+        Self::time_to_turn(self.limited_period(position.holders), position, time_of_day)
+    }
+
+    fn time_to_turn(period: Duration, position: WatchPosition, time_of_day: Duration) -> Duration {
+        let period = period.as_millis().max(1);
         let holders = u128::try_from(position.holders.max(1)).unwrap_or(1);
         let turn = period * u128::try_from(position.rank).unwrap_or(0) / holders;
         let elapsed = (time_of_day.as_millis() + period - turn % period) % period;
--- a/crates/policy/src/routing/state.rs
+++ b/crates/policy/src/routing/state.rs
@@ -7,6 +7,7 @@
 use std::time::SystemTime;
 
 use crate::CallPermit;
+use crate::FailureDomainId;
 use crate::LoadReport;
 use crate::RefusalCause;
 use crate::RequestRate;
@@ -85,6 +86,10 @@
     pub(crate) is_cross_domain: bool,
     /// Expected wait added for crossing to another failure domain, in seconds.
     pub(crate) crossing_cost: f64,
+    /// Failure domain of the listed process; `None` before the target is listed.
+    pub(crate) failure_domain: Option<FailureDomainId>,
+    /// Whether the failure domain is evacuated, so that the target gets no new calls.
+    is_evacuated: bool,
     /// The listed process; `None` before the target is listed.
     process: Option<TargetProcess>,
     listed_phase: Option<TargetPhase>,
@@ -121,6 +126,8 @@
             unlisted_at: None,
             is_cross_domain: false,
             crossing_cost: 0.0,
+            failure_domain: None,
+            is_evacuated: false,
             process: None,
             listed_phase: None,
             is_draining: false,
@@ -201,6 +208,19 @@
         self.is_draining |= is_draining;
     }
 
+    /// Sets whether the target's failure domain is evacuated. Taken back, the target gets one call at a time at first.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool) {
+        let was_evacuated = std::mem::replace(&mut self.is_evacuated, is_evacuated);
+        if was_evacuated && !is_evacuated {
+            self.window.reset_size(1);
+        }
+    }
+
+    /// Returns whether the target's failure domain is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
     /// Records that a process announced in a reply that it leaves; returns whether that is new.
     ///
     /// It holds until a later process is listed, whatever the platform's entry says.
@@ -243,6 +263,7 @@
     /// Returns whether the target serves: it may get new calls unless it asked for a pause.
     pub(crate) fn is_usable(&self) -> bool {
         self.listed_phase.is_some()
+            && !self.is_evacuated
             && !self.is_draining
             && !self.is_leaving()
             && self.window.has_connections()
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -1,5 +1,6 @@
 //! Index of all targets known to the VM.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -27,6 +28,8 @@
     by_id: HashMap<TargetId, TargetIndex>,
     by_service: HashMap<(ServiceId, ProviderId), Vec<TargetIndex>>,
     free_indices: Vec<TargetIndex>,
+    /// Failure domains whose targets get no new calls.
+    evacuated: BTreeSet<FailureDomainId>,
     /// Targets for which permits have to be asked for.
     lacking_permits: Vec<TargetIndex>,
     generation: u64,
@@ -44,6 +47,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             free_indices: Vec::new(),
+            evacuated: BTreeSet::new(),
             lacking_permits: Vec::new(),
             generation: 0,
         }
@@ -137,6 +141,15 @@
         requests
     }
 
+    /// Sets the failure domains whose targets get no new calls.
+    pub(crate) fn set_evacuated(&mut self, domains: BTreeSet<FailureDomainId>) {
+        for state in &mut self.states {
+            let domain = state.failure_domain.as_ref();
+            state.set_evacuated(domain.is_some_and(|domain| domains.contains(domain)));
+        }
+        self.evacuated = domains;
+    }
+
     /// Applies the platform's full target list.
     pub(crate) fn apply_specs(&mut self, specs: &[TargetSpec], now: Instant) {
         self.generation += 1;
@@ -147,8 +160,11 @@
             let is_local =
                 self.own_domain.as_ref().is_none_or(|domain| *domain == spec.failure_domain);
             let cost = if is_local { 0.0 } else { self.crossing_cost };
+            let is_evacuated = self.evacuated.contains(&spec.failure_domain);
             let state = self.state_mut(index);
             state.apply_spec(spec);
+            state.failure_domain = Some(spec.failure_domain.clone());
+            state.set_evacuated(is_evacuated);
             state.is_cross_domain = !is_local;
             state.crossing_cost = cost;
             listed.insert(index);
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -32,6 +32,9 @@
     pub targets: usize,
     /// Calls to the platform since the process started; a watch counts as one call.
     pub platform_calls: u64,
+    /// Evacuated failure domains, whose targets get no new calls.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
 }
 
 /// Status of the routes on the responding VM.
@@ -69,6 +72,9 @@
     /// Whether the target announced in a reply that it leaves, so that it gets no new calls.
     #[serde(default)]
     pub is_leaving: bool,
+    /// Whether the target's failure domain is evacuated, so that it gets no new calls.
+    #[serde(default)]
+    pub is_evacuated: bool,
     /// Rest of the pause that the target asked for, in milliseconds.
     #[serde(default)]
     pub paused_ms: u64,
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -12,6 +12,7 @@
 
 use super::ConfigurationObject;
 use super::DrainRecord;
+use super::EvacuationRecord;
 use super::ExchangeMessage;
 use super::FetchObjectsReply;
 use super::LimitRecord;
@@ -111,6 +112,7 @@
             work_digest: 0,
             works: Vec::new(),
             limits: Vec::new(),
+            evacuations: Vec::new(),
             revision: message.summary.highest_revision,
             complete_revision: message.summary.complete_revision,
             configuration_digest: message.summary.digest,
@@ -238,6 +240,35 @@
     }
 }
 
+impl From<&policy::EvacuationRecord> for EvacuationRecord {
+    fn from(record: &policy::EvacuationRecord) -> EvacuationRecord {
+        EvacuationRecord {
+            failure_domain: record.failure_domain.to_string(),
+            revision: record.revision,
+            is_over: !record.is_in_force,
+        }
+    }
+}
+
+impl TryFrom<&EvacuationRecord> for policy::EvacuationRecord {
+    type Error = FindingList;
+
+    fn try_from(record: &EvacuationRecord) -> Result<policy::EvacuationRecord, FindingList> {
+        let mut findings = FindingList::default();
+        if record.failure_domain.is_empty() {
+            findings.add("failure_domain", "is empty; name the failure domain");
+        }
+        if record.revision == 0 {
+            findings.add("revision", "is 0; give the store's revision");
+        }
+        findings.into_result(policy::EvacuationRecord {
+            failure_domain: record.failure_domain.as_str().into(),
+            revision: record.revision,
+            is_in_force: !record.is_over,
+        })
+    }
+}
+
 impl From<policy::TrialDecision> for TrialDecision {
     fn from(decision: policy::TrialDecision) -> TrialDecision {
         match decision {
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -89,6 +89,21 @@
     /// Changes of targets' rate limits that may be new to the receiver.
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<LimitRecord>,
+    /// Latest record of each failure domain that was ever evacuated.
+    #[prost(message, repeated, tag = "20")]
+    pub evacuations: ::prost::alloc::vec::Vec<EvacuationRecord>,
+}
+/// What the platform's store said last of the evacuation of a failure domain.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuationRecord {
+    #[prost(string, tag = "1")]
+    pub failure_domain: ::prost::alloc::string::String,
+    /// Revision at which the entry was written or removed.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Whether the evacuation has ended.
+    #[prost(bool, tag = "3")]
+    pub is_over: bool,
 }
 /// What is known of the rate limit of one process of a target.
 #[derive(Clone, PartialEq, ::prost::Message)]
