feat(policy,daemon,platform): failure domains are evacuated on the operator's word

Change: watch holders list and watch the entries. The latest record of each failure domain, ordered by the store's revision, is in every heartbeat, and a change is notified at once.

--- a/crates/policy/tests/fanout/main.rs
+++ b/crates/policy/tests/fanout/main.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod budget_window;
 mod comparison;
+mod evacuation;
 mod fake_fleet;
 mod fake_target;
 mod guarantees;
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -15,6 +15,8 @@
 use std::time::Instant;
 
 use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::EvacuationRecord;
+use oleanderwind_policy::EvacuationTable;
 use oleanderwind_policy::ExchangeMessage;
 use oleanderwind_policy::GossipEngine;
 use oleanderwind_policy::MemberRecord;
@@ -42,14 +44,17 @@
 pub(crate) const MESSAGE_OVERHEAD_BYTES: usize = 128;
 /// Time after which a heartbeat without a reply fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of peers to which a VM relays an evacuation.
+const RELAY_FANOUT: usize = 3;
 /// Interval at which a VM checks whether it has become a watch holder.
 const HOLDER_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 
 enum Event {
     Tick { node: usize, generation: u64 },
     Chase { node: usize, generation: u64 },
-    Request { from: usize, to: usize, message: ExchangeMessage },
-    Reply { from: usize, to: usize, message: ExchangeMessage },
+    Request { from: usize, to: usize, message: ExchangeMessage, evacuations: Vec<EvacuationRecord> },
+    Reply { from: usize, to: usize, message: ExchangeMessage, evacuations: Vec<EvacuationRecord> },
+    Evacuated { node: usize, record: EvacuationRecord },
     Failed { node: usize, peer: usize },
     Indirect { node: usize, peer: usize, answered: bool },
     Push { to: usize, objects: Vec<ConfigurationObject> },
@@ -61,6 +66,7 @@
 pub(crate) struct Node {
     pub(crate) members: MembershipEngine,
     pub(crate) gossip: GossipEngine,
+    pub(crate) evacuations: EvacuationTable,
     pub(crate) alive: bool,
     pub(crate) bytes: usize,
     /// Number of starts of the node; events of an earlier start are dropped.
@@ -170,6 +176,7 @@
         Node {
             members,
             gossip,
+            evacuations: EvacuationTable::default(),
             alive: true,
             bytes: 0,
             generation,
@@ -239,6 +246,40 @@
         self.platform.revision
     }
 
+    /// Writes or removes an evacuation on the platform, which tells it to the open watches.
+    pub(crate) fn write_evacuation(&mut self, domain: &str, is_in_force: bool) {
+        self.platform.revision += 1;
+        let revision = self.platform.revision;
+        for node in self.watchers() {
+            if !self.nodes[node].is_watch_lost && self.can_reach_platform(node) {
+                let record =
+                    EvacuationRecord { failure_domain: domain.into(), revision, is_in_force };
+                let at = self.delivery_time();
+                self.schedule(at, Event::Evacuated { node, record });
+            }
+        }
+    }
+
+    fn known_evacuations(&self, number: usize) -> Vec<EvacuationRecord> {
+        self.nodes[number].evacuations.records().cloned().collect()
+    }
+
+    fn merge_evacuations(&mut self, number: usize, records: &[EvacuationRecord], fanout: usize) {
+        let node = &mut self.nodes[number];
+        let news = records.iter().filter(|record| node.evacuations.merge(record)).count();
+        if news > 0 {
+            let summary = node.gossip.store().summary();
+            let actions = node.members.notify(fanout, summary);
+            self.send_membership(number, actions);
+        }
+    }
+
+    /// Returns how many live nodes hold an evacuation in force.
+    pub(crate) fn count_evacuated(&self, domain: &str) -> usize {
+        let holds = |node: &&Node| node.alive && node.evacuations.in_force().contains(domain);
+        self.nodes.iter().filter(holds).count()
+    }
+
     /// Stops or starts the platform; open watches fail at once.
     pub(crate) fn set_platform_down(&mut self, is_down: bool) {
         self.platform.is_down = is_down;
@@ -287,24 +328,33 @@
         match event {
             Event::Tick { node, generation } => self.tick(node, generation),
             Event::Chase { node, generation } => self.chase(node, generation),
-            Event::Request { from, to, message } => {
+            Event::Request { from, to, message, evacuations } => {
+                let known = self.known_evacuations(to);
+                self.merge_evacuations(to, &evacuations, RELAY_FANOUT);
                 let summary = self.nodes[to].gossip.store().summary();
                 let reply = self.nodes[to].members.handle_heartbeat(&message, summary, self.now);
                 self.handle_summary(to, from, message.summary);
                 self.count_bytes(from, to, peer::ExchangeMessage::from(&reply).encoded_len());
                 let at = self.delivery_time();
                 match self.can_reach(to, from) {
-                    true => self.schedule(at, Event::Reply { from: to, to: from, message: reply }),
+                    true => self.schedule(
+                        at,
+                        Event::Reply { from: to, to: from, message: reply, evacuations: known },
+                    ),
                     false => {
                         let at = self.now + CALL_TIMEOUT;
                         self.schedule(at, Event::Failed { node: from, peer: to });
                     }
                 }
             }
-            Event::Reply { from, to, message } => {
+            Event::Reply { from, to, message, evacuations } => {
+                self.merge_evacuations(to, &evacuations, RELAY_FANOUT);
                 self.nodes[to].members.handle_reply(&message);
                 self.handle_summary(to, from, message.summary);
             }
+            Event::Evacuated { node, record } => {
+                self.merge_evacuations(node, &[record], MembershipEngine::NOTIFY_FANOUT);
+            }
             Event::Failed { node, peer } => {
                 let vm = self.platform.vms[peer].vm.clone();
                 let actions = self.nodes[node].members.handle_heartbeat_failure(&vm);
@@ -411,7 +461,8 @@
                     self.count_bytes(from, to, peer::ExchangeMessage::from(&message).encoded_len());
                     if self.can_reach(from, to) {
                         let at = self.delivery_time();
-                        self.schedule(at, Event::Request { from, to, message });
+                        let evacuations = self.known_evacuations(from);
+                        self.schedule(at, Event::Request { from, to, message, evacuations });
                     } else {
                         let at = self.now + CALL_TIMEOUT;
                         self.schedule(at, Event::Failed { node: from, peer: to });
