--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -1,11 +1,14 @@
 //! The instruments of one daemon.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::StatusCode;
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FanoutResult;
+use oleanderwind_policy::OrganisationId;
 use oleanderwind_policy::RequestOutcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -25,6 +28,11 @@
 /// Bucket bounds of the coverage histograms, in thousandths.
 const COVERAGE_BOUNDS_PERMILLE: [f64; 8] = [0.0, 500.0, 800.0, 900.0, 950.0, 990.0, 999.0, 1_000.0];
 
+/// Maximum number of organisations with counters of their own; the others are counted together.
+const MAX_COUNTED_ORGANISATIONS: usize = 200;
+/// Label of the organisations that are counted together.
+const OTHER_ORGANISATIONS: &str = "other";
+
 /// Measurements of one finished request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestMeasurement<'a> {
@@ -58,6 +66,8 @@
     limited_calls: Counter<u64>,
     reach_changes: Counter<u64>,
     relays: Counter<u64>,
+    quota_requests: Counter<u64>,
+    counted_organisations: RefCell<HashSet<OrganisationId>>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
 }
@@ -88,6 +98,8 @@
             target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
             reach_changes: meter.u64_counter("oleanderwind_reach_changes").build(),
             relays: meter.u64_counter("oleanderwind_relays").build(),
+            quota_requests: meter.u64_counter("oleanderwind_quota_requests").build(),
+            counted_organisations: RefCell::default(),
             limited_calls: meter.u64_counter("oleanderwind_limited_calls").build(),
             quarantine_steps: meter.u64_counter("oleanderwind_quarantine_steps").build(),
             latency: latency_histogram(&meter, "oleanderwind_request_latency_ms"),
@@ -149,6 +161,18 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Records a request of an organisation with a quota: `admitted`, `exhausted` or `holder_not_reached`.
+    pub(crate) fn record_quota(&self, organisation: &OrganisationId, decision: &'static str) {
+        let mut counted = self.counted_organisations.borrow_mut();
+        let has_room = counted.len() < MAX_COUNTED_ORGANISATIONS;
+        let is_counted =
+            counted.contains(organisation) || (has_room && counted.insert(organisation.clone()));
+        let name = if is_counted { organisation.as_ref() } else { OTHER_ORGANISATIONS };
+        let labels =
+            [KeyValue::new("organisation", name.to_owned()), KeyValue::new("decision", decision)];
+        self.quota_requests.add(1, &labels);
+    }
+
     /// Records a notice of a target: `leaving` or `pause`.
     pub(crate) fn record_target_notice(&self, kind: &'static str) {
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -10,6 +10,8 @@
 use oleanderwind_wire::peer::PermitRequest;
 use oleanderwind_wire::peer::ProbeReply;
 use oleanderwind_wire::peer::PushObjectsReply;
+use oleanderwind_wire::peer::QuotaReply;
+use oleanderwind_wire::peer::QuotaRequest;
 use oleanderwind_wire::peer::TrialReply;
 use oleanderwind_wire::peer::TrialRequest;
 use tokio::sync::oneshot;
@@ -34,6 +36,8 @@
     Trial { request: TrialRequest, reply: oneshot::Sender<TrialReply> },
     /// Request for permits for calls to a target with a rate limit.
     Permit { request: PermitRequest, reply: oneshot::Sender<PermitReply> },
+    /// Request for tokens for requests of an organisation with a quota.
+    Quota { request: QuotaRequest, reply: oneshot::Sender<QuotaReply> },
     /// Request for a page of objects.
     Fetch { request: FetchObjectsRequest, reply: oneshot::Sender<FetchObjectsReply> },
 }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -17,6 +17,8 @@
 use oleanderwind_wire::peer::PermitRequest;
 use oleanderwind_wire::peer::ProbeRequest;
 use oleanderwind_wire::peer::PushObjectsRequest;
+use oleanderwind_wire::peer::QuotaReply;
+use oleanderwind_wire::peer::QuotaRequest;
 use oleanderwind_wire::peer::TrialReply;
 use oleanderwind_wire::peer::TrialRequest;
 use oleanderwind_wire::peer::peer_client::PeerClient;
@@ -38,6 +40,8 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for asking for permits, which requests of callers wait for.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout for asking for tokens of a quota, which requests of callers wait for.
+const QUOTA_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout for fetching a page of objects.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of connections kept for later calls.
@@ -118,6 +122,28 @@
         self.call(address, PERMIT_TIMEOUT, send).await
     }
 
+    /// Asks for tokens for requests of an organisation with a quota.
+    ///
+    /// A late reply does not close the connection, as heartbeats tell whether the peer is gone.
+    pub(crate) async fn quota(
+        &self,
+        address: SocketAddr,
+        request: QuotaRequest,
+    ) -> Option<QuotaReply> {
+        let mut client = self.client(address)?;
+        match timeout(QUOTA_TIMEOUT, client.quota(request)).await {
+            Ok(Ok(response)) => Some(response.into_inner()),
+            Ok(Err(status)) => {
+                log::debug!("peer {address} issues no quota: {status}");
+                None
+            }
+            Err(_) => {
+                log::debug!("peer {address} issues no quota within {QUOTA_TIMEOUT:?}");
+                None
+            }
+        }
+    }
+
     /// Fetches a page of objects.
     pub(crate) async fn fetch(
         &self,
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -15,6 +15,8 @@
 use oleanderwind_wire::peer::ProbeRequest;
 use oleanderwind_wire::peer::PushObjectsReply;
 use oleanderwind_wire::peer::PushObjectsRequest;
+use oleanderwind_wire::peer::QuotaReply;
+use oleanderwind_wire::peer::QuotaRequest;
 use oleanderwind_wire::peer::TrialReply;
 use oleanderwind_wire::peer::TrialRequest;
 use oleanderwind_wire::peer::peer_server::Peer;
@@ -143,6 +145,11 @@
         self.dispatch(|reply| PeerCall::Permit { request, reply }).await
     }
 
+    async fn quota(&self, request: Request<QuotaRequest>) -> Result<Response<QuotaReply>, Status> {
+        let request = request.into_inner();
+        self.dispatch(|reply| PeerCall::Quota { request, reply }).await
+    }
+
     async fn forward(
         &self,
         _request: Request<ForwardRequest>,
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -36,6 +36,7 @@
 use crate::peers::heartbeat::send_heartbeats;
 use crate::peers::heartbeat::serve_calls;
 use crate::peers::metrics::PeerMetrics;
+use crate::peers::quota::QuotaState;
 use crate::peers::server::PeerListener;
 use crate::settings::DaemonSettings;
 use crate::time::epoch_milliseconds;
@@ -86,6 +87,7 @@
     pub(crate) is_chasing: Cell<bool>,
     /// When this VM last probed a holder of rate limits that did not answer.
     pub(crate) holder_probed_at: Cell<Option<Instant>>,
+    pub(crate) quotas: RefCell<QuotaState>,
     /// Number of peers to tell more soon; 0 if there is nothing more to tell.
     pub(crate) untold_works_fanout: Cell<usize>,
     listener: RefCell<Option<PeerListener>>,
@@ -123,6 +125,7 @@
             works_told_at: Cell::new(None),
             is_chasing: Cell::new(false),
             holder_probed_at: Cell::new(None),
+            quotas: RefCell::new(QuotaState::new(&settings)),
             untold_works_fanout: Cell::new(0),
             listener: RefCell::new(Some(listener)),
             address,
@@ -222,6 +225,7 @@
         };
         let fleet = self.compute_fleet_shape();
         self.fleet_shape.send_if_modified(|shape| std::mem::replace(shape, fleet) != fleet);
+        self.refresh_quota_view();
         if may_start && !self.is_starting.replace(true) {
             actix_rt::spawn(start_serving(self.clone()));
         }
--- a/crates/daemon/src/routes/answer.rs
+++ b/crates/daemon/src/routes/answer.rs
@@ -107,6 +107,12 @@
     }
 }
 
+/// Returns the reply to a request beyond its organisation's quota, for which there may be room after `retry_after`.
+pub(crate) fn quota_refusal(retry_after: Duration) -> HttpReply {
+    let reply = HttpReply::empty(StatusCode::TOO_MANY_REQUESTS);
+    reply.with_header(RETRY_AFTER, &format!("{:.3}", retry_after.as_secs_f64()))
+}
+
 fn status(status: http::StatusCode) -> StatusCode {
     StatusCode::from_u16(status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY)
 }
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -23,6 +23,8 @@
 use oleanderwind_policy::ClassPriority;
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::OperationKind;
+use oleanderwind_policy::OrganisationId;
+use oleanderwind_policy::QuotaRefusal;
 use oleanderwind_policy::ReachState;
 use oleanderwind_policy::RouteContract;
 use oleanderwind_policy::RouteDestination;
@@ -44,7 +46,9 @@
 use crate::kernel::Kernel;
 use crate::metrics::MetricsService;
 use crate::peers::PeerService;
+use crate::peers::QuotaAdmission;
 use crate::routes::answer::RouteReply;
+use crate::routes::answer::quota_refusal;
 use crate::routes::answer::refusal;
 use crate::routes::answer::route_reply;
 use crate::routes::manifests::ManifestCache;
@@ -236,7 +240,49 @@
             self.record_refused_request(&request, "body_too_long");
             return HttpReply::empty(StatusCode::PAYLOAD_TOO_LARGE).closing();
         }
-        self.run(&routes, &route, request, arrived, relayed_attempts).await
+        // A request that a peer passes on was admitted there.
+        let contract = identity.contract().filter(|_| relayed_attempts.is_none());
+        let quota = contract.and_then(|contract| Some((&contract.organisation, contract.quota?)));
+        let Some((organisation, quota)) = quota else {
+            return self.run(&routes, &route, request, arrived, relayed_attempts).await;
+        };
+        let token = match self.peers.admit(organisation, quota).await {
+            QuotaAdmission::Admitted(token) => token,
+            QuotaAdmission::Refused(refusal) => {
+                return self.refuse_over_quota(&route, &request, organisation, &refusal);
+            }
+        };
+        self.metrics.record_quota(organisation, "admitted");
+        let reply = self.run(&routes, &route, request, arrived, relayed_attempts).await;
+        // This status tells the caller that nothing of the request ran.
+        if reply.status() == StatusCode::SERVICE_UNAVAILABLE {
+            self.peers.give_back(organisation, token);
+        }
+        reply
+    }
+
+    fn refuse_over_quota(
+        &self,
+        route: &RouteContract,
+        request: &OpaqueRequest,
+        organisation: &OrganisationId,
+        refusal: &QuotaRefusal,
+    ) -> HttpReply {
+        let cause = if refusal.is_unreached { "holder_not_reached" } else { "exhausted" };
+        self.metrics.record_refusal("over_quota");
+        self.metrics.record_quota(organisation, cause);
+        log::info!(
+            request = request.id.as_str(),
+            route = route.name.as_ref(),
+            organisation = organisation.as_ref(),
+            outcome = "over_quota",
+            cause = cause,
+            left = refusal.left,
+            left_age_ms = refusal.age.map(milliseconds),
+            retry_after_ms = milliseconds(refusal.retry_after);
+            "request refused"
+        );
+        quota_refusal(refusal.retry_after)
     }
 
     fn record_refused_request(&self, request: &OpaqueRequest, reason: &'static str) {
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -11,6 +11,7 @@
 use oleanderwind_policy::FindingList;
 use oleanderwind_policy::FloorWait;
 use oleanderwind_policy::HedgePolicy;
+use oleanderwind_policy::QuotaSettings;
 use oleanderwind_policy::RoutingPolicy;
 use oleanderwind_policy::VmId;
 use xxhash_rust::xxh3::xxh3_64;
@@ -24,6 +25,10 @@
 
 /// Maximum number of extra calls that may be saved up.
 const MAX_EXTRA_SLACK: f64 = 1_000_000.0;
+/// Maximum of the requests that are allowed beyond a quota.
+const MAX_QUOTA_SLACK: f64 = 1_000_000.0;
+/// Window of quotas by default, in milliseconds.
+const DEFAULT_QUOTA_WINDOW_MS: u32 = 5_000;
 /// Milliseconds in a second.
 const MS_PER_SECOND: f64 = 1_000.0;
 /// Suffix of a time that is given in seconds.
@@ -84,6 +89,8 @@
     pub extra_slack: u32,
     /// Window in which the extra calls beyond the ratio are counted.
     pub extra_window: Duration,
+    /// Bounds that the quotas of organisations are kept within.
+    pub quota: QuotaSettings,
     /// Penalty added to the expected wait of targets in other failure domains.
     pub crossing_cost: Duration,
     /// Processor capacity that this process may use, in thousandths of a core; 0 if unknown.
@@ -175,6 +182,7 @@
                 10_000,
                 &mut findings,
             ),
+            quota: quota(raw, &mut findings),
             crossing_cost: duration(&raw.crossing_cost_ms, "--crossing-cost-ms", 0, &mut findings),
             processor_millicores: processor_millicores(raw, &mut findings),
             answer_margin: duration(&raw.answer_margin_ms, "--answer-margin-ms", 5, &mut findings),
@@ -249,6 +257,9 @@
         writeln!(f, "extra-ratio={}", f64::from(self.extra_permille) / ONE_PERMILLE)?;
         writeln!(f, "extra-slack={}", self.extra_slack)?;
         writeln!(f, "extra-window-ms={}", milliseconds(self.extra_window))?;
+        writeln!(f, "quota-window-ms={}", milliseconds(self.quota.window))?;
+        writeln!(f, "quota-overage={}", self.quota.overage)?;
+        writeln!(f, "quota-slack={}", self.quota.slack)?;
         writeln!(f, "crossing-cost-ms={}", milliseconds(self.crossing_cost))?;
         writeln!(f, "processor-millicores={}", self.processor_millicores)?;
         writeln!(f, "answer-margin-ms={}", milliseconds(self.answer_margin))?;
@@ -319,6 +330,20 @@
     (number(option, flag, default, 1.0, findings) * ONE_PERMILLE) as u32
 }
 
+fn quota(raw: &RawSettings, findings: &mut FindingList) -> QuotaSettings {
+    let flag = "--quota-window-ms";
+    let window = duration(&raw.quota_window_ms, flag, DEFAULT_QUOTA_WINDOW_MS, findings);
+    if window.is_zero() {
+        findings.add(place(flag), "is 0; give more");
+    }
+    let default = QuotaSettings::default();
+    QuotaSettings {
+        window,
+        overage: number(&raw.quota_overage, "--quota-overage", default.overage, 1.0, findings),
+        slack: number(&raw.quota_slack, "--quota-slack", default.slack, MAX_QUOTA_SLACK, findings),
+    }
+}
+
 /// Returns the cores of the processor, times the fraction of them that this process may use.
 fn processor_millicores(raw: &RawSettings, findings: &mut FindingList) -> u32 {
     let cores = number(&raw.processor_cores, "--processor-cores", 0.0, MAX_CORES, findings);
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -78,6 +78,16 @@
     /// 10000
     #[argh(option)]
     pub extra_window_ms: Option<String>,
+    /// milliseconds of the window in which the requests of an organisation with a quota are counted;
+    /// default: 5000
+    #[argh(option)]
+    pub quota_window_ms: Option<String>,
+    /// fraction by which the requests in a window may exceed the quota, 0 to 1; default: 0.1
+    #[argh(option)]
+    pub quota_overage: Option<String>,
+    /// requests in a window that are allowed beyond that; default: 20
+    #[argh(option)]
+    pub quota_slack: Option<String>,
     /// milliseconds added to the expected wait of targets in other failure domains; default: 0
     #[argh(option)]
     pub crossing_cost_ms: Option<String>,
@@ -202,6 +212,9 @@
             ("EXTRA_RATIO", &mut self.extra_ratio),
             ("EXTRA_SLACK", &mut self.extra_slack),
             ("EXTRA_WINDOW_MS", &mut self.extra_window_ms),
+            ("QUOTA_WINDOW_MS", &mut self.quota_window_ms),
+            ("QUOTA_OVERAGE", &mut self.quota_overage),
+            ("QUOTA_SLACK", &mut self.quota_slack),
             ("CROSSING_COST_MS", &mut self.crossing_cost_ms),
             ("PROCESSOR_CORES", &mut self.processor_cores),
             ("PROCESSOR_SHARE", &mut self.processor_share),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -135,6 +135,9 @@
         extra-ratio=0.1
         extra-slack=40
         extra-window-ms=10000
+        quota-window-ms=5000
+        quota-overage=0.1
+        quota-slack=20
         crossing-cost-ms=0
         processor-millicores=0
         answer-margin-ms=5
@@ -155,7 +158,7 @@
 fn from_args_explains_every_flag() {
     let help = RawSettings::from_args(&["oleanderwindd"], &["--help"]).unwrap_err().output;
     expect![[r#"
-        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
+        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--quota-window-ms <quota-window-ms>] [--quota-overage <quota-overage>] [--quota-slack <quota-slack>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
 
         Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 
@@ -195,6 +198,12 @@
                             service at once; default: 40
           --extra-window-ms milliseconds of the window in which the extra calls beyond
                             the ratio are counted; default: 10000
+          --quota-window-ms milliseconds of the window in which the requests of an
+                            organisation with a quota are counted; default: 5000
+          --quota-overage   fraction by which the requests in a window may exceed the
+                            quota, 0 to 1; default: 0.1
+          --quota-slack     requests in a window that are allowed beyond that; default:
+                            20
           --crossing-cost-ms
                             milliseconds added to the expected wait of targets in other
                             failure domains; default: 0
--- a/crates/policy/src/organisation/table.rs
+++ b/crates/policy/src/organisation/table.rs
@@ -5,6 +5,8 @@
 
 use crate::KeyDigest;
 use crate::OrganisationContract;
+use crate::OrganisationId;
+use crate::RequestQuota;
 use crate::organisation::CallerIdentity;
 use crate::route::RouteConfiguration;
 use crate::route::RouteContract;
@@ -14,6 +16,7 @@
 pub struct OrganisationTable {
     /// `None` if the configuration names no organisations, so that no request needs a key.
     by_key: Option<HashMap<KeyDigest, Arc<OrganisationContract>>>,
+    quotas: HashMap<OrganisationId, RequestQuota>,
 }
 
 impl OrganisationTable {
@@ -27,7 +30,21 @@
             });
             entries.collect()
         });
-        OrganisationTable { by_key }
+        let organisations = configuration.organisations.iter().flatten();
+        let quotas = organisations
+            .filter_map(|contract| Some((contract.organisation.clone(), contract.quota?)))
+            .collect();
+        OrganisationTable { by_key, quotas }
+    }
+
+    /// Returns whether any organisation has a quota.
+    pub fn has_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
+    /// Returns the quota of an organisation, if it has one.
+    pub fn quota(&self, organisation: &str) -> Option<RequestQuota> {
+        self.quotas.get(organisation).copied()
     }
 
     /// Returns on whose behalf a request of `route` with this key is served.
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -127,6 +127,35 @@
     #[prost(message, optional, tag = "3")]
     pub record: ::core::option::Option<LimitRecord>,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaRequest {
+    #[prost(string, tag = "1")]
+    pub organisation: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+    /// Whether the holder was not reached, so that its deputy is asked.
+    #[prost(bool, tag = "3")]
+    pub as_deputy: bool,
+    /// What the caller knows of the quota, for a VM that does not know it yet.
+    #[prost(double, tag = "4")]
+    pub requests_per_second: f64,
+    #[prost(double, tag = "5")]
+    pub burst: f64,
+}
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct QuotaReply {
+    #[prost(uint32, tag = "1")]
+    pub granted: u32,
+    /// Time until there is another token, in microseconds; 0 if all wanted ones were granted.
+    #[prost(uint32, tag = "2")]
+    pub retry_after_us: u32,
+    /// Tokens left.
+    #[prost(double, tag = "3")]
+    pub left: f64,
+    /// Whether the quota is another VM's in this one's view.
+    #[prost(bool, tag = "4")]
+    pub is_other: bool,
+}
 /// Process of a target that ended while it ran some work.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TargetEnd {
@@ -590,6 +619,28 @@
                 .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Permit"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks for tokens for requests of an organisation with a quota.
+        pub async fn quota(
+            &mut self,
+            request: impl tonic::IntoRequest<super::QuotaRequest>,
+        ) -> std::result::Result<tonic::Response<super::QuotaReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/oleanderwind.peer.v1.Peer/Quota",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("oleanderwind.peer.v1.Peer", "Quota"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Forwards a caller's request once to a VM that has connections to the service.
         pub async fn forward(
             &mut self,
@@ -669,6 +720,11 @@
             &self,
             request: tonic::Request<super::PermitRequest>,
         ) -> std::result::Result<tonic::Response<super::PermitReply>, tonic::Status>;
+        /// Asks for tokens for requests of an organisation with a quota.
+        async fn quota(
+            &self,
+            request: tonic::Request<super::QuotaRequest>,
+        ) -> std::result::Result<tonic::Response<super::QuotaReply>, tonic::Status>;
         /// Forwards a caller's request once to a VM that has connections to the service.
         async fn forward(
             &self,
@@ -1053,6 +1109,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/oleanderwind.peer.v1.Peer/Quota" => {
+                    #[allow(non_camel_case_types)]
+                    struct QuotaSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::QuotaRequest>
+                    for QuotaSvc<T> {
+                        type Response = super::QuotaReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::QuotaRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::quota(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = QuotaSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/oleanderwind.peer.v1.Peer/Forward" => {
                     #[allow(non_camel_case_types)]
                     struct ForwardSvc<T: Peer>(pub Arc<T>);
