--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -139,6 +139,9 @@
         extra-ratio=0.1
         extra-slack=40
         extra-window-ms=10000
+        quota-window-ms=5000
+        quota-overage=0.1
+        quota-slack=20
         crossing-cost-ms=0
         processor-millicores=0
         answer-margin-ms=5
@@ -201,6 +204,12 @@
                             service at once; default: 40
           --extra-window-ms milliseconds of the window in which the extra calls beyond
                             the ratio are counted; default: 10000
+          --quota-window-ms milliseconds of the window in which the requests of an
+                            organisation with a quota are counted; default: 5000
+          --quota-overage   fraction by which the requests in a window may exceed the
+                            quota, 0 to 1; default: 0.1
+          --quota-slack     requests in a window that are allowed beyond that; default:
+                            20
           --crossing-cost-ms
                             milliseconds added to the expected wait of targets in other
                             failure domains; default: 0
