feat(http): take one message at a time from a caller and bound memory by a budget

Cause: actix-http reads up to 128 KiB ahead and keeps a request of its own for each head in it, so a caller that sends ahead fills the memory; bodies had a bound each but none together; head and idle timers held for the first head only. Change: CallerStream hands out one message up to its end and nothing more until its answer is written, beyond one piece of 4 KiB, with which a disconnect is still noticed. MemoryLedger admits bodies and answers; when it is short, the connection whose last progress lies furthest back is closed. CallerGuard lets a call without a need for its body be answered without reading it. Connections that are slow or idle are closed by the limits in force.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,24 +1,27 @@
 //! Service of one connection.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use actix_http::ConnectionType;
 use actix_http::HttpMessage;
 use actix_http::HttpService;
 use actix_http::KeepAlive;
+use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
-use actix_http::body::BoxBody;
+use actix_http::body::BodySize;
+use actix_http::body::MessageBody;
 use actix_http::header::HeaderMap;
 use actix_rt::net::TcpStream;
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::select;
 use serde::Serialize;
@@ -28,11 +31,18 @@
 use crate::HttpHandler;
 use crate::HttpLimits;
 use crate::HttpReply;
+use crate::answer_body::AnswerBody;
 use crate::body::BodyError;
+use crate::body::BodyFraming;
 use crate::body::read_body;
+use crate::caller_guard::CallerGuard;
+use crate::caller_stream::CallerStream;
+use crate::caller_stream::FlowBounds;
+use crate::flow::DISCARD_TIME;
+use crate::flow::FlowPhase;
 use crate::is_first_attempt;
-use crate::metered_stream::ByteMeter;
-use crate::metered_stream::MeteredStream;
+use crate::memory_budget::MemoryPurpose;
+use crate::memory_budget::MemoryShare;
 use crate::metered_stream::WIRE_BYTES_PER_BODY_BYTE;
 use crate::registry::ConnectionCalls;
 
@@ -43,6 +53,13 @@
 /// Time to flush the last reply after its call has ended.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
+/// Length up to which a body is read without asking whether its call needs it, in bytes.
+const MAX_UNCHECKED_BYTES: usize = 4 * 1_024;
+/// Length up to which an answer takes nothing from the budget, in bytes.
+const MAX_UNCOUNTED_BYTES: u64 = 4 * 1_024;
+/// Seconds after which a caller that was refused for want of memory may try again.
+const MEMORY_RETRY_AFTER: &str = "1";
+
 /// Progress of a listener's drain.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum DrainPhase {
@@ -76,33 +93,57 @@
     problem: &'static str,
 }
 
+/// What all connections of a listener share.
+pub(crate) struct ConnectionContext {
+    /// The limits in force.
+    pub(crate) limits: RefCell<Rc<HttpLimits>>,
+    /// What serves the calls.
+    pub(crate) handler: HttpHandler,
+    /// Memory of the calls, and which of them need their body.
+    pub(crate) guard: CallerGuard,
+}
+
+impl ConnectionContext {
+    fn limits(&self) -> Rc<HttpLimits> {
+        self.limits.borrow().clone()
+    }
+
+    /// Returns the bounds of a head, and of a body with its framing and what a caller still sends after a
+    /// refusal.
+    fn bounds(&self) -> FlowBounds {
+        let limits = self.limits.borrow();
+        let body_bytes = limits.max_body_bytes.saturating_mul(WIRE_BYTES_PER_BODY_BYTE);
+        FlowBounds {
+            head_bytes: limits.max_head_bytes,
+            call_bytes: body_bytes.saturating_add(MAX_OTHER_BYTES),
+        }
+    }
+}
+
 /// Serves `stream` until it closes, is evicted or, during a drain, becomes idle.
 pub(crate) async fn serve_connection(
     stream: TcpStream,
     peer: SocketAddr,
-    limits: Rc<HttpLimits>,
-    handler: HttpHandler,
+    context: Rc<ConnectionContext>,
     calls: Rc<ConnectionCalls>,
     mut phase: watch::Receiver<DrainPhase>,
 ) {
-    let meter = Rc::new(ByteMeter::default());
-    let call_bytes = max_call_bytes(&limits);
-    meter.begin(call_bytes);
-    let stream = MeteredStream::new(stream, meter.clone());
+    let bounds = {
+        let context = context.clone();
+        Rc::new(move || context.bounds())
+    };
+    let stream = CallerStream::new(stream, calls.clone(), bounds);
     let factory = {
         let calls = calls.clone();
-        let limits = limits.clone();
         let phase = phase.clone();
-        let head_timeout = limits.head_timeout;
-        let keep_alive = limits.keep_alive;
         let service = fn_service(move |request: Request| {
-            // Each call begins a new allowance.
-            meter.begin(call_bytes);
-            serve_call(request, peer, limits.clone(), handler.clone(), calls.clone(), phase.clone())
+            serve_call(request, peer, context.clone(), calls.clone(), phase.clone())
         });
         HttpService::build()
-            .client_request_timeout(head_timeout)
-            .keep_alive(KeepAlive::Timeout(keep_alive))
+            // The listener closes connections that are slow or idle, by the limits in force.
+            .client_request_timeout(Duration::ZERO)
+            .keep_alive(KeepAlive::Os)
+            .client_disconnect_timeout(DISCARD_TIME)
             // A peer that has disconnected looks like one that has closed only its sending half.
             // Both are treated as disconnected, so that no work is held for a peer that is gone;
             // callers do not need half-closed connections.
@@ -122,13 +163,7 @@
     select(serving, closing).await;
 }
 
-/// Returns the number of bytes that may arrive from one call to the next: a body with its framing, what
-/// a caller still sends after a refusal, and the next head.
-fn max_call_bytes(limits: &HttpLimits) -> usize {
-    limits.max_body_bytes.saturating_mul(WIRE_BYTES_PER_BODY_BYTE).saturating_add(MAX_OTHER_BYTES)
-}
-
-/// Waits until the listener drains and no call has been open for [`FLUSH_TIME`].
+/// Waits until the listener drains and, for [`FLUSH_TIME`], no call has been open and no answer unwritten.
 async fn wait_until_idle(phase: &mut watch::Receiver<DrainPhase>, calls: &ConnectionCalls) {
     let has_listener = phase.wait_for(|phase| *phase == DrainPhase::Draining).await.is_ok();
     if !has_listener {
@@ -137,7 +172,7 @@
     let mut idle_since = Instant::now();
     while idle_since.elapsed() < FLUSH_TIME {
         tokio::time::sleep(IDLE_POLL_INTERVAL).await;
-        if calls.open() > 0 {
+        if calls.open() > 0 || calls.flow.is_busy() {
             idle_since = Instant::now();
         }
     }
@@ -147,35 +182,66 @@
 async fn serve_call(
     mut request: Request,
     peer: SocketAddr,
-    limits: Rc<HttpLimits>,
-    handler: HttpHandler,
+    context: Rc<ConnectionContext>,
     calls: Rc<ConnectionCalls>,
     phase: watch::Receiver<DrainPhase>,
-) -> Result<Response<BoxBody>, Infallible> {
-    let _guard = CallGuard::new(calls);
+) -> Result<Response<AnswerBody>, Infallible> {
+    let _guard = CallGuard::new(calls.clone());
     let payload = request.take_payload();
-    let reply = match read_body(payload, &limits).await {
-        Ok(body) => {
-            let call = HttpCall {
-                method: request.method().clone(),
-                path: request.path().to_owned(),
-                query: request.uri().query().unwrap_or_default().to_owned(),
-                headers: request.headers().clone(),
-                body,
-                peer,
-            };
-            handler(call).await
+    let has_payload = !matches!(payload, Payload::None);
+    let framing = BodyFraming::of(&request);
+    let mut call = HttpCall {
+        method: request.method().clone(),
+        path: request.path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        headers: request.headers().clone(),
+        body: Bytes::new(),
+        peer,
+    };
+    let needs_body = framing.is_within(MAX_UNCHECKED_BYTES) || context.guard.needs_body(&call);
+    let mut reply = if needs_body {
+        calls.flow.enter(match framing {
+            BodyFraming::None => FlowPhase::Answer,
+            BodyFraming::Length(length) => FlowPhase::Body { left: Some(length) },
+            BodyFraming::Chunks => FlowPhase::Body { left: None },
+        });
+        let limits = context.limits();
+        match read_body(payload, framing, &limits, context.guard.memory.clone()).await {
+            Ok(read) => {
+                // An offered upgrade isn't taken, and what follows it has no framing.
+                let is_offer = has_payload && request.upgrade();
+                calls.flow.enter(FlowPhase::Answer);
+                call.body = read.bytes;
+                let reply = (context.handler)(call).await;
+                drop(read.share);
+                if is_offer { reply.closing() } else { reply }
+            }
+            Err(error) => {
+                calls.flow.enter(FlowPhase::Discard);
+                unreadable_reply(error, request.headers())
+            }
         }
-        Err(error) => unreadable_reply(&error, request.headers()),
+    } else {
+        drop(payload);
+        calls.flow.enter(FlowPhase::Discard);
+        (context.handler)(call).await.closing()
     };
-    let mut response = reply.response;
     if *phase.borrow() >= DrainPhase::Closing {
-        response.head_mut().set_connection_type(ConnectionType::Close);
+        reply = reply.closing();
     }
-    Ok(response)
+    let share = match (reply.response.body().size(), &context.guard.memory) {
+        (BodySize::Sized(length), Some(memory)) if length > MAX_UNCOUNTED_BYTES => {
+            let eviction = calls.eviction.clone();
+            let share = MemoryShare::new(memory.clone(), MemoryPurpose::Answers, eviction);
+            share.take(usize::try_from(length).unwrap_or(usize::MAX));
+            Some(share)
+        }
+        _ => None,
+    };
+    Ok(reply.response.map_body(|_, body| AnswerBody::new(body, calls, share)))
 }
 
-fn unreadable_reply(error: &BodyError, headers: &HeaderMap) -> HttpReply {
+fn unreadable_reply(error: BodyError, headers: &HeaderMap) -> HttpReply {
     let request_id = headers.get("x-request-id").and_then(|id| id.to_str().ok());
     let (outcome, ran) = match is_first_attempt(headers) {
         true => ("not_run", "no"),
@@ -191,10 +257,12 @@
             findings: [UnreadableFinding { place: "body", problem: error.problem() }],
         },
     };
-    let mut reply = HttpReply::json::<UnreadableCall>(error.status(), &body);
-    reply.response.head_mut().set_connection_type(ConnectionType::Close);
+    let reply = HttpReply::json::<UnreadableCall>(error.status(), &body).closing();
     debug_assert_ne!(reply.status(), StatusCode::OK);
-    reply
+    match error {
+        BodyError::NoMemory => reply.with_header("retry-after", MEMORY_RETRY_AFTER),
+        BodyError::TooLong | BodyError::TooSlow | BodyError::Broken => reply,
+    }
 }
 
 /// Counts a call as open until its response is built or the caller disconnects.
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -5,9 +5,11 @@
 /// Limits that keep a misbehaving client from affecting others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
-    /// Maximum number of open connections. At the limit, a new connection replaces an idle one, or
-    /// is closed if there is none.
+    /// Maximum number of open connections. At the limit, a new connection replaces an idle one or
+    /// the slowest sender or reader, or is closed if all wait for this process.
     pub max_connections: usize,
+    /// Maximum length of a request head as sent, in bytes. A longer one is refused with 431.
+    pub max_head_bytes: usize,
     /// Maximum length of a request body, in bytes. A longer one is refused with 413.
     pub max_body_bytes: usize,
     /// Maximum time from the first to the last byte of a request head; then the connection is
@@ -23,6 +25,7 @@
     fn default() -> HttpLimits {
         HttpLimits {
             max_connections: 4_096,
+            max_head_bytes: 64 * 1_024,
             max_body_bytes: 64 * 1_024,
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(5),
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -10,11 +10,15 @@
 
 use actix_rt::net::TcpListener;
 use actix_rt::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::CallerGuard;
+use crate::CloseRule;
 use crate::HttpHandler;
 use crate::HttpLimits;
+use crate::connection::ConnectionContext;
 use crate::connection::DrainPhase;
 use crate::connection::serve_connection;
 use crate::registry::ConnectionCalls;
@@ -29,6 +33,13 @@
 /// Interval at which a drain checks for open connections.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Interval at which connections that are slow or idle are closed.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Size of the receive buffer of a caller's connection, in bytes; the kernel doubles it.
+const RECEIVE_BUFFER_BYTES: u32 = 16 * 1_024;
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
+
 /// A listener on one address, which accepts connections until it is drained.
 #[derive(Clone)]
 pub struct HttpListener {
@@ -39,7 +50,7 @@
 struct ListenerState {
     connections: ConnectionRegistry,
     over_limit: Cell<u64>,
-    limits: RefCell<Rc<HttpLimits>>,
+    context: Rc<ConnectionContext>,
     phase: watch::Sender<DrainPhase>,
     /// Whether new connections may still be served.
     is_accepting: Cell<bool>,
@@ -63,16 +74,35 @@
         limits: HttpLimits,
         handler: HttpHandler,
     ) -> io::Result<HttpListener> {
-        let listener = TcpListener::bind(address).await?;
+        HttpListener::bind_guarded(address, limits, handler, CallerGuard::default())
+    }
+
+    /// Binds `address` and starts to serve on the current thread, within a budget of memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn bind_guarded(
+        address: SocketAddr,
+        limits: HttpLimits,
+        handler: HttpHandler,
+        guard: CallerGuard,
+    ) -> io::Result<HttpListener> {
+        let listener = listen(address)?;
         let address = listener.local_addr()?;
         let state = Rc::new(ListenerState {
             connections: ConnectionRegistry::default(),
             over_limit: Cell::new(0),
-            limits: RefCell::new(Rc::new(limits)),
+            context: Rc::new(ConnectionContext {
+                limits: RefCell::new(Rc::new(limits)),
+                handler,
+                guard,
+            }),
             phase: watch::Sender::new(DrainPhase::Serving),
             is_accepting: Cell::new(true),
         });
-        actix_rt::spawn(accept(listener, handler, state.clone()));
+        actix_rt::spawn(accept(listener, state.clone()));
+        actix_rt::spawn(close_overdue(state.clone()));
         Ok(HttpListener { address, state })
     }
 
@@ -81,9 +111,9 @@
         self.address
     }
 
-    /// Sets the limits of connections that are accepted from now on.
+    /// Sets the limits of all calls from now on, also on open connections.
     pub fn set_limits(&self, limits: HttpLimits) {
-        self.state.limits.replace(Rc::new(limits));
+        self.state.context.limits.replace(Rc::new(limits));
     }
 
     /// Returns the number of open connections.
@@ -116,8 +146,35 @@
     }
 }
 
+/// Binds `address` with receive buffers of a modest size, which accepted connections inherit.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!("receive buffers keep the system's size: {error}");
+    }
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+/// Closes connections that are slow or idle, until the listener has drained.
+async fn close_overdue(state: Rc<ListenerState>) {
+    while state.has_work() {
+        tokio::time::sleep(OVERDUE_CHECK_INTERVAL).await;
+        let limits = state.context.limits.borrow().clone();
+        for (rule, count) in state.connections.close_overdue(Instant::now(), &limits) {
+            if rule != CloseRule::Idle {
+                log::info!(rule = rule.as_str(), count = count; "connections of callers are closed");
+            }
+        }
+    }
+}
+
 /// Accepts connections until the listener drains.
-async fn accept(listener: TcpListener, handler: HttpHandler, state: Rc<ListenerState>) {
+async fn accept(listener: TcpListener, state: Rc<ListenerState>) {
     let mut phase = state.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -125,24 +182,24 @@
             _ = phase.wait_for(|phase| *phase == DrainPhase::Draining) => break,
         };
         match accepted {
-            Ok((stream, peer)) => admit(stream, peer, &handler, &state),
+            Ok((stream, peer)) => admit(stream, peer, &state),
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    accept_waiting(&listener, &handler, &state).await;
+    accept_waiting(&listener, &state).await;
     state.is_accepting.set(false);
 }
 
 /// Accepts the connections that are established already, whose callers may have sent a request. They
 /// would be reset when the listener closes.
-async fn accept_waiting(listener: &TcpListener, handler: &HttpHandler, state: &Rc<ListenerState>) {
+async fn accept_waiting(listener: &TcpListener, state: &Rc<ListenerState>) {
     let end = Instant::now() + MAX_LAST_ACCEPT_TIME;
     while Instant::now() < end {
         match timeout(LAST_ACCEPT_TIME, listener.accept()).await {
-            Ok(Ok((stream, peer))) => admit(stream, peer, handler, state),
+            Ok(Ok((stream, peer))) => admit(stream, peer, state),
             Ok(Err(error)) => {
                 log::warn!("failed to accept a last connection: {error}");
                 return;
@@ -154,12 +211,12 @@
 
 /// Serves one connection.
 ///
-/// At the limit, an idle connection is evicted; if there is none, the new one is closed.
-fn admit(stream: TcpStream, peer: SocketAddr, handler: &HttpHandler, state: &Rc<ListenerState>) {
-    let limits = state.limits.borrow().clone();
-    if state.connections.len() >= limits.max_connections {
+/// At the limit, another connection is evicted; if all wait for this process, the new one is closed.
+fn admit(stream: TcpStream, peer: SocketAddr, state: &Rc<ListenerState>) {
+    let max_connections = state.context.limits.borrow().max_connections;
+    if state.connections.len() >= max_connections {
         state.over_limit.set(state.over_limit.get() + 1);
-        if !state.connections.evict() {
+        if !state.connections.evict(Instant::now()) {
             return;
         }
     }
@@ -167,11 +224,11 @@
         log::debug!("failed to set TCP_NODELAY: {error}");
     }
     let guard = OpenConnection::new(state.clone());
-    let handler = handler.clone();
+    let context = state.context.clone();
     let phase = state.phase.subscribe();
     actix_rt::spawn(async move {
         let calls = guard.calls.clone();
-        serve_connection(stream, peer, limits, handler, calls, phase).await;
+        serve_connection(stream, peer, context, calls, phase).await;
         drop(guard);
     });
 }
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -36,6 +36,7 @@
         head_timeout: REQUEST_TIMEOUT,
         body_timeout: REQUEST_TIMEOUT,
         keep_alive: REQUEST_TIMEOUT,
+        ..HttpLimits::default()
     };
     let handler = Rc::new(|call: oleanderwind_http::HttpCall| {
         async move { HttpReply::bytes(StatusCode::OK, "text/plain", call.body) }.boxed_local()
@@ -246,3 +247,58 @@
         }
     }
 }
+
+/// Guards against a connection that keeps for good the limits that held when it was accepted: callers
+/// that connect before a VM has its configuration were refused bodies that it allows.
+#[actix_rt::test]
+async fn set_limits_holds_for_open_connections() {
+    let listener = bind().await;
+    let mut stream = TcpStream::connect(listener.address()).await.unwrap();
+    stream.write_all(VALID_REQUEST.as_bytes()).await.unwrap();
+    let mut reply = vec![0; 1_024];
+    assert!(timeout(TEST_TIMEOUT, stream.read(&mut reply)).await.unwrap().unwrap() > 0);
+    listener.set_limits(HttpLimits { max_body_bytes: 100_000, ..HttpLimits::default() });
+    let head =
+        "POST /echo HTTP/1.1\r\nhost: vm\r\nconnection: close\r\ncontent-length: 90000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&[b'x'; 90_000]).await.unwrap();
+    let reply = read_to_close(&mut stream).await;
+    assert!(reply.starts_with("HTTP/1.1 200"), "{}", &reply[..reply.len().min(200)]);
+}
+
+/// Guards against a planned stop that cuts an answer whose caller is still reading it.
+#[actix_rt::test]
+async fn drain_waits_for_answers_that_are_being_read() {
+    const ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+    let handler = Rc::new(|_: oleanderwind_http::HttpCall| {
+        let answer = bytes::Bytes::from(vec![b'x'; ANSWER_BYTES]);
+        async move { HttpReply::bytes(StatusCode::OK, "text/plain", answer) }.boxed_local()
+    });
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = HttpListener::bind(address, HttpLimits::default(), handler).await.unwrap();
+    let mut stream = TcpStream::connect(listener.address()).await.unwrap();
+    stream.write_all(VALID_REQUEST.as_bytes()).await.unwrap();
+    let mut first = [0; 1];
+    stream.read_exact(&mut first).await.unwrap();
+    let drain = actix_rt::spawn(async move { listener.drain(TEST_TIMEOUT).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut rest = Vec::new();
+    let end = timeout(TEST_TIMEOUT, stream.read_to_end(&mut rest)).await.unwrap();
+    assert!(end.is_ok() && rest.len() > ANSWER_BYTES, "cut after {} bytes: {end:?}", rest.len());
+    assert_eq!(drain.await.unwrap(), 0);
+}
+
+/// Guards against waiting for the body of a request that has none: the framing of an offered upgrade
+/// has no end.
+#[actix_rt::test]
+async fn serve_answers_an_offered_upgrade_without_a_body() {
+    let listener = bind().await;
+    let upgrade = "host: vm\r\nconnection: upgrade\r\nupgrade: websocket\r\n";
+    let without = format!("GET /echo HTTP/1.1\r\n{upgrade}\r\n");
+    let with = format!("POST /echo HTTP/1.1\r\n{upgrade}content-length: 2\r\n\r\nhi");
+    for request in [without, with] {
+        let reply = exchange(&listener, request.as_bytes()).await;
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+    }
+    expect_recovered(&listener).await;
+}
