--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -38,6 +38,20 @@
     Malformed(FindingList),
 }
 
+/// What the head of a call says about the need for its body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallHead {
+    /// The call is answered without its body.
+    Bodiless,
+    /// A request, whose body is needed if it has a route and its caller a valid key.
+    Request {
+        /// Host that the caller requested, with the port if given.
+        authority: String,
+        /// Digest of the key that the caller sent.
+        key: Option<KeyDigest>,
+    },
+}
+
 /// Request whose path, headers and body are forwarded without interpretation.
 #[derive(Clone, Debug)]
 pub struct OpaqueRequest {
@@ -134,6 +148,9 @@
 
 /// Protocol by which callers and targets of opaque requests exchange metadata with the tier.
 pub trait CallerProtocol {
+    /// Parses the head of a call whose body has not been read.
+    fn parse_head(&self, call: &HttpCall) -> CallHead;
+
     /// Parses a call from a caller.
     fn parse_call(&self, call: HttpCall) -> IncomingCall;
 
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod platform;
 mod reply;
 
+pub use callers::CallHead;
 pub use callers::CallerProtocol;
 pub use callers::IncomingCall;
 pub use callers::OpaqueRequest;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 pub use daemon::Daemon;
 pub use daemon::DaemonAddresses;
 pub use daemon::DaemonEdges;
+pub use edge::CallHead;
 pub use edge::CallerProtocol;
 pub use edge::IncomingCall;
 pub use edge::ObjectKind;
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -149,6 +149,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Records several refusals.
+    pub(crate) fn record_refusals(&self, reason: &'static str, count: u64) {
+        self.refusals.add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records a notice of a target: `leaving` or `pause`.
     pub(crate) fn record_target_notice(&self, kind: &'static str) {
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -11,10 +11,13 @@
 use actix_http::StatusCode;
 use futures_util::FutureExt;
 use futures_util::future::join_all;
+use oleanderwind_http::BodyCheck;
+use oleanderwind_http::CallerGuard;
 use oleanderwind_http::HttpCall;
 use oleanderwind_http::HttpLimits;
 use oleanderwind_http::HttpListener;
 use oleanderwind_http::HttpReply;
+use oleanderwind_http::MemoryBudget;
 use oleanderwind_policy::AnswerPreference;
 use oleanderwind_policy::AttemptPolicy;
 use oleanderwind_policy::BudgetOwner;
@@ -34,6 +37,7 @@
 
 use crate::directory::ActiveRoutes;
 use crate::directory::DirectoryService;
+use crate::edge::CallHead;
 use crate::edge::CallerProtocol;
 use crate::edge::IncomingCall;
 use crate::edge::OpaqueRequest;
@@ -62,6 +66,12 @@
 const UNCONFIGURED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum open caller connections. The smallest VM has 3,900 file descriptors for sockets.
 const MAX_CALLER_CONNECTIONS: usize = 2_000;
+/// Bytes of a head as sent beyond its limit, for spaces that don't count.
+const HEAD_SLACK_BYTES: usize = 4 * 1_024;
+/// Bytes in a megabyte.
+const BYTES_PER_MB: usize = 1_000_000;
+/// Interval at which closings and refusals for want of memory are counted and logged.
+const MEMORY_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a request is tried on the targets while this VM seems to be cut off, before a peer serves it.
 const REACH_TRIAL_TIME: Duration = Duration::from_millis(100);
 /// Part of the drain time reserved for sending the final replies.
@@ -122,15 +132,24 @@
             routes.settings.readiness_listen,
             routes.settings.address_listen,
         ];
+        let machine_bytes = BYTES_PER_MB * routes.settings.memory_mb as usize;
+        let memory = Rc::new(MemoryBudget::new(machine_bytes));
         for address in addresses.into_iter().flatten() {
             let handler = {
                 let routes = routes.clone();
                 Rc::new(move |call| routes.clone().serve(call).boxed_local())
             };
-            let listener = HttpListener::bind(address, default_limits(), handler).await?;
+            let body_check: BodyCheck = {
+                let routes = routes.clone();
+                Rc::new(move |call| routes.needs_body(call))
+            };
+            let guard =
+                CallerGuard { memory: Some(memory.clone()), body_check: Some(body_check) };
+            let listener = HttpListener::bind_guarded(address, default_limits(), handler, guard)?;
             routes.listeners.borrow_mut().push(listener);
         }
         actix_rt::spawn(watch_limits(routes.clone()));
+        actix_rt::spawn(watch_memory(routes.clone(), memory));
         Ok(routes)
     }
 
@@ -186,6 +205,20 @@
         }
     }
 
+    /// Returns whether a call, whose body has not been read, may come to run.
+    fn needs_body(&self, call: &HttpCall) -> bool {
+        let CallHead::Request { authority, key } = self.dialect.parse_head(call) else {
+            return false;
+        };
+        let routes = self.directory.routes().filter(|_| self.peers.can_serve());
+        routes.is_some_and(|routes| {
+            let route = routes.table.find(&authority, &call.path);
+            route.is_some_and(|route| {
+                routes.organisations.identify(route, key.as_ref()) != CallerIdentity::Unknown
+            })
+        })
+    }
+
     fn readiness(&self) -> HttpReply {
         let is_ready = self.is_routing() && !self.directory.is_leaving();
         match is_ready {
@@ -458,6 +491,7 @@
 fn http_limits(limits: &CallerLimits) -> HttpLimits {
     HttpLimits {
         max_connections: MAX_CALLER_CONNECTIONS,
+        max_head_bytes: limits.max_head_bytes.saturating_add(HEAD_SLACK_BYTES),
         max_body_bytes: limits.max_body_bytes,
         head_timeout: limits.head_timeout,
         keep_alive: limits.idle_timeout,
@@ -465,6 +499,21 @@
     }
 }
 
+/// Counts and logs what was closed and refused since memory was short, once an interval.
+async fn watch_memory(routes: Rc<RouteService>, memory: Rc<MemoryBudget>) {
+    let mut before = (0, 0);
+    loop {
+        tokio::time::sleep(MEMORY_LOG_INTERVAL).await;
+        let now = memory.closed_and_refused();
+        if now != before {
+            let (closed, refused) = (now.0 - before.0, now.1 - before.1);
+            routes.metrics.record_refusals("memory", closed + refused);
+            log::warn!(closed = closed, refused = refused; "memory for callers is short, the slowest are closed");
+        }
+        before = now;
+    }
+}
+
 /// Applies the limits of the active routes to the caller listener whenever they change.
 async fn watch_limits(routes: Rc<RouteService>) {
     let mut changes = routes.directory.target_changes();
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -22,6 +22,12 @@
 /// Maximum of all settings that are times, in milliseconds.
 const MAX_TIME_MS: f64 = 600_000.0;
 
+/// Memory of a machine by default, in MB.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Memory that a process needs at least, in MB.
+const MIN_MEMORY_MB: u32 = 64;
+/// Maximum memory of a machine, in MB.
+const MAX_MEMORY_MB: f64 = 16_777_216.0;
 /// Maximum number of extra calls that may be saved up.
 const MAX_EXTRA_SLACK: f64 = 1_000_000.0;
 /// Milliseconds in a second.
@@ -88,6 +94,8 @@
     pub crossing_cost: Duration,
     /// Processor capacity that this process may use, in thousandths of a core; 0 if unknown.
     pub processor_millicores: u32,
+    /// Memory of this machine, in MB. The parts for callers follow from it.
+    pub memory_mb: u32,
     /// Time reserved before an objective or a deadline for merging and replying.
     pub answer_margin: Duration,
     /// Grace period in which a target that is no longer listed is kept as a last resort.
@@ -177,6 +185,7 @@
             ),
             crossing_cost: duration(&raw.crossing_cost_ms, "--crossing-cost-ms", 0, &mut findings),
             processor_millicores: processor_millicores(raw, &mut findings),
+            memory_mb: memory_mb(&raw.memory_mb, &mut findings),
             answer_margin: duration(&raw.answer_margin_ms, "--answer-margin-ms", 5, &mut findings),
             lapse_hold: optional_duration(&raw.lapse_hold_ms, "--lapse-hold-ms", &mut findings),
             stop_grace: optional_duration(&raw.stop_grace_ms, "--stop-grace-ms", &mut findings),
@@ -251,6 +260,7 @@
         writeln!(f, "extra-window-ms={}", milliseconds(self.extra_window))?;
         writeln!(f, "crossing-cost-ms={}", milliseconds(self.crossing_cost))?;
         writeln!(f, "processor-millicores={}", self.processor_millicores)?;
+        writeln!(f, "memory-mb={}", self.memory_mb)?;
         writeln!(f, "answer-margin-ms={}", milliseconds(self.answer_margin))?;
         let lapse_hold = self.lapse_hold.map(milliseconds);
         writeln!(f, "lapse-hold-ms={}", text_or_none(lapse_hold))?;
@@ -326,6 +336,15 @@
     (cores * f64::from(share)) as u32
 }
 
+/// Returns the memory of this machine in MB, rounded down.
+fn memory_mb(option: &Option<String>, findings: &mut FindingList) -> u32 {
+    let memory = number(option, "--memory-mb", DEFAULT_MEMORY_MB, MAX_MEMORY_MB, findings) as u32;
+    if memory < MIN_MEMORY_MB {
+        findings.add(place("--memory-mb"), format!("is {memory}; give at least {MIN_MEMORY_MB}"));
+    }
+    memory
+}
+
 /// Returns the place of a finding: the flag and its environment variable.
 fn place(flag: &str) -> String {
     let variable = flag.trim_start_matches('-').replace('-', "_").to_uppercase();
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -87,6 +87,9 @@
     /// fraction of the processor that this process may use, 0 to 1; default: 1
     #[argh(option)]
     pub processor_share: Option<String>,
+    /// memory of this machine, in MB; default: 160
+    #[argh(option)]
+    pub memory_mb: Option<String>,
     /// milliseconds reserved before a deadline for merging and replying; default: 5
     #[argh(option)]
     pub answer_margin_ms: Option<String>,
@@ -205,6 +208,7 @@
             ("CROSSING_COST_MS", &mut self.crossing_cost_ms),
             ("PROCESSOR_CORES", &mut self.processor_cores),
             ("PROCESSOR_SHARE", &mut self.processor_share),
+            ("MEMORY_MB", &mut self.memory_mb),
             ("ANSWER_MARGIN_MS", &mut self.answer_margin_ms),
             ("LAPSE_HOLD_MS", &mut self.lapse_hold_ms),
             ("STOP_GRACE_MS", &mut self.stop_grace_ms),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -137,6 +137,7 @@
         extra-window-ms=10000
         crossing-cost-ms=0
         processor-millicores=0
+        memory-mb=160
         answer-margin-ms=5
         lapse-hold-ms=(none)
         stop-grace-ms=(none)
@@ -155,7 +156,7 @@
 fn from_args_explains_every_flag() {
     let help = RawSettings::from_args(&["oleanderwindd"], &["--help"]).unwrap_err().output;
     expect![[r#"
-        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
+        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--memory-mb <memory-mb>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
 
         Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 
@@ -202,6 +203,7 @@
                             speed; default: unknown
           --processor-share fraction of the processor that this process may use, 0 to 1;
                             default: 1
+          --memory-mb       memory of this machine, in MB; default: 160
           --answer-margin-ms
                             milliseconds reserved before a deadline for merging and
                             replying; default: 5
