--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -143,8 +143,7 @@
                 let routes = routes.clone();
                 Rc::new(move |call| routes.needs_body(call))
             };
-            let guard =
-                CallerGuard { memory: Some(memory.clone()), body_check: Some(body_check) };
+            let guard = CallerGuard { memory: Some(memory.clone()), body_check: Some(body_check) };
             let listener = HttpListener::bind_guarded(address, default_limits(), handler, guard)?;
             routes.listeners.borrow_mut().push(listener);
         }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::HttpLimits;
+use crate::flow::ConnectionFlow;
 use crate::flow::PROGRESS_BYTES;
 use crate::memory_budget::MemoryBudget;
 use crate::memory_budget::MemoryPurpose;
@@ -100,6 +101,7 @@
     framing: BodyFraming,
     limits: &HttpLimits,
     memory: Option<Rc<MemoryBudget>>,
+    flow: &ConnectionFlow,
 ) -> Result<ReadBody, BodyError> {
     let max_bytes = match framing {
         BodyFraming::None => return Ok(ReadBody { bytes: Bytes::new(), share: None }),
@@ -112,7 +114,7 @@
     let closing = Rc::new(Notify::new());
     let share =
         memory.map(|memory| MemoryShare::new(memory, MemoryPurpose::Bodies, closing.clone()));
-    let reading = collect(payload, framing, max_bytes, share.as_ref());
+    let reading = collect(payload, framing, max_bytes, share.as_ref(), flow);
     let read = tokio::select! {
         read = timeout(limits.body_timeout, reading) => read.unwrap_or(Err(BodyError::TooSlow)),
         () = closing.notified() => Err(BodyError::NoMemory),
@@ -128,6 +130,7 @@
     framing: BodyFraming,
     max_bytes: usize,
     share: Option<&MemoryShare>,
+    flow: &ConnectionFlow,
 ) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     let mut marked = 0;
@@ -139,10 +142,13 @@
         }
         if length > body.capacity() {
             let room = (2 * length).max(FIRST_SHARE_BYTES).min(max_bytes);
-            if let Some(share) = share
-                && !share.grow(room).await
-            {
-                return Err(BodyError::NoMemory);
+            if let Some(share) = share {
+                flow.pause(true);
+                let is_granted = share.grow(room).await;
+                flow.pause(false);
+                if !is_granted {
+                    return Err(BodyError::NoMemory);
+                }
             }
             body.reserve(room - body.len());
         }
--- a/crates/http/src/caller_stream.rs
+++ b/crates/http/src/caller_stream.rs
@@ -166,6 +166,7 @@
         }
         match self.calls.flow.phase() {
             FlowPhase::Answer | FlowPhase::Body { left: Some(0) } => Poll::Pending,
+            FlowPhase::Body { .. } if self.calls.flow.is_paused() => Poll::Pending,
             FlowPhase::Head | FlowPhase::Body { .. } | FlowPhase::Discard => {
                 self.must_yield = self.hand_out(buffer)?;
                 Poll::Ready(Ok(()))
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -206,7 +206,8 @@
             BodyFraming::Chunks => FlowPhase::Body { left: None },
         });
         let limits = context.limits();
-        match read_body(payload, framing, &limits, context.guard.memory.clone()).await {
+        let memory = context.guard.memory.clone();
+        match read_body(payload, framing, &limits, memory, &calls.flow).await {
             Ok(read) => {
                 // An offered upgrade isn't taken, and what follows it has no framing.
                 let is_offer = has_payload && request.upgrade();
--- a/crates/http/src/flow.rs
+++ b/crates/http/src/flow.rs
@@ -98,6 +98,8 @@
     /// Start of the phase, or its last progress.
     marked: Cell<Instant>,
     is_answer_complete: Cell<bool>,
+    /// Whether the body waits for memory, so that no more of it is taken.
+    is_paused: Cell<bool>,
     reader: RefCell<Option<Waker>>,
     rule: Cell<Option<CloseRule>>,
 }
@@ -110,6 +112,7 @@
             marked_bytes: Cell::new(0),
             marked: Cell::new(Instant::now()),
             is_answer_complete: Cell::new(false),
+            is_paused: Cell::new(false),
             reader: RefCell::new(None),
             rule: Cell::new(None),
         }
@@ -122,6 +125,22 @@
         self.phase.get()
     }
 
+    /// Returns whether the body waits for memory.
+    pub(crate) fn is_paused(&self) -> bool {
+        self.is_paused.get()
+    }
+
+    /// Stops to take more of a body, or goes on.
+    pub(crate) fn pause(&self, is_paused: bool) {
+        let was_paused = self.is_paused.replace(is_paused);
+        if was_paused
+            && !is_paused
+            && let Some(waker) = self.reader.take()
+        {
+            waker.wake();
+        }
+    }
+
     /// Enters a phase and wakes the task that reads.
     pub(crate) fn enter(&self, phase: FlowPhase) {
         if self.phase.get() != FlowPhase::Discard {
@@ -138,6 +157,7 @@
         self.marked_bytes.set(0);
         self.marked.set(Instant::now());
         self.is_answer_complete.set(false);
+        self.is_paused.set(false);
     }
 
     /// Keeps the task that reads until the next phase.
