--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -144,6 +144,7 @@
         quota-slack=20
         crossing-cost-ms=0
         processor-millicores=0
+        memory-mb=160
         answer-margin-ms=5
         lapse-hold-ms=(none)
         stop-grace-ms=(none)
@@ -217,6 +218,7 @@
                             speed; default: unknown
           --processor-share fraction of the processor that this process may use, 0 to 1;
                             default: 1
+          --memory-mb       memory of this machine, in MB; default: 160
           --answer-margin-ms
                             milliseconds reserved before a deadline for merging and
                             replying; default: 5
