feat(policy,daemon,platform): cold targets get what their service names

Cause: nothing read how long a target stays cold, so a target that turns cold got its usual share from all VMs. Entries count while they are news; targets of an evacuated failure domain count as cold until an answer says otherwise. Without a named rate nothing changes. Figures: fleets of 1, 7 and 75 VMs in virtual time, 2, 10 and 40 a second, four times the demand: no second above 1.5 times the rate and 5, more than half of the rate used.

--- a/crates/daemon/src/directory/service.rs
+++ b/crates/daemon/src/directory/service.rs
@@ -9,7 +9,9 @@
 use oleanderwind_policy as policy;
 use oleanderwind_policy::ConfigurationObject;
 use oleanderwind_policy::ProviderId;
+use oleanderwind_policy::RequestRate;
 use oleanderwind_policy::Revision;
+use oleanderwind_policy::ServiceConfiguration;
 use oleanderwind_policy::ServiceId;
 use oleanderwind_policy::SnapshotManifest;
 use oleanderwind_policy::TargetSpec;
@@ -150,6 +152,21 @@
         state.targets.values().map(with_limit).collect()
     }
 
+    /// Returns the requests a second that a cold target takes, of the services that name them.
+    pub(crate) fn cold_rates(&self) -> HashMap<ServiceId, RequestRate> {
+        let state = self.state.borrow();
+        let services = state.routes.iter().flat_map(|routes| &routes.configuration.services);
+        let named = services.filter(|service| service.cold_requests_per_second > 0.0);
+        let rate = |service: &ServiceConfiguration| {
+            let rate = RequestRate::try_from(service.cold_requests_per_second);
+            let rate = rate.inspect_err(|error| {
+                log::error!(service = service.service.as_ref(); "rate of cold targets {error}");
+            });
+            Some((service.service.clone(), rate.ok()?))
+        };
+        named.filter_map(rate).collect()
+    }
+
     /// Returns the routes in effect; `None` until the first ones are applied.
     pub(crate) fn routes(&self) -> Option<Rc<ActiveRoutes>> {
         self.state.borrow().routes.clone()
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -121,6 +121,8 @@
     pub load: Option<LoadReport>,
     /// Rate limit of the target.
     pub limit: LimitNotice,
+    /// Time for which the target stays cold; zero if it is warm.
+    pub cold: Duration,
 }
 
 /// What a target says about itself with a reply of any status.
--- a/crates/daemon/src/fanout/evacuations.rs
+++ b/crates/daemon/src/fanout/evacuations.rs
@@ -1,7 +1,6 @@
 //! Failure domains whose targets get no new calls.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use crate::fanout::FanoutService;
 
@@ -10,8 +9,7 @@
     let mut evacuated = fanout.peers.subscribe_evacuated();
     loop {
         let domains = evacuated.borrow_and_update().clone();
-        fanout.engine.borrow_mut().set_evacuated(domains, Instant::now());
-        fanout.timer_changes.notify_one();
+        fanout.set_evacuated(domains);
         if evacuated.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -94,7 +94,8 @@
             end.status = Some(reply.status.as_u16());
             let marks = reply_marks.take().unwrap_or_default();
             if let Some((process, sent_at)) = witness.sent() {
-                fanout.observe_limit(&call.target, process.incarnation, marks.limit, sent_at);
+                let limit = fanout.read_limit(&call.target, &marks);
+                fanout.observe_limit(&call.target, process.incarnation, limit, sent_at);
             }
             if marks.signature.is_some() {
                 fanout.record_survived(&witness);
--- a/crates/daemon/src/fanout/mod.rs
+++ b/crates/daemon/src/fanout/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the fan-out engine: executes its actions and passes events to it.
 
+mod cold;
 mod driver;
 mod evacuations;
 mod forward;
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -11,6 +11,7 @@
 
 use actix_rt::task::JoinHandle;
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ColdTargetTable;
 use oleanderwind_policy::CustomerContract;
 use oleanderwind_policy::ExecutorOutcome;
 use oleanderwind_policy::FanoutEngine;
@@ -91,6 +92,8 @@
     pub(crate) trial_ends: Notify,
     /// Seed of the hashes of answered work, which callers don't know.
     pub(crate) hash_seed: u64,
+    /// Targets of services that name a rate for cold targets.
+    pub(crate) cold_targets: RefCell<ColdTargetTable>,
     /// Processes of targets that named a rate limit which is not a rate.
     pub(crate) unreadable_limits: RefCell<HashSet<(TargetId, u64)>>,
     /// Whether this VM reaches the targets; receivers are notified when that changes.
@@ -126,6 +129,7 @@
             local_trials: RefCell::new(HashSet::new()),
             trial_ends: Notify::new(),
             hash_seed: rand::random(),
+            cold_targets: RefCell::default(),
             unreadable_limits: RefCell::default(),
             reach: watch::Sender::default(),
             cut_off_at: Cell::default(),
@@ -389,6 +393,7 @@
         let fleet = *shapes.borrow_and_update();
         let share = |spec: &TargetSpec| connection_share(spec.connection_limit, fleet.vms);
         fanout.targets.apply_targets(&specs, share);
+        fanout.note_cold_targets(&specs, &directory.cold_rates());
         fanout.apply_targets(specs, fleet);
         let changed = tokio::select! {
             changed = changes.changed() => changed,
--- a/crates/daemon/src/peers/limits.rs
+++ b/crates/daemon/src/peers/limits.rs
@@ -47,6 +47,11 @@
         change
     }
 
+    /// Merges a limit that all VMs find out for themselves.
+    pub(crate) fn note_limit(&self, record: &LimitRecord) {
+        self.state.borrow_mut().limits.merge(record, Instant::now());
+    }
+
     /// Returns the limits in force of the listed processes.
     pub(crate) fn limits_of(&self, specs: &[TargetSpec]) -> Vec<LimitRecord> {
         let state = self.state.borrow();
--- a/crates/policy/benches/large_fleet/mod.rs
+++ b/crates/policy/benches/large_fleet/mod.rs
@@ -147,6 +147,7 @@
                 connection_limit: 25,
                 incarnation: 0,
                 phase: TargetPhase::Ready,
+                cold_ms: 0,
             });
         }
         shards.push(ShardEntry { shard, documents: 1_000, targets: vec![name(0), name(1)] });
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -100,6 +100,7 @@
 pub use ledger::LedgerSettings;
 pub use ledger::SegmentId;
 pub use limit::CallPermit;
+pub use limit::ColdTargetTable;
 pub use limit::FleetReach;
 pub use limit::LimitChange;
 pub use limit::LimitNotice;
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -4,6 +4,7 @@
 //! ([`CallPermit`]). One VM for each target, the holder ([`rank_limit_holders`]), issues them at the rate of the limit
 //! ([`PermitIssuer`]). A VM without a permit treats the target as full.
 
+mod cold;
 mod holder;
 mod notice;
 mod permit;
@@ -12,6 +13,7 @@
 mod request_rate;
 mod table;
 
+pub use cold::ColdTargetTable;
 pub use holder::rank_limit_holders;
 pub use notice::LimitNotice;
 pub use permit::CallPermit;
--- a/crates/policy/src/snapshot/target.rs
+++ b/crates/policy/src/snapshot/target.rs
@@ -44,4 +44,11 @@
     pub incarnation: u64,
     /// Phase as reported by the platform.
     pub phase: TargetPhase,
+    /// Time for which the process stays cold by its entry, in milliseconds; 0 if it is warm.
+    #[serde(default, skip_serializing_if = "is_warm")]
+    pub cold_ms: u64,
+}
+
+fn is_warm(cold_ms: &u64) -> bool {
+    *cold_ms == 0
 }
--- a/crates/policy/tests/fanout/fake_fleet.rs
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -117,6 +117,7 @@
                     connection_limit: 8,
                     incarnation: 0,
                     phase: TargetPhase::Ready,
+                    cold_ms: 0,
                 });
             }
             let held = (0..replicas).map(|replica| name(shard, replica)).collect();
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -4,24 +4,31 @@
 #[path = "limits/fleet.rs"]
 mod fleet;
 
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use oleanderwind_policy::CallPermit;
+use oleanderwind_policy::ColdTargetTable;
 use oleanderwind_policy::FleetReach;
 use oleanderwind_policy::LimitChange;
+use oleanderwind_policy::LimitNotice;
 use oleanderwind_policy::LimitRecord;
 use oleanderwind_policy::LimitTable;
 use oleanderwind_policy::PermitIssuer;
 use oleanderwind_policy::RequestRate;
 use oleanderwind_policy::RequestRateError;
 use oleanderwind_policy::TargetId;
+use oleanderwind_policy::TargetSpec;
 use oleanderwind_policy::rank_limit_holders;
 use proptest::prelude::*;
 
 use crate::fleet::LimitFleet;
 use crate::fleet::LimitStep;
+use crate::fleet::spec;
 
 const ALONE: FleetReach = FleetReach { reached: 1, known: 1 };
 
@@ -37,6 +44,70 @@
     Duration::from_millis(count)
 }
 
+/// Pattern: all VMs want to call a cold target, far more often than it takes.
+#[test]
+fn cold_target_gets_no_more_in_any_second_and_still_warms() {
+    for vms in [1, 7, 75] {
+        for per_second in [2.0, 10.0, 40.0] {
+            let mut fleet = LimitFleet::new(vms, rate(per_second), per_second * 4.0, 11);
+            fleet.advance(Duration::from_secs(20));
+            assert_eq!(fleet.find_cold_excess(), None, "{vms} VMs, {per_second}/s");
+            let warming = fleet.arrivals_after(Duration::from_secs(10));
+            assert!(warming as f64 > per_second * 5.0, "{vms} VMs, {per_second}/s: {warming}");
+        }
+    }
+}
+
+/// Guards against a target that is cold by its entry, or when it is taken back, and gets its usual share at once.
+#[test]
+fn cold_target_has_a_limit_by_its_entry_and_after_an_evacuation() {
+    let now = Instant::now();
+    let rates = HashMap::from([("one".into(), rate(8.0))]);
+    let mut table = ColdTargetTable::default();
+    // Lists the target `count` ms after the start, and returns the limits.
+    let list = |table: &mut ColdTargetTable, count: u64, incarnation: u64, cold_ms: u64| {
+        let listed = TargetSpec { incarnation, cold_ms, ..spec() };
+        table.apply_targets(&[listed], &rates, now + ms(count), UNIX_EPOCH)
+    };
+    let limit =
+        |count: u64, incarnation: u64| vec![record(incarnation, Some(8.0), now + ms(count))];
+    assert_eq!(list(&mut table, 0, 1, 0), [], "it is warm");
+    assert_eq!(list(&mut table, 1, 1, 3_000), limit(1, 1), "cold again");
+    assert_eq!(list(&mut table, 2, 1, 3_000), [], "nothing new");
+    assert_eq!(list(&mut table, 3, 2, 3_000), limit(3, 2), "another process");
+    let evacuated = BTreeSet::from(["a".into()]);
+    assert_eq!(table.set_evacuated(&evacuated, now + ms(4)), limit(4, 2));
+    assert_eq!(table.set_evacuated(&evacuated, now + ms(5)), []);
+    assert_eq!(
+        list(&mut table, 6, 3, 0),
+        limit(6, 3),
+        "a process that starts there counts as cold"
+    );
+    assert_eq!(table.set_evacuated(&BTreeSet::new(), now + ms(7)), []);
+    let cold = [TargetSpec { cold_ms: 3_000, ..spec() }];
+    let unnamed = table.apply_targets(&cold, &HashMap::new(), now, UNIX_EPOCH);
+    assert_eq!(unnamed, [], "no rate is named");
+    let later = UNIX_EPOCH + Duration::from_secs(60);
+    let old = ColdTargetTable::default().apply_targets(&cold, &rates, now, later);
+    assert_eq!(old, [], "its process has long been warm");
+}
+
+/// Guards against an answer that calls its target cold and names no limit, a higher or a lower one.
+#[test]
+fn cold_answer_is_read_as_the_lower_limit() {
+    let rates = HashMap::from([("one".into(), rate(8.0))]);
+    let mut table = ColdTargetTable::default();
+    let target: TargetId = "t".into();
+    let named = |per_second: f64| LimitNotice::Named(rate(per_second));
+    assert_eq!(table.read_notice(&target, LimitNotice::Missing, ms(9)), LimitNotice::Missing);
+    table.apply_targets(&[spec()], &rates, Instant::now(), UNIX_EPOCH);
+    assert_eq!(table.read_notice(&target, LimitNotice::Missing, ms(0)), LimitNotice::Missing);
+    assert_eq!(table.read_notice(&target, LimitNotice::Missing, ms(9)), named(8.0));
+    assert_eq!(table.read_notice(&target, named(5.0), ms(9)), named(5.0));
+    assert_eq!(table.read_notice(&target, named(50.0), ms(9)), named(8.0));
+    assert_eq!(table.read_notice(&target, LimitNotice::Unreadable, ms(9)), named(8.0));
+}
+
 #[test]
 fn request_rate_has_a_meaning_for_every_text() {
     let per_second = |text: &str| RequestRate::try_from(text).map(RequestRate::per_second);
--- a/crates/policy/tests/limits/fleet.rs
+++ b/crates/policy/tests/limits/fleet.rs
@@ -43,6 +43,9 @@
 const INCARNATION: u64 = 1;
 /// Span over which the limit is checked.
 const WINDOW: Duration = Duration::from_secs(4);
+/// Requests in a second that a cold target bears, as a multiple of the rate of its service and beyond it.
+const COLD_OVERAGE: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
 /// Time after the limit was first named, and after a fault of a VM, from which on its requests count.
 const STABLE_TIME: Duration = Duration::from_secs(4);
 /// Time after a VM was told a limit from which on its requests count.
@@ -174,7 +177,8 @@
     rng: Pcg64Mcg,
 }
 
-fn spec() -> TargetSpec {
+/// Returns the listed target.
+pub(crate) fn spec() -> TargetSpec {
     TargetSpec {
         target: TARGET.into(),
         service: "one".into(),
@@ -185,6 +189,7 @@
         connection_limit: 4_096,
         incarnation: INCARNATION,
         phase: TargetPhase::Ready,
+        cold_ms: 0,
     }
 }
 
@@ -333,6 +338,20 @@
         None
     }
 
+    /// Returns the first second in which more requests than a cold target bears counted, with their number and what is
+    /// allowed.
+    pub(crate) fn find_cold_excess(&self) -> Option<(Duration, usize, f64)> {
+        let counted: Vec<&Arrival> =
+            self.arrivals.iter().filter(|arrival| arrival.counts).collect();
+        counted.iter().enumerate().find_map(|(index, first)| {
+            let second = counted[index..].iter();
+            let second = second.take_while(|other| other.at < first.at + Duration::from_secs(1));
+            let allowed = first.rate.per_second() * COLD_OVERAGE + COLD_SLACK;
+            let count = second.count();
+            (count as f64 > allowed).then_some((first.at - self.start, count, allowed))
+        })
+    }
+
     /// Returns the number of requests that reached the target after a time.
     pub(crate) fn arrivals_after(&self, time: Duration) -> usize {
         self.arrivals.iter().filter(|arrival| arrival.at >= self.start + time).count()
--- a/crates/standin/src/server/standin.rs
+++ b/crates/standin/src/server/standin.rs
@@ -230,6 +230,7 @@
         connection_limit: plan.connection_limit,
         incarnation: 0,
         phase: TargetPhase::Ready,
+        cold_ms: 0,
     }
 }
 
