--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -153,9 +153,7 @@
                 }
             }
             PeerCall::Permit { request, reply } => self.handle_permit_request(request, reply),
-            PeerCall::Quota { request, reply } => {
-                let _ = reply.send(self.handle_quota_request(&request));
-            }
+            PeerCall::Quota { request, reply } => self.handle_quota_request(request, reply),
             PeerCall::Fetch { request, reply } => {
                 let state = self.state.borrow();
                 let delta = state.gossip.handle_pull(request.after_revision, request.whole);
--- a/crates/daemon/src/peers/quota.rs
+++ b/crates/daemon/src/peers/quota.rs
@@ -22,7 +22,9 @@
 use oleanderwind_policy::VmId;
 use oleanderwind_wire::peer::QuotaReply;
 use oleanderwind_wire::peer::QuotaRequest;
+use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::peers::service::PeerService;
@@ -35,6 +37,9 @@
 /// Time for which a VM that did not answer is not asked.
 const REST_TIME: Duration = Duration::from_millis(500);
 
+/// Minimum time between two probes of VMs that have not been heard from.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Whether a request is within its organisation's quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum QuotaAdmission {
@@ -52,6 +57,8 @@
     waiting: HashMap<OrganisationId, Rc<Notify>>,
     /// VMs that did not answer.
     resting: HashMap<VmId, Instant>,
+    /// When a VM was last probed that has not been heard from.
+    probed_at: Option<Instant>,
 }
 
 impl QuotaState {
@@ -62,6 +69,7 @@
             table: QuotaTable::new(settings.quota),
             waiting: HashMap::new(),
             resting: HashMap::new(),
+            probed_at: None,
         }
     }
 }
@@ -162,7 +170,15 @@
         let mut answer = QuotaAnswer::Unreached;
         for (holder, role) in holders.iter().zip([QuotaRole::Holder, QuotaRole::Deputy]) {
             (asked_at, asked_at_wall) = (Instant::now(), SystemTime::now());
-            if let Some(grant) = self.ask_quota(holder, &organisation, quota, wanted, role).await {
+            let request = QuotaRequest {
+                organisation: organisation.to_string(),
+                wanted,
+                as_deputy: role == QuotaRole::Deputy,
+                requests_per_second: quota.requests_per_second,
+                burst: quota.burst,
+                is_relayed: false,
+            };
+            if let Some(grant) = self.ask_quota(holder, request).await {
                 answer = QuotaAnswer::Granted(grant);
                 break;
             }
@@ -179,28 +195,19 @@
     }
 
     /// Asks a VM, which may be this one, for tokens; `None` if it is not reached or does not have the role.
-    async fn ask_quota(
-        &self,
-        holder: &VmId,
-        organisation: &OrganisationId,
-        quota: RequestQuota,
-        wanted: u32,
-        role: QuotaRole,
-    ) -> Option<QuotaGrant> {
+    async fn ask_quota(&self, holder: &VmId, request: QuotaRequest) -> Option<QuotaGrant> {
         let now = Instant::now();
+        let organisation: OrganisationId = request.organisation.as_str().into();
+        let wanted = request.wanted;
         if *holder == self.settings.vm {
-            return self.issue_tokens(organisation, quota, wanted, role);
+            let QuotaRequest { requests_per_second, burst, as_deputy, .. } = request;
+            let role = if as_deputy { QuotaRole::Deputy } else { QuotaRole::Holder };
+            let quota = RequestQuota { requests_per_second, burst };
+            return self.issue_tokens(&organisation, quota, wanted, role);
         }
         if self.quotas.borrow().resting.get(holder).is_some_and(|until| now < *until) {
             return None;
         }
-        let request = QuotaRequest {
-            organisation: organisation.to_string(),
-            wanted,
-            as_deputy: role == QuotaRole::Deputy,
-            requests_per_second: quota.requests_per_second,
-            burst: quota.burst,
-        };
         let address = self.peer_address(holder)?;
         let Some(reply) = self.clients.quota(address, request).await else {
             log::info!(
@@ -221,27 +228,48 @@
     }
 }
 
+fn quota_reply(grant: Option<QuotaGrant>) -> QuotaReply {
+    match grant {
+        None => QuotaReply { is_other: true, ..QuotaReply::default() },
+        Some(grant) => QuotaReply {
+            granted: grant.granted,
+            retry_after_us: u32::try_from(grant.retry_after.as_micros()).unwrap_or(u32::MAX),
+            left: grant.left,
+            is_other: false,
+        },
+    }
+}
+
 /// Issue of tokens.
 impl PeerService {
-    /// Handles a peer's request for tokens.
-    pub(crate) fn handle_quota_request(&self, request: &QuotaRequest) -> QuotaReply {
-        let told =
+    /// Handles a peer's request for tokens. A VM that does not hold the quota passes it on to the one that does, once.
+    pub(crate) fn handle_quota_request(
+        self: &Rc<Self>,
+        request: QuotaRequest,
+        reply: oneshot::Sender<QuotaReply>,
+    ) {
+        let quota =
             RequestQuota { requests_per_second: request.requests_per_second, burst: request.burst };
         let is_valid = |value: f64| value.is_finite() && value >= 0.0;
-        if !is_valid(told.requests_per_second) || !is_valid(told.burst) {
+        if !is_valid(quota.requests_per_second) || !is_valid(quota.burst) {
             log::warn!(organisation = request.organisation; "request for tokens is invalid");
-            return QuotaReply { is_other: true, ..QuotaReply::default() };
+            return;
         }
         let organisation: OrganisationId = request.organisation.as_str().into();
         let role = if request.as_deputy { QuotaRole::Deputy } else { QuotaRole::Holder };
-        match self.issue_tokens(&organisation, told, request.wanted, role) {
-            None => QuotaReply { is_other: true, ..QuotaReply::default() },
-            Some(grant) => QuotaReply {
-                granted: grant.granted,
-                retry_after_us: u32::try_from(grant.retry_after.as_micros()).unwrap_or(u32::MAX),
-                left: grant.left,
-                is_other: false,
-            },
+        let grant = self.issue_tokens(&organisation, quota, request.wanted, role);
+        let holder = self.quotas.borrow().holder.holders(&organisation).into_iter().next();
+        match (grant, holder) {
+            (None, Some(holder)) if !request.is_relayed && role == QuotaRole::Holder => {
+                let peers = self.clone();
+                actix_rt::spawn(async move {
+                    let request = QuotaRequest { is_relayed: true, ..request };
+                    let grant = peers.ask_quota(&holder, request).await;
+                    let _ = reply.send(quota_reply(grant));
+                });
+            }
+            // Fails if the peer has stopped waiting, which is not an error.
+            (grant, _) => drop(reply.send(quota_reply(grant))),
         }
     }
 
@@ -261,7 +289,7 @@
     }
 
     /// Passes this VM's view of the fleet on to the quotas, if there are any.
-    pub(crate) fn refresh_quota_view(&self) {
+    pub(crate) fn refresh_quota_view(self: &Rc<Self>) {
         let routes = self.directory.routes();
         if !routes.is_some_and(|routes| routes.organisations.has_quotas()) {
             return;
@@ -295,5 +323,25 @@
             std::iter::once(own).chain(others).collect::<Vec<QuotaVm>>()
         };
         self.quotas.borrow_mut().holder.set_view(&vms, Instant::now(), SystemTime::now());
+        let unheard: Vec<&QuotaVm> = vms.iter().filter(|vm| !vm.is_heard).collect();
+        if let Some(unheard) = unheard.choose(&mut rand::rng()) {
+            self.probe_unheard(&unheard.vm);
+        }
+    }
+
+    /// Sends a heartbeat to a VM that is listed and has not been heard from: it may hold quotas in the view of others.
+    fn probe_unheard(self: &Rc<Self>, vm: &VmId) {
+        let now = Instant::now();
+        let action = {
+            let mut quotas = self.quotas.borrow_mut();
+            if quotas.probed_at.is_some_and(|at| now < at + PROBE_INTERVAL) {
+                return;
+            }
+            quotas.probed_at = Some(now);
+            let mut state = self.state.borrow_mut();
+            let summary = state.gossip.store().summary();
+            state.membership.probe(vm, summary)
+        };
+        self.perform(action.into_iter().collect());
     }
 }
--- a/crates/policy/src/quota/reach.rs
+++ b/crates/policy/src/quota/reach.rs
@@ -35,17 +35,22 @@
     /// The parts of a VM that knows of no VM yet, not even itself.
     pub const NONE: QuotaReach = QuotaReach { reached: 0.0, own: 0.0 };
 
-    /// Weighs `vms` as callers use them. The VMs that callers prefer have nearly all traffic; one that has not been heard
-    /// from may be one of them.
+    /// Weighs `vms` as callers use them: those that callers prefer have nearly all traffic. One that has not been heard from
+    /// weighs as much as those that have on average.
     pub fn of(own: &VmId, vms: &[QuotaVm]) -> QuotaReach {
         let largest = vms.iter().map(|vm| vm.processor_millicores).max().unwrap_or(0);
-        let is_preferred = |vm: &QuotaVm| {
-            !vm.is_heard || vm.processor_millicores.saturating_mul(CAPABLE_DIVISOR) >= largest
+        let is_preferred =
+            |vm: &QuotaVm| vm.processor_millicores.saturating_mul(CAPABLE_DIVISOR) >= largest;
+        let heard: Vec<&QuotaVm> = vms.iter().filter(|vm| vm.is_heard).collect();
+        let preferred = heard.iter().filter(|vm| is_preferred(vm)).count() as f64;
+        let others = heard.len() as f64 - preferred;
+        let others_weight = if others > 0.0 { OTHERS_SHARE * preferred } else { 0.0 };
+        let unheard_weight = (preferred + others_weight) / heard.len().max(1) as f64;
+        let weight = |vm: &QuotaVm| match (vm.is_heard, is_preferred(vm)) {
+            (false, _) => unheard_weight,
+            (true, true) => 1.0,
+            (true, false) => others_weight / others,
         };
-        let preferred = vms.iter().filter(|vm| is_preferred(vm)).count().max(1) as f64;
-        let others = vms.len() as f64 - preferred;
-        let other_weight = if others > 0.0 { OTHERS_SHARE * preferred / others } else { 0.0 };
-        let weight = |vm: &QuotaVm| if is_preferred(vm) { 1.0 } else { other_weight };
         let sum = |included: &dyn Fn(&QuotaVm) -> bool| -> f64 {
             vms.iter().filter(|vm| included(vm)).map(weight).sum()
         };
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -141,6 +141,9 @@
     pub requests_per_second: f64,
     #[prost(double, tag = "5")]
     pub burst: f64,
+    /// Whether a VM that does not hold the quota passes the request on.
+    #[prost(bool, tag = "6")]
+    pub is_relayed: bool,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct QuotaReply {
