--- a/crates/http/src/caller_stream.rs
+++ b/crates/http/src/caller_stream.rs
@@ -191,6 +191,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         // The server flushes once the socket has taken all that it has produced.
         if self.calls.flow.record_flush() {
+            self.calls.flow.record_ahead(!self.piece.is_empty());
             self.calls.release_answer();
         }
         Pin::new(&mut self.stream).poll_flush(context)
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -25,6 +25,7 @@
 use futures_util::FutureExt;
 use futures_util::future::select;
 use serde::Serialize;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::HttpCall;
@@ -53,6 +54,10 @@
 /// Time to flush the last reply after its call has ended.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
+/// Calls in a row that a caller may send ahead; its connection is closed after the answer to the last.
+const MAX_CALLS_AHEAD: u32 = 16;
+/// Calls of one listener that were sent ahead and run at once.
+pub(crate) const MAX_RUNNING_AHEAD: usize = 8;
 /// Length up to which a body is read without asking whether its call needs it, in bytes.
 const MAX_UNCHECKED_BYTES: usize = 4 * 1_024;
 /// Length up to which an answer takes nothing from the budget, in bytes.
@@ -101,6 +106,8 @@
     pub(crate) handler: HttpHandler,
     /// Memory of the calls, and which of them need their body.
     pub(crate) guard: CallerGuard,
+    /// Calls that were sent ahead and may run at once.
+    pub(crate) ahead: Semaphore,
 }
 
 impl ConnectionContext {
@@ -213,9 +220,19 @@
                 let is_offer = has_payload && request.upgrade();
                 calls.flow.enter(FlowPhase::Answer);
                 call.body = read.bytes;
-                let reply = (context.handler)(call).await;
+                let reply = {
+                    let is_ahead = calls.flow.ahead() > 0;
+                    let permit = if is_ahead { context.ahead.acquire().await.ok() } else { None };
+                    let reply = (context.handler)(call).await;
+                    drop(permit);
+                    reply
+                };
                 drop(read.share);
-                if is_offer { reply.closing() } else { reply }
+                let is_last = calls.flow.ahead() >= MAX_CALLS_AHEAD;
+                if is_last {
+                    calls.flow.enter(FlowPhase::Discard);
+                }
+                if is_offer || is_last { reply.closing() } else { reply }
             }
             Err(error) => {
                 calls.flow.enter(FlowPhase::Discard);
--- a/crates/http/src/flow.rs
+++ b/crates/http/src/flow.rs
@@ -100,6 +100,8 @@
     is_answer_complete: Cell<bool>,
     /// Whether the body waits for memory, so that no more of it is taken.
     is_paused: Cell<bool>,
+    /// Calls in a row that arrived before the answer to the one before them was written.
+    ahead: Cell<u32>,
     reader: RefCell<Option<Waker>>,
     rule: Cell<Option<CloseRule>>,
 }
@@ -113,6 +115,7 @@
             marked: Cell::new(Instant::now()),
             is_answer_complete: Cell::new(false),
             is_paused: Cell::new(false),
+            ahead: Cell::new(0),
             reader: RefCell::new(None),
             rule: Cell::new(None),
         }
@@ -125,6 +128,16 @@
         self.phase.get()
     }
 
+    /// Records whether bytes of the next call had arrived when an answer was written.
+    pub(crate) fn record_ahead(&self, has_next: bool) {
+        self.ahead.set(if has_next { self.ahead.get().saturating_add(1) } else { 0 });
+    }
+
+    /// Returns how many calls in a row were sent ahead.
+    pub(crate) fn ahead(&self) -> u32 {
+        self.ahead.get()
+    }
+
     /// Returns whether the body waits for memory.
     pub(crate) fn is_paused(&self) -> bool {
         self.is_paused.get()
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -10,7 +10,9 @@
 
 use actix_rt::net::TcpListener;
 use actix_rt::net::TcpStream;
+use socket2::SockRef;
 use tokio::net::TcpSocket;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -20,6 +22,7 @@
 use crate::HttpLimits;
 use crate::connection::ConnectionContext;
 use crate::connection::DrainPhase;
+use crate::connection::MAX_RUNNING_AHEAD;
 use crate::connection::serve_connection;
 use crate::registry::ConnectionCalls;
 use crate::registry::ConnectionRegistry;
@@ -37,6 +40,8 @@
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Size of the receive buffer of a caller's connection, in bytes; the kernel doubles it.
 const RECEIVE_BUFFER_BYTES: u32 = 16 * 1_024;
+/// Size of the send buffer of a caller's connection, in bytes; the kernel doubles it.
+const SEND_BUFFER_BYTES: usize = 64 * 1_024;
 /// Connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
@@ -97,6 +102,7 @@
                 limits: RefCell::new(Rc::new(limits)),
                 handler,
                 guard,
+                ahead: Semaphore::new(MAX_RUNNING_AHEAD),
             }),
             phase: watch::Sender::new(DrainPhase::Serving),
             is_accepting: Cell::new(true),
@@ -223,6 +229,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {error}");
     }
+    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!("the send buffer keeps the system's size: {error}");
+    }
     let guard = OpenConnection::new(state.clone());
     let context = state.context.clone();
     let phase = state.phase.subscribe();
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -302,3 +302,17 @@
     }
     expect_recovered(&listener).await;
 }
+
+/// Guards against callers that send ahead without an end: each connection gets some answers, in order,
+/// and is closed then.
+#[actix_rt::test]
+async fn serve_answers_some_requests_sent_ahead_and_closes() {
+    let listener = bind().await;
+    let reply = exchange(&listener, VALID_REQUEST.repeat(200).as_bytes()).await;
+    let answers = reply.matches("HTTP/1.1 200").count();
+    assert!((10..40).contains(&answers), "{answers} answers");
+    expect_recovered(&listener).await;
+    let few = VALID_REQUEST.repeat(8);
+    let reply = exchange(&listener, few.as_bytes()).await;
+    assert_eq!(reply.matches("HTTP/1.1 200").count(), 8, "{reply}");
+}
