--- a/crates/http/tests/memory.rs
+++ b/crates/http/tests/memory.rs
@@ -74,7 +74,7 @@
         draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let now = start + Duration::from_millis(step);
         let pick = (draw >> 33) as usize;
-        if open.is_empty() || pick % 5 == 0 {
+        if open.is_empty() || pick.is_multiple_of(5) {
             open.push(ledger.open(MemoryPurpose::Bodies, now));
             continue;
         }
