fix(http,platform): pass an empty query on

A request for /path? was sent as /path. Headers that Connection lists are removed, as HTTP's specification says, so that stays.

--- a/crates/http/src/call.rs
+++ b/crates/http/src/call.rs
@@ -22,6 +22,8 @@
     pub path: String,
     /// Query without the question mark; empty if there is none.
     pub query: String,
+    /// Whether there is a query, be it empty: `/path?` is not `/path`.
+    pub has_query: bool,
     /// All headers.
     pub headers: HeaderMap,
     /// Whole body.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -160,6 +160,7 @@
                 method: request.method().clone(),
                 path: request.path().to_owned(),
                 query: request.uri().query().unwrap_or_default().to_owned(),
+                has_query: request.uri().query().is_some(),
                 headers: request.headers().clone(),
                 body,
                 peer,
