feat(policy,daemon): pass queries on that need targets which refuse new connections

A query of which more shards than may be missing have no target with an idle connection or without a refusal goes to a peer before anything of it runs, so that no target gets an extra arrival. Where peers can't serve either, two requests at a time are passed on and none for 0.5 s after a failure. An attempt each 250 ms ends the state; one success clears all targets.

Ways weighed: passing on a query that ended short (each reached shard runs twice); one more state for the whole VM (the reached targets hide the others). Not mended: the query that meets the first refusals, and the blame for this VM's own cut.

--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -29,6 +29,7 @@
 use crate::fanout::quarantine::CallWitness;
 use crate::targets::CallFailure;
 use crate::targets::ForwardOutcome;
+use crate::targets::PooledRequest;
 use crate::targets::ReplyMatch;
 use crate::time::milliseconds;
 
@@ -88,17 +89,12 @@
     let targets = fanout.targets.clone();
     let sent_at = Instant::now();
     let may_send = || fanout.may_send(call.call) && fanout.may_leave(&witness);
-    let request_hash =
-        xxhash_rust::xxh3::xxh3_64_with_seed(request.id.as_bytes(), fanout.hash_seed);
-    let sent = targets.forward(
-        &call.target,
-        message,
-        request_hash,
-        call.is_idempotent,
-        call.deadline,
-        may_send,
-        match_reply,
-    );
+    let pooled = PooledRequest {
+        hash: xxhash_rust::xxh3::xxh3_64_with_seed(request.id.as_bytes(), fanout.hash_seed),
+        deadline: call.deadline,
+    };
+    let idempotent = call.is_idempotent;
+    let sent = targets.forward(&call.target, message, pooled, idempotent, may_send, match_reply);
     let mut end = CallEnd::default();
     let event = match sent.await {
         ForwardOutcome::Withdrawn => FanoutEvent::Withdrawn { call: call.call },
--- a/crates/daemon/src/fanout/reach.rs
+++ b/crates/daemon/src/fanout/reach.rs
@@ -4,21 +4,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::ReachState;
 use oleanderwind_policy::ReachTracker;
+use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
 use rand::seq::IndexedRandom;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::fanout::FanoutService;
 use crate::fanout::quarantine::CallWitness;
 use crate::targets::HealthReply;
+use crate::targets::PathObserver;
 use crate::time::milliseconds;
 
 /// Interval at which a VM that is cut off asks one target for its health.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time in which the reply is waited for. A busy target may have it wait for a slot.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time in which a target that is reachable accepts a connection.
+const PATH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Thousandths in one.
+const FULL_PERMILLE: usize = 1_000;
 /// Time after which a call that is cancelled without a reply counts as silence of its target.
 const CANCELLED_CALL_TIME: Duration = Duration::from_millis(100);
 
@@ -85,6 +94,88 @@
     }
 }
 
+/// Paths to single targets.
+impl FanoutService {
+    /// Returns whether too many shards of the query have no target that this VM has a connection to or can open one to.
+    pub(crate) fn lacks_paths(&self, plan: &FanoutPlan) -> bool {
+        let paths = self.paths.borrow();
+        if !paths.has_refused() {
+            return false;
+        }
+        let is_lost =
+            |target: &TargetId| paths.is_refused(target) && !self.targets.has_idle(target);
+        let shards = &plan.manifest.shards;
+        let lost = shards
+            .iter()
+            .filter(|shard| !shard.targets.is_empty() && shard.targets.iter().all(is_lost));
+        let floor = usize::try_from(plan.coverage_floor_permille).unwrap_or(FULL_PERMILLE);
+        let needed = (shards.len() * floor).div_ceil(FULL_PERMILLE);
+        shards.len() - lost.count() < needed
+    }
+
+    /// Takes the permission to pass a request on whose targets this VM can't connect to.
+    pub(crate) fn take_path_relay(self: &Rc<Self>) -> Option<PathRelay> {
+        let is_due = self.paths.borrow_mut().take_relay(Instant::now());
+        is_due.then(|| PathRelay { fanout: self.clone(), is_served: None })
+    }
+
+    fn record_path(self: &Rc<Self>, target: &TargetId, is_open: bool) {
+        let mut paths = self.paths.borrow_mut();
+        match is_open {
+            true => paths.record_accepted(target),
+            false => paths.record_refused(target, Instant::now()),
+        }
+        if paths.has_refused() && !self.is_probing_paths.replace(true) {
+            actix_rt::spawn(probe_paths(self.clone()));
+        }
+    }
+}
+
+/// Permission to pass a request on, which reports the result when it is dropped.
+pub(crate) struct PathRelay {
+    fanout: Rc<FanoutService>,
+    is_served: Option<bool>,
+}
+
+impl PathRelay {
+    /// Records whether the request was served.
+    pub(crate) fn finish(mut self, is_served: bool) {
+        self.is_served = Some(is_served);
+    }
+}
+
+impl Drop for PathRelay {
+    fn drop(&mut self) {
+        self.fanout.paths.borrow_mut().record_relay(self.is_served, Instant::now());
+    }
+}
+
+/// Returns an observer that records which targets accept new connections.
+pub(crate) fn path_observer(fanout: &Rc<FanoutService>) -> PathObserver {
+    let fanout = Rc::downgrade(fanout);
+    Rc::new(move |target, is_open| {
+        if let Some(fanout) = fanout.upgrade() {
+            fanout.record_path(target, is_open);
+        }
+    })
+}
+
+/// Connects to one target after the other that refuses connections until one accepts, as requests that need them are
+/// passed on.
+async fn probe_paths(fanout: Rc<FanoutService>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        let is_listed = |target: &TargetId| fanout.targets.process(target).is_some();
+        fanout.paths.borrow_mut().retain_listed(is_listed);
+        let next = fanout.paths.borrow().next_probe();
+        let process = next.and_then(|target| Some((fanout.targets.process(&target)?, target)));
+        let Some((process, target)) = process else { break };
+        let connected = timeout(PATH_PROBE_TIMEOUT, TcpStream::connect(process.address)).await;
+        fanout.record_path(&target, matches!(connected, Ok(Ok(_))));
+    }
+    fanout.is_probing_paths.set(false);
+}
+
 /// Asks one target after the other for its health until a reply shows that they are reached again, whether callers send
 /// requests or not. At most `PROBE_TIMEOUT / PROBE_INTERVAL` checks are under way.
 async fn probe_targets(fanout: Rc<FanoutService>) {
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -18,6 +18,7 @@
 use oleanderwind_policy::FanoutResult;
 use oleanderwind_policy::FanoutSettings;
 use oleanderwind_policy::FleetShape;
+use oleanderwind_policy::PathTracker;
 use oleanderwind_policy::ProviderId;
 use oleanderwind_policy::QueryId;
 use oleanderwind_policy::ReachTracker;
@@ -40,6 +41,7 @@
 use crate::fanout::limits::watch_limits;
 use crate::fanout::payload::CallAnswer;
 use crate::fanout::quarantine::CallWitness;
+use crate::fanout::reach::path_observer;
 use crate::kernel::Kernel;
 use crate::kernel::KernelError;
 use crate::metrics::MetricsService;
@@ -95,6 +97,10 @@
     /// Whether this VM reaches the targets; receivers are notified when that changes.
     pub(crate) reach: watch::Sender<ReachTracker>,
     pub(crate) cut_off_at: Cell<Option<Instant>>,
+    /// New connections to single targets.
+    pub(crate) paths: RefCell<PathTracker>,
+    /// Whether targets that refuse new connections are being tried.
+    pub(crate) is_probing_paths: Cell<bool>,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) metrics: Rc<MetricsService>,
     settings: LiveSettings,
@@ -127,12 +133,15 @@
             unreadable_limits: RefCell::default(),
             reach: watch::Sender::default(),
             cut_off_at: Cell::default(),
+            paths: RefCell::default(),
+            is_probing_paths: Cell::default(),
             directory: directory.clone(),
             metrics: kernel.metrics()?,
             settings: kernel.live_settings().clone(),
             next_query: Cell::new(1),
         });
         fanout.targets.set_reply_observer(notice_observer(&fanout));
+        fanout.targets.set_path_observer(path_observer(&fanout));
         actix_rt::spawn(watch_targets(fanout.clone(), directory));
         actix_rt::spawn(watch_drains(fanout.clone()));
         actix_rt::spawn(watch_limits(fanout.clone()));
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -274,6 +274,15 @@
         if self.fanout.is_cut_off() && !is_trial {
             return self.serve_elsewhere(route, &request, is_relayed, terms).await;
         }
+        if !is_relayed
+            && !is_trial
+            && self.fanout.lacks_paths(&plan)
+            && let Some(relay) = self.fanout.take_path_relay()
+        {
+            let reply = self.serve_elsewhere(route, &request, is_relayed, terms).await;
+            relay.finish(reply.status().is_success());
+            return reply;
+        }
         let is_gathered = matches!(route.destination, RouteDestination::Sharded(_));
         let payload = QueryPayload::forward(request.clone(), is_gathered);
         let mut run = self.fanout.begin(plan, work, payload);
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -144,6 +144,11 @@
         Some(self.check_out(self.new_idle(permit), active_permit))
     }
 
+    /// Returns whether an idle connection is open.
+    pub(crate) fn has_idle(&self) -> bool {
+        self.idle.borrow().iter().any(|connection| connection.client.is_open())
+    }
+
     /// Probes idle connections whose last reply is older than `since`. They return to the pool only
     /// if the probe is answered.
     pub(crate) fn probe_idle(self: &Rc<Self>, since: Instant) {
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -17,6 +17,7 @@
 use oleanderwind_http::ClientError;
 use oleanderwind_http::ClientExchange;
 use oleanderwind_http::ClientReply;
+use oleanderwind_http::ConnectObserver;
 use oleanderwind_http::HeadObserver;
 use oleanderwind_http::HttpClient;
 use oleanderwind_http::ListenerState;
@@ -62,12 +63,16 @@
 /// Called with the head of each reply of a target, and the target's incarnation.
 pub(crate) type ReplyObserver = Rc<dyn Fn(&TargetId, u64, StatusCode, &HeaderMap)>;
 
+/// Called after each attempt to connect to a target, with whether it accepted.
+pub(crate) type PathObserver = Rc<dyn Fn(&TargetId, bool)>;
+
 /// Connection pools of all known targets.
 pub(crate) struct TargetService {
     pools: RefCell<HashMap<TargetId, IncarnationPool>>,
     connects: Rc<Cell<u64>>,
     memory: Rc<ReplyMemory>,
     reply_observer: RefCell<Option<ReplyObserver>>,
+    path_observer: RefCell<Option<PathObserver>>,
     /// Time at which the idle connections were last probed.
     last_probe_at: Cell<Option<Instant>>,
 }
@@ -114,6 +119,7 @@
             connects: Rc::default(),
             memory: Rc::new(ReplyMemory::new(REPLY_MEMORY_BYTES)),
             reply_observer: RefCell::default(),
+            path_observer: RefCell::default(),
             last_probe_at: Cell::default(),
         }
     }
@@ -130,6 +136,16 @@
         *self.reply_observer.borrow_mut() = Some(observer);
     }
 
+    /// Sets the observer of new connections; holds for the pools created later.
+    pub(crate) fn set_path_observer(&self, observer: PathObserver) {
+        *self.path_observer.borrow_mut() = Some(observer);
+    }
+
+    /// Returns whether an idle connection to the target is open.
+    pub(crate) fn has_idle(&self, target: &TargetId) -> bool {
+        self.pool(target).is_some_and(|pool| pool.has_idle())
+    }
+
     /// Closes the connections to a process that leaves as they become idle.
     pub(crate) fn retire(&self, target: &TargetId, incarnation: u64) {
         let pools = self.pools.borrow();
@@ -177,9 +193,15 @@
             });
             observer
         });
+        let connect_observer = self.path_observer.borrow().clone().map(|observe| {
+            let target = spec.target.clone();
+            let observer: ConnectObserver = Rc::new(move |is_open| observe(&target, is_open));
+            observer
+        });
         let context = ClientContext {
             connects: self.connects.clone(),
             head_observer,
+            connect_observer,
             memory: Some(self.memory.clone()),
         };
         TargetPool::new(spec.address, share, context)
@@ -252,16 +274,15 @@
     /// Forwards a request if `may_send` still allows it once a connection is free. The connection is
     /// reused only if `match_reply` accepts the reply.
     ///
-    /// `request_hash` is a hash of the request's id: no connection carries a request twice, as a late copy of the first
+    /// No connection carries a request twice, as a late copy of the first
     /// reply would pass for the second one. A request that is not idempotent uses a new connection or one that has replied
     /// within `LIVENESS_WINDOW`. Dropping the future closes the connection, which cancels the request at the target.
     pub(crate) async fn forward(
         &self,
         target: &TargetId,
         request: Request<Full<Bytes>>,
-        request_hash: u64,
+        pooled: PooledRequest,
         is_idempotent: bool,
-        deadline: Instant,
         may_send: impl Fn() -> bool,
         match_reply: impl Fn(&ClientReply) -> ReplyMatch,
     ) -> ForwardOutcome {
@@ -269,7 +290,6 @@
         if !is_idempotent && let Some(since) = Instant::now().checked_sub(LIVENESS_WINDOW) {
             pool.close_idle(since);
         }
-        let pooled = PooledRequest { hash: request_hash, deadline };
         let Some(connection) = pool.acquire_for(pooled).await else {
             return ForwardOutcome::Unsent;
         };
@@ -278,7 +298,7 @@
             return ForwardOutcome::Withdrawn;
         }
         let sent_at = Instant::now();
-        match timeout(time_until(deadline), connection.client().send(request)).await {
+        match timeout(time_until(pooled.deadline), connection.client().send(request)).await {
             Ok(Ok(reply)) => match match_reply(&reply) {
                 ReplyMatch::Own => {
                     connection.release();
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -81,6 +81,9 @@
 /// Called with the status and the headers of each reply, before its body is read.
 pub type HeadObserver = Rc<dyn Fn(StatusCode, &HeaderMap)>;
 
+/// Called with whether a connection was opened, after each attempt.
+pub type ConnectObserver = Rc<dyn Fn(bool)>;
+
 /// A call in progress. It owns the connection until the reply is complete. Dropping it closes the
 /// connection.
 pub type ClientExchange = LocalBoxFuture<'static, Result<ClientReply, ClientError>>;
@@ -108,6 +111,8 @@
     pub connects: Rc<Cell<u64>>,
     /// Sees the head of each reply, also of one whose body is cut or that belongs to another request.
     pub head_observer: Option<HeadObserver>,
+    /// Learns of each attempt to connect.
+    pub connect_observer: Option<ConnectObserver>,
     /// Bound of the memory for bodies.
     pub memory: Option<Rc<ReplyMemory>>,
 }
@@ -221,6 +226,9 @@
     connects.set(connects.get() + 1);
     let connected =
         timeout(state.settings.connect_timeout, TcpStream::connect(state.address)).await;
+    if let Some(observe) = &state.context.connect_observer {
+        observe(matches!(connected, Ok(Ok(_))));
+    }
     let Ok(Ok(stream)) = connected else { return Err(ClientError::NotConnected) };
     if let Err(error) = set_options(&stream, &state.settings) {
         log::debug!("failed to set socket options of the connection to {}: {error}", state.address);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -26,6 +26,7 @@
 pub use client::ClientExchange;
 pub use client::ClientReply;
 pub use client::ClientSettings;
+pub use client::ConnectObserver;
 pub use client::HeadObserver;
 pub use client::HttpClient;
 pub use idempotency::ATTEMPT_HEADER;
--- a/crates/policy/src/connection/history.rs
+++ b/crates/policy/src/connection/history.rs
@@ -36,6 +36,6 @@
     /// Returns whether a reply to the request on this connection can only be one to the next send.
     pub fn allows(&self, request: u64, now: Instant) -> bool {
         let is_sent = self.sent.iter().any(|(sent, until)| *sent == request && now < *until);
-        !is_sent && !self.overflow_until.is_some_and(|until| now < until)
+        !is_sent && self.overflow_until.is_none_or(|until| now >= until)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -162,6 +162,7 @@
 pub use quarantine::WorkRecord;
 pub use quarantine::WorkVerdict;
 pub use quarantine::trial_arbiters;
+pub use reach::PathTracker;
 pub use reach::ReachState;
 pub use reach::ReachTracker;
 pub use route::CallerLimits;
--- a/crates/policy/tests/reach.rs
+++ b/crates/policy/tests/reach.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use oleanderwind_policy::PathTracker;
 use oleanderwind_policy::ReachState;
 use oleanderwind_policy::ReachTracker;
 use oleanderwind_policy::TargetId;
@@ -232,3 +233,40 @@
         prop_assert!(tracker.state() == ReachState::Reaching || !(has_traffic || has_health_path));
     }
 }
+
+/// Guards against a reply over an old connection that hides refused new ones, and against a state that outlasts them.
+#[test]
+fn refused_connections_are_evidence_of_their_own() {
+    let now = Instant::now();
+    let mut paths = PathTracker::default();
+    assert!(!paths.has_refused());
+    paths.record_refused(&target(1), now);
+    paths.record_refused(&target(2), now + ms(1));
+    paths.record_accepted(&target(3));
+    assert!(paths.is_refused(&target(1)) && !paths.is_refused(&target(3)));
+    assert_eq!(paths.next_probe(), Some(target(1)));
+    paths.record_refused(&target(1), now + ms(2));
+    assert_eq!(paths.next_probe(), Some(target(2)));
+    paths.record_accepted(&target(2));
+    assert!(!paths.has_refused());
+    paths.record_refused(&target(4), now);
+    paths.retain_listed(|listed| *listed != target(4));
+    assert!(!paths.has_refused());
+}
+
+/// Guards against load on peers where the fault is the targets', and against a caller that leaves and blocks the others.
+#[test]
+fn take_relay_goes_on_only_while_peers_serve() {
+    let now = Instant::now();
+    let mut paths = PathTracker::default();
+    assert!(paths.take_relay(now) && paths.take_relay(now));
+    assert!(!paths.take_relay(now), "it is not known whether peers help");
+    paths.record_relay(None, now);
+    assert!(paths.take_relay(now));
+    paths.record_relay(Some(false), now);
+    paths.record_relay(Some(false), now);
+    assert!(!paths.take_relay(now + ms(499)));
+    assert!(paths.take_relay(now + ms(500)));
+    paths.record_relay(Some(true), now + ms(510));
+    assert!((0..100).all(|_| paths.take_relay(now + ms(520))));
+}
