--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -180,6 +180,7 @@
 pub use quota::QuotaTable;
 pub use quota::QuotaToken;
 pub use quota::QuotaVm;
+pub use reach::PathTracker;
 pub use reach::ReachState;
 pub use reach::ReachTracker;
 pub use route::CallerLimits;
