feat(policy,daemon,platform): keys on relays, withdrawn keys and their refusals

Change: a relay carries the key's digest, and its headers count only from the address of a VM that membership knows. When a version takes effect, running requests whose key is gone send nothing more: no first call, hedge, repeat or relay; what has left ends by itself (401 if nothing ran). Weighed against cancelling: the request was admitted, and a cancelled call costs a connection. Routes with organisations replace the same version without them. Two organisations of one name or key make a configuration invalid. Refusals are counted by cause, finished requests by organisation. See docs/design/organisations.md.

--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -75,7 +75,9 @@
         object: &ObjectDocument,
         source: ChangeSource,
     ) -> bool {
-        if !self.is_newer(kind, &object.metadata.name, object.revision()) {
+        let is_newer = self.is_newer(kind, &object.metadata.name, object.revision());
+        let is_completion = kind == ObjectKind::Routes && self.completes_routes(object);
+        if !is_newer && !is_completion {
             return false;
         }
         match kind {
@@ -202,6 +204,15 @@
 
 /// Routes; an older or invalid version leaves the one in effect unchanged.
 impl DirectoryState {
+    /// Returns whether these are the routes in effect with their organisations, which those in effect lack as a build
+    /// that does not know organisations passed them on.
+    fn completes_routes(&self, object: &ObjectDocument) -> bool {
+        let Some(routes) = &self.routes else { return false };
+        routes.configuration.organisations.is_none()
+            && object.spec["version"] == routes.configuration.version
+            && !object.spec["organisations"].is_null()
+    }
+
     fn apply_routes(&mut self, object: &ObjectDocument) {
         let raw = match serde_json::from_value::<RawRouteConfiguration>(object.spec.clone()) {
             Ok(raw) => raw,
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -1,5 +1,6 @@
 //! Interface to the protocol that callers and targets of opaque requests use.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +60,8 @@
     pub body: Bytes,
     /// Digest of the key that the caller sent. The key itself is not among `headers`.
     pub key: Option<KeyDigest>,
+    /// Address of the caller, or of the VM that passed the request on.
+    pub client: IpAddr,
     /// Organisation on whose behalf the request is served, once that is known.
     pub organisation: Option<OrganisationId>,
     /// How long the caller waits for the answer, if given.
--- a/crates/daemon/src/fanout/driver.rs
+++ b/crates/daemon/src/fanout/driver.rs
@@ -79,6 +79,13 @@
         self.execute_actions(actions);
     }
 
+    /// Ends what a query would still send.
+    pub(crate) fn withdraw(self: &Rc<Self>, query: QueryId) {
+        let mut actions = Vec::new();
+        self.engine.borrow_mut().withdraw(query, Instant::now(), &mut actions);
+        self.execute_actions(actions);
+    }
+
     /// Passes an event to the engine, then drops what the driver still holds for its call.
     pub(crate) fn handle(self: &Rc<Self>, event: FanoutEvent) {
         let call = event.call();
--- a/crates/daemon/src/fanout/service.rs
+++ b/crates/daemon/src/fanout/service.rs
@@ -31,6 +31,7 @@
 
 use crate::directory::DirectoryService;
 use crate::edge::CallerProtocol;
+use crate::edge::OpaqueRequest;
 use crate::edge::TargetNotice;
 use crate::fanout::FanoutReply;
 use crate::fanout::QueryPayload;
@@ -194,6 +195,22 @@
         self.timer_changes.notify_one();
     }
 
+    /// Ends what forwarded requests would still send if `is_withdrawn` holds for them; returns their number.
+    pub(crate) fn withdraw_forwarded(
+        self: &Rc<Self>,
+        is_withdrawn: impl Fn(&OpaqueRequest) -> bool,
+    ) -> usize {
+        let queries = self.queries.borrow();
+        let withdrawn = queries.iter().filter(|(_, running)| match &running.payload {
+            QueryPayload::Forward { request, .. } => is_withdrawn(request),
+            QueryPayload::Search { .. } => false,
+        });
+        let withdrawn: Vec<QueryId> = withdrawn.map(|(query, _)| *query).collect();
+        drop(queries);
+        withdrawn.iter().for_each(|query| self.withdraw(*query));
+        withdrawn.len()
+    }
+
     /// Records that a connection broke under a call of the query.
     pub(crate) fn mark_broken_call(&self, query: QueryId) {
         if let Some(running) = self.queries.borrow_mut().get_mut(&query) {
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -1,11 +1,14 @@
 //! The instruments of one daemon.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::StatusCode;
 use oleanderwind_http::HttpReply;
 use oleanderwind_policy::FanoutResult;
+use oleanderwind_policy::OrganisationId;
 use oleanderwind_policy::RequestOutcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -25,6 +28,9 @@
 /// Bucket bounds of the coverage histograms, in thousandths.
 const COVERAGE_BOUNDS_PERMILLE: [f64; 8] = [0.0, 500.0, 800.0, 900.0, 950.0, 990.0, 999.0, 1_000.0];
 
+/// Maximum number of organisations with counters of their own.
+const MAX_COUNTED_ORGANISATIONS: usize = 256;
+
 /// Measurements of one finished request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestMeasurement<'a> {
@@ -53,6 +59,9 @@
     route_requests: Counter<u64>,
     route_latency: Histogram<f64>,
     route_calls: Counter<u64>,
+    organisation_requests: Counter<u64>,
+    /// Organisations with counters of their own.
+    organisations: RefCell<HashSet<OrganisationId>>,
     target_notices: Counter<u64>,
     quarantine_steps: Counter<u64>,
     limited_calls: Counter<u64>,
@@ -85,6 +94,8 @@
             route_requests: meter.u64_counter("oleanderwind_route_requests").build(),
             route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
             route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
+            organisation_requests: meter.u64_counter("oleanderwind_organisation_requests").build(),
+            organisations: RefCell::default(),
             target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
             reach_changes: meter.u64_counter("oleanderwind_reach_changes").build(),
             relays: meter.u64_counter("oleanderwind_relays").build(),
@@ -144,6 +155,18 @@
         self.route_requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records a finished request of an organisation.
+    ///
+    /// The organisations beyond the first [`MAX_COUNTED_ORGANISATIONS`] share the counters of `other`.
+    pub(crate) fn record_organisation(&self, organisation: &OrganisationId, outcome: &'static str) {
+        let mut counted = self.organisations.borrow_mut();
+        let has_own = counted.contains(organisation)
+            || (counted.len() < MAX_COUNTED_ORGANISATIONS && counted.insert(organisation.clone()));
+        let name = if has_own { organisation.clone() } else { "other".into() };
+        let labels = [KeyValue::new("organisation", name), KeyValue::new("outcome", outcome)];
+        self.organisation_requests.add(1, &labels);
+    }
+
     /// Records a refusal.
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -350,11 +350,16 @@
 /// Returns the position of an object's content in its history, which a restore of the store does not
 /// turn back: the number of the routes, or the process of a target and whether it drains.
 ///
-/// The lowest bit is set for content after which only another process, or nothing, can follow.
+/// The lowest bit is set for content after which only another process, or nothing, can follow, and for routes that are
+/// whole: with the organisations that some builds leave out.
 fn content_version(kind: ObjectKind, object: &ObjectDocument) -> u64 {
     let number = |field: &str| object.spec[field].as_u64().unwrap_or(0);
     match kind {
-        ObjectKind::Routes => number("version") << 1,
+        // A VM of a build without organisations tells the same version without them.
+        ObjectKind::Routes => {
+            let has_organisations = !object.spec["organisations"].is_null();
+            number("version") << 1 | u64::from(has_organisations)
+        }
         ObjectKind::Targets => {
             let is_draining = object.spec["phase"] == "draining";
             number("incarnation") << 1 | u64::from(is_draining)
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -1,6 +1,7 @@
 //! This VM's view of the fleet.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -194,6 +195,22 @@
         Some((chosen.vm.clone(), chosen.caller_address))
     }
 
+    /// Returns whether a VM of the fleet sends from this address.
+    ///
+    /// One that has left or is gone does not count.
+    pub(crate) fn is_vm_address(&self, address: IpAddr) -> bool {
+        let state = self.state.borrow();
+        let is_present = |member_state: MemberState| match member_state {
+            MemberState::Serving | MemberState::Suspect | MemberState::Leaving => true,
+            MemberState::Left | MemberState::Gone => false,
+        };
+        let mut members = state.membership.table().iter();
+        members.any(|(record, member_state)| {
+            let addresses = [record.peer_address.ip(), record.caller_address.ip()];
+            is_present(member_state) && addresses.contains(&address)
+        })
+    }
+
     /// Returns how many VMs that may send calls this one reaches, itself included.
     pub(crate) fn fleet_reach(&self) -> FleetReach {
         let state = self.state.borrow();
--- a/crates/daemon/src/routes/answer.rs
+++ b/crates/daemon/src/routes/answer.rs
@@ -16,6 +16,7 @@
 
 use crate::edge::CallerProtocol;
 use crate::fanout::SignedReply;
+use crate::routes::relay::unknown_key_reply;
 
 /// Header with the delay, in seconds, after which the caller may retry.
 const RETRY_AFTER: &str = "retry-after";
@@ -89,6 +90,9 @@
 /// Reports the request as not run only if this is proven.
 fn unanswered_reply(result: &FanoutResult) -> RouteReply {
     match (result.ran, result.reason) {
+        (RunState::No, FinishReason::Abandoned) => {
+            RouteReply { reply: unknown_key_reply(), outcome: "key_withdrawn" }
+        }
         (RunState::No, _) => RouteReply { reply: refusal(result.retry_after), outcome: "refused" },
         (_, FinishReason::DeadlineNear) => {
             RouteReply { reply: HttpReply::empty(StatusCode::GATEWAY_TIMEOUT), outcome: "late" }
--- a/crates/daemon/src/routes/relay.rs
+++ b/crates/daemon/src/routes/relay.rs
@@ -17,6 +17,7 @@
 use oleanderwind_http::HttpClient;
 use oleanderwind_http::HttpReply;
 use oleanderwind_http::ReplyMemory;
+use oleanderwind_policy::KeyDigest;
 use oleanderwind_policy::OperationKind;
 use oleanderwind_policy::RouteContract;
 use oleanderwind_policy::VmId;
@@ -30,7 +31,11 @@
 
 /// Marks a request that a VM passes on, which is not passed on again. The value is the number of targets of each shard that
 /// may run it.
-pub(crate) const RELAYED: HeaderName = HeaderName::from_static("oleanderwind-relayed");
+const RELAYED: HeaderName = HeaderName::from_static("oleanderwind-relayed");
+/// Digest of the caller's key in a request that a VM passes on.
+const RELAYED_KEY: HeaderName = HeaderName::from_static("oleanderwind-key");
+/// Marks the reply of a VM that does not know the caller's key, which a target's own 401 does not carry.
+const KEY_UNKNOWN: HeaderName = HeaderName::from_static("oleanderwind-key-unknown");
 /// Marks the reply of a VM that reaches no target either.
 const CUT_OFF: HeaderName = HeaderName::from_static("oleanderwind-cut-off");
 /// Maximum number of peers that one request is passed on to.
@@ -110,8 +115,15 @@
     }
 }
 
+/// Returns the reply to a request whose key is not known.
+pub(crate) fn unknown_key_reply() -> HttpReply {
+    let mut reply = HttpReply::empty(StatusCode::UNAUTHORIZED);
+    reply.add_header(KEY_UNKNOWN.as_str().as_bytes(), b"1");
+    reply
+}
+
 /// Returns the number of attempts that the VM which passed a request on leaves to this one.
-pub(crate) fn read_relayed_attempts(value: &HeaderValue) -> u8 {
+fn read_relayed_attempts(value: &HeaderValue) -> u8 {
     let attempts = value.to_str().ok().and_then(|text| text.parse().ok());
     attempts.unwrap_or(1)
 }
@@ -154,6 +166,42 @@
 }
 
 impl RouteService {
+    /// Removes the headers with which a VM passes a request on, and applies the digest of the caller's key among them.
+    ///
+    /// Returns the number of attempts left to this VM; `None` if no VM of the fleet passed the request on. Anyone else's
+    /// headers of these names are ignored.
+    pub(crate) fn take_relay_headers(&self, request: &mut OpaqueRequest) -> Option<u8> {
+        let key = request.headers.remove(RELAYED_KEY);
+        let attempts = request.headers.remove(RELAYED);
+        if attempts.is_none() && key.is_none() {
+            return None;
+        }
+        if !self.peers.is_vm_address(request.client) {
+            self.metrics.record_relay("ignored");
+            log::info!(
+                request = request.id.as_str(),
+                client:% = request.client;
+                "ignored the headers of a passed-on request, as no VM is known at the client's address"
+            );
+            return None;
+        }
+        let attempts = attempts?;
+        let digest = key.as_ref().and_then(|key| key.to_str().ok());
+        if let Some(digest) = digest.and_then(|text| KeyDigest::try_from(text).ok()) {
+            request.key = Some(digest);
+        }
+        Some(read_relayed_attempts(&attempts))
+    }
+
+    /// Returns whether the key with which a request was admitted is still its organisation's.
+    fn still_admits(&self, request: &OpaqueRequest) -> bool {
+        let routes = self.directory.routes();
+        routes.is_none_or(|routes| {
+            let organisation = request.organisation.as_ref();
+            routes.organisations.still_admits(organisation, request.key.as_ref())
+        })
+    }
+
     /// Passes a request on to peers until one serves it; refuses it if none does.
     ///
     /// A request that may not be repeated is passed on once, unless nothing of it ran.
@@ -166,11 +214,16 @@
         let is_idempotent = route.operation == OperationKind::Search;
         let mut tried = self.relays.resting();
         for _ in 0..MAX_PEERS {
+            if !terms.may_have_run && !self.still_admits(request) {
+                self.record_refused_request(request, "key_withdrawn");
+                return unknown_key_reply();
+            }
             let Some((peer, address)) = self.peers.choose_relay(&tried) else { break };
             let begun_at = Instant::now();
             let left = terms.deadline.saturating_duration_since(begun_at + RETURN_TIME);
             let attempts = terms.next_attempts();
-            if left.is_zero() || attempts == 0 || (terms.may_have_run && !is_idempotent) {
+            let may_repeat = is_idempotent && self.still_admits(request);
+            if left.is_zero() || attempts == 0 || (terms.may_have_run && !may_repeat) {
                 break;
             }
             let outcome = self.relay(request, address, left, attempts, is_idempotent).await;
@@ -229,12 +282,28 @@
         let (name, value) = self.dialect.remaining_header(left);
         message.headers_mut().insert(name, value);
         message.headers_mut().insert(RELAYED, HeaderValue::from(u16::from(attempts)));
+        if let Some(key) = request.key.and_then(|key| HeaderValue::from_str(&key.to_string()).ok())
+        {
+            message.headers_mut().insert(RELAYED_KEY, key);
+        }
+        // A VM of an earlier build forwards it to targets as it is; others set it anew.
+        let organisation = request.organisation.as_ref();
+        if let Some((name, value)) =
+            organisation.and_then(|organisation| self.dialect.organisation_header(organisation))
+        {
+            message.headers_mut().insert(name, value);
+        }
         let patience = if is_idempotent { left / PEER_TIME_DIVISOR } else { left };
         let client = self.relays.acquire(address, is_idempotent);
         let reply = timeout(patience, client.send(message)).await;
         match reply {
             Ok(Ok(reply)) => {
                 self.relays.release(address, client);
+                if reply.status == http::StatusCode::UNAUTHORIZED
+                    && reply.headers.contains_key(KEY_UNKNOWN)
+                {
+                    return RelayOutcome::NotRun;
+                }
                 match reply.headers.contains_key(CUT_OFF) {
                     true if reply.status == http::StatusCode::SERVICE_UNAVAILABLE => {
                         RelayOutcome::NotRun
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -48,10 +48,9 @@
 use crate::routes::answer::refusal;
 use crate::routes::answer::route_reply;
 use crate::routes::manifests::ManifestCache;
-use crate::routes::relay::RELAYED;
 use crate::routes::relay::RelayPool;
 use crate::routes::relay::RelayTerms;
-use crate::routes::relay::read_relayed_attempts;
+use crate::routes::relay::unknown_key_reply;
 use crate::routes::view::UnansweredLog;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
@@ -130,7 +129,7 @@
             let listener = HttpListener::bind(address, default_limits(), handler).await?;
             routes.listeners.borrow_mut().push(listener);
         }
-        actix_rt::spawn(watch_limits(routes.clone()));
+        actix_rt::spawn(watch_routes(routes.clone()));
         Ok(routes)
     }
 
@@ -202,8 +201,7 @@
 
     async fn serve_request(&self, mut request: OpaqueRequest) -> HttpReply {
         let arrived = Instant::now();
-        let relayed = request.headers.remove(RELAYED);
-        let relayed_attempts = relayed.map(|value| read_relayed_attempts(&value));
+        let relayed_attempts = self.take_relay_headers(&mut request);
         let routes = self.directory.routes().filter(|_| self.peers.can_serve());
         let Some(routes) = routes else {
             self.record_refused_request(&request, "no_configuration");
@@ -223,8 +221,9 @@
         };
         let identity = routes.organisations.identify(&route, request.key.as_ref());
         if identity == CallerIdentity::Unknown {
-            self.record_refused_request(&request, "unknown_key");
-            return HttpReply::empty(StatusCode::UNAUTHORIZED);
+            let cause = if request.key.is_some() { "unknown_key" } else { "no_single_key" };
+            self.record_refused_request(&request, cause);
+            return unknown_key_reply();
         }
         request.organisation = identity.organisation().cloned();
         let request = Rc::new(request);
@@ -239,9 +238,14 @@
         self.run(&routes, &route, request, arrived, relayed_attempts).await
     }
 
-    fn record_refused_request(&self, request: &OpaqueRequest, reason: &'static str) {
+    pub(crate) fn record_refused_request(&self, request: &OpaqueRequest, reason: &'static str) {
         self.metrics.record_refusal(reason);
-        log::info!(request = request.id.as_str(), outcome = reason; "request refused");
+        log::info!(
+            request = request.id.as_str(),
+            organisation = request.organisation.as_deref(),
+            outcome = reason;
+            "request refused"
+        );
     }
 }
 
@@ -318,9 +322,13 @@
             route_reply(self.dialect.as_ref(), route, &result, replies, failure);
         let latency = arrived.elapsed();
         self.metrics.record_route(&route.name, outcome, latency, &result);
+        if let Some(organisation) = &request.organisation {
+            self.metrics.record_organisation(organisation, outcome);
+        }
         log::info!(
             request = request.id.as_str(),
             route = route.name.as_ref(),
+            organisation = request.organisation.as_deref(),
             version = routes.configuration.version,
             status = reply.status().as_u16(),
             outcome = outcome,
@@ -345,6 +353,21 @@
         reply
     }
 
+    /// Ends what the requests would still send whose keys were taken away.
+    fn withdraw_requests(&self, in_force: &ActiveRoutes) {
+        let organisations = &in_force.organisations;
+        let withdrawn = self.fanout.withdraw_forwarded(|request| {
+            !organisations.still_admits(request.organisation.as_ref(), request.key.as_ref())
+        });
+        if withdrawn > 0 {
+            log::info!(
+                version = in_force.configuration.version,
+                requests = withdrawn;
+                "keys were taken away; requests under way with them send no further calls"
+            );
+        }
+    }
+
     /// Passes a request on to peers, or tells the peer that passed it on that this VM can't serve it either.
     async fn serve_elsewhere(
         &self,
@@ -465,11 +488,17 @@
     }
 }
 
-/// Applies the limits of the active routes to the caller listener whenever they change.
-async fn watch_limits(routes: Rc<RouteService>) {
+/// Applies the limits of the active routes to the caller listener, and the keys taken away to the running requests,
+/// whenever they change.
+async fn watch_routes(routes: Rc<RouteService>) {
     let mut changes = routes.directory.target_changes();
+    let mut last_version = None;
     while changes.changed().await.is_ok() {
         let Some(in_force) = routes.directory.routes() else { continue };
+        let version = Some(in_force.configuration.version);
+        if std::mem::replace(&mut last_version, version) != version {
+            routes.withdraw_requests(&in_force);
+        }
         if let Some(listener) = routes.listeners.borrow().first() {
             listener.set_limits(http_limits(&in_force.configuration.limits));
         }
--- a/crates/policy/src/fanout/dispatch.rs
+++ b/crates/policy/src/fanout/dispatch.rs
@@ -32,6 +32,9 @@
         now: Instant,
         actions: &mut Vec<FanoutAction>,
     ) {
+        if running.is_withdrawn {
+            return running.give_up_shard(position, LossCause::Withdrawn);
+        }
         if self.latest_start(running, position) < now {
             return running.give_up_shard(position, LossCause::TooLate);
         }
@@ -75,7 +78,8 @@
         let is_late = self.latest_start(running, position) < now;
         let allows_second_call =
             running.plan.attempt_policy.is_idempotent && has_attempts_left(running, position);
-        if is_shedding
+        if running.is_withdrawn
+            || is_shedding
             || is_late
             || !allows_second_call
             || !self.has_hedge_credit(running, position, now)
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -22,6 +22,7 @@
 use crate::RefusalCause;
 use crate::budget::BudgetTable;
 use crate::fanout::manifest::ManifestCache;
+use crate::fanout::query::LossCause;
 use crate::fanout::query::RunningQuery;
 use crate::fanout::query::ShardProgress;
 use crate::fanout::query::ShardState;
@@ -179,6 +180,25 @@
         self.serve_freed_targets(now, actions);
     }
 
+    /// Ends what a query would still send, as what admitted it was taken back.
+    ///
+    /// Shards without a call in flight are given up, and nothing is hedged or sent again. Calls that have left end by
+    /// themselves, and the query finishes with their answers.
+    pub fn withdraw(&mut self, query: QueryId, now: Instant, actions: &mut Vec<FanoutAction>) {
+        self.current_time = Some(now);
+        let Some(mut running) = self.queries.remove(&query) else { return };
+        running.is_withdrawn = true;
+        for position in 0..running.shards.len() {
+            let shard = &running.shards[position];
+            if shard.is_pending() && !shard.has_open_call() {
+                running.give_up_shard(position, LossCause::Withdrawn);
+            }
+        }
+        let reason = running.finish_reason(now);
+        self.finish_or_resume(query, running, reason, now, actions);
+        self.serve_freed_targets(now, actions);
+    }
+
     /// Processes an event. Ignores it if the call is not in flight: it ended, was cancelled, or is
     /// not of this engine.
     pub fn handle(&mut self, event: FanoutEvent, now: Instant, actions: &mut Vec<FanoutAction>) {
--- a/crates/policy/src/fanout/observe.rs
+++ b/crates/policy/src/fanout/observe.rs
@@ -78,7 +78,9 @@
     pub fn may_send(&self, call: CallId, now: Instant, wall: SystemTime) -> bool {
         let open = self.calls.get(&call);
         open.is_some_and(|open| {
-            self.targets.state(open.target).may_send(open.permit.as_ref(), now, wall)
+            let running = self.queries.get(&open.query);
+            !running.is_some_and(|running| running.is_withdrawn)
+                && self.targets.state(open.target).may_send(open.permit.as_ref(), now, wall)
         })
     }
 
--- a/crates/policy/src/fanout/query.rs
+++ b/crates/policy/src/fanout/query.rs
@@ -37,6 +37,8 @@
 /// Why a shard is given up. If shards differ, the first in this order decides the finish reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum LossCause {
+    /// The query may send nothing more.
+    Withdrawn,
     SnapshotUnknown,
     /// A replica no longer holds the snapshot, and the budget or the limits on sends and attempts
     /// allow no call to another.
@@ -152,6 +154,8 @@
     pub(crate) loss: Option<LossCause>,
     /// Set once the query's work must not reach a target: time after which the caller may return.
     pub(crate) quarantine: Option<Duration>,
+    /// Whether the query may send nothing more, as what admitted it was taken back.
+    pub(crate) is_withdrawn: bool,
 }
 
 impl RunningQuery {
@@ -174,6 +178,7 @@
             shards_pending: u32::try_from(shards.len()).unwrap_or(u32::MAX),
             loss: None,
             quarantine: None,
+            is_withdrawn: false,
             plan,
             resolved,
             shards,
@@ -297,6 +302,7 @@
 impl LossCause {
     fn reason(self) -> FinishReason {
         match self {
+            LossCause::Withdrawn => FinishReason::Abandoned,
             LossCause::SnapshotUnknown | LossCause::SnapshotUnknownNoRetry => {
                 FinishReason::SnapshotRetired
             }
--- a/crates/policy/src/fanout/result.rs
+++ b/crates/policy/src/fanout/result.rs
@@ -22,7 +22,7 @@
     SnapshotRetired,
     /// The work of the query may end targets and must not reach one now.
     Quarantined,
-    /// The caller disconnected.
+    /// The caller disconnected, or what admitted the query was taken back.
     Abandoned,
 }
 
--- a/crates/policy/src/organisation/contract.rs
+++ b/crates/policy/src/organisation/contract.rs
@@ -44,6 +44,12 @@
         if raw.name.is_empty() {
             findings.add(format!("{place}.name"), "is empty; name the organisation");
         }
+        if raw.name.chars().any(char::is_control) {
+            findings.add(
+                format!("{place}.name"),
+                "contains a control character; targets are told it in a header",
+            );
+        }
         for (field, value) in
             [("requests_per_second", raw.requests_per_second), ("burst", raw.burst)]
         {
--- a/crates/policy/src/organisation/identity.rs
+++ b/crates/policy/src/organisation/identity.rs
@@ -8,7 +8,7 @@
 /// On whose behalf a request is served.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerIdentity {
-    /// Nobody in particular: the configuration names no organisations, or the route is public.
+    /// Nobody in particular: the configuration names no organisations, or the route is public and the key not known.
     Anonymous,
     /// The organisation whose key the request carries.
     Organisation(Arc<OrganisationContract>),
--- a/crates/policy/src/organisation/table.rs
+++ b/crates/policy/src/organisation/table.rs
@@ -5,6 +5,7 @@
 
 use crate::KeyDigest;
 use crate::OrganisationContract;
+use crate::OrganisationId;
 use crate::organisation::CallerIdentity;
 use crate::route::RouteConfiguration;
 use crate::route::RouteContract;
@@ -31,13 +32,27 @@
     }
 
     /// Returns on whose behalf a request of `route` with this key is served.
+    ///
+    /// A public route needs no key, yet a known one tells on whose behalf its caller asks.
     pub fn identify(&self, route: &RouteContract, key: Option<&KeyDigest>) -> CallerIdentity {
-        let Some(by_key) = self.by_key.as_ref().filter(|_| !route.is_public) else {
-            return CallerIdentity::Anonymous;
-        };
+        let Some(by_key) = &self.by_key else { return CallerIdentity::Anonymous };
         match key.and_then(|key| by_key.get(key)) {
             Some(contract) => CallerIdentity::Organisation(contract.clone()),
+            None if route.is_public => CallerIdentity::Anonymous,
             None => CallerIdentity::Unknown,
         }
     }
+
+    /// Returns whether a request that was admitted with `key` on behalf of `organisation` may still be sent.
+    ///
+    /// One that needed no key always may.
+    pub fn still_admits(
+        &self,
+        organisation: Option<&OrganisationId>,
+        key: Option<&KeyDigest>,
+    ) -> bool {
+        let (Some(by_key), Some(organisation)) = (&self.by_key, organisation) else { return true };
+        let holder = key.and_then(|key| by_key.get(key));
+        holder.is_some_and(|contract| contract.organisation == *organisation)
+    }
 }
--- a/crates/policy/src/route/configuration.rs
+++ b/crates/policy/src/route/configuration.rs
@@ -1,5 +1,7 @@
 //! The validated routes of one configuration version.
 
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::FindingList;
@@ -77,6 +79,7 @@
                     Err(found) => findings.extend(found),
                 }
             }
+            check_unique(&contracts, &mut findings);
             contracts
         });
         let configuration = RouteConfiguration {
@@ -100,3 +103,21 @@
         }
     }
 }
+
+/// Adds a finding for each name and each key that two organisations share. The keys are not repeated.
+fn check_unique(contracts: &[OrganisationContract], findings: &mut FindingList) {
+    let mut names = HashSet::new();
+    let mut holders = HashMap::new();
+    for contract in contracts {
+        let name = &contract.organisation;
+        if !names.insert(name) {
+            findings.add("organisations", format!("\"{name}\" is given more than once"));
+        }
+        for key in &contract.keys {
+            let holder = holders.insert(key, name);
+            if let Some(holder) = holder.filter(|holder| *holder != name) {
+                findings.add("organisations", format!("\"{holder}\" and \"{name}\" share a key"));
+            }
+        }
+    }
+}
--- a/crates/policy/tests/fanout/main.rs
+++ b/crates/policy/tests/fanout/main.rs
@@ -13,3 +13,4 @@
 mod load;
 mod routes;
 mod targets;
+mod withdrawal;
