--- a/crates/policy/tests/fanout/main.rs
+++ b/crates/policy/tests/fanout/main.rs
@@ -14,3 +14,4 @@
 mod load;
 mod routes;
 mod targets;
+mod withdrawal;
