feat(policy,daemon): serve by rank and by turns of organisations when room is short

Cause: calls that wait for a target were served by deadline, so one large organisation took all room. Without organisations the order is as before. Room at the VM itself is not shared by rank.

--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -54,6 +54,7 @@
                 coverage_floor_permille: request.terms.coverage_floor_permille,
                 preference: contract.preference,
                 priority: request.terms.priority,
+                urgency: None,
                 extra_load_permille: contract.extra_load_permille,
                 objective: None,
                 attempt_policy: AttemptPolicy::default(),
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -519,6 +519,7 @@
             coverage_floor_permille: u32::try_from(floor_permille).unwrap_or(u32::MAX),
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
+            urgency: routes.organisations.urgency(route, request.organisation.as_ref()),
             extra_load_permille: self.live.get().extra_permille,
             objective: Some(arrived + route.latency_objective),
             attempt_policy: AttemptPolicy {
--- a/crates/policy/benches/large_fleet/mod.rs
+++ b/crates/policy/benches/large_fleet/mod.rs
@@ -115,6 +115,7 @@
             coverage_floor_permille: 900,
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
+            urgency: None,
             extra_load_permille: 100,
             objective: None,
             attempt_policy: AttemptPolicy::default(),
--- a/crates/policy/src/fanout/engine.rs
+++ b/crates/policy/src/fanout/engine.rs
@@ -32,6 +32,7 @@
 use crate::latency::LatencyTable;
 use crate::routing::TargetIndex;
 use crate::routing::TargetTable;
+use crate::slots::WaitingCall;
 
 /// Low bits of a call id that hold the call counter. The remaining bits hold the VM's prefix.
 const CALL_COUNTER_BITS: u32 = 40;
@@ -69,6 +70,7 @@
 ///     coverage_floor_permille: 900,
 ///     preference: AnswerPreference::Coverage,
 ///     priority: ClassPriority::Interactive,
+///     urgency: None,
 ///     extra_load_permille: 100,
 ///     objective: None,
 ///     attempt_policy: AttemptPolicy::default(),
@@ -90,6 +92,8 @@
     pub(crate) timers: BinaryHeap<Reverse<EngineTimer>>,
     /// Targets that may have room for queued calls.
     pub(crate) freed_targets: Vec<TargetIndex>,
+    /// Calls that more urgent ones displaced from a queue.
+    pub(crate) displaced: Vec<WaitingCall>,
     /// Time passed in by the most recent call.
     pub(crate) current_time: Option<Instant>,
     pub(crate) timers_set: u64,
@@ -136,6 +140,7 @@
             calls: HashMap::new(),
             timers: BinaryHeap::new(),
             freed_targets: Vec::new(),
+            displaced: Vec::new(),
             current_time: None,
             timers_set: 0,
             targets_compared: 0,
--- a/crates/policy/src/fanout/plan.rs
+++ b/crates/policy/src/fanout/plan.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::AnswerPreference;
+use crate::CallUrgency;
 use crate::ClassId;
 use crate::ClassPriority;
 use crate::CustomerId;
@@ -33,6 +34,9 @@
     pub preference: AnswerPreference,
     /// Priority of the query's calls in the queues of busy targets.
     pub priority: ClassPriority,
+    /// Order of the query's calls among those of the same priority; `None` for the order of the
+    /// deadlines.
+    pub urgency: Option<CallUrgency>,
     /// Limit on hedges, retries and refills together, in thousandths of the primary calls.
     pub extra_load_permille: u32,
     /// Latency objective: from this time on the query finishes as soon as it meets its floor.
--- a/crates/policy/src/fanout/queue.rs
+++ b/crates/policy/src/fanout/queue.rs
@@ -5,6 +5,7 @@
 use crate::ClassPriority;
 use crate::FanoutAction;
 use crate::FanoutEngine;
+use crate::FanoutPlan;
 use crate::QueryId;
 use crate::fanout::query::LossCause;
 use crate::fanout::query::RunningQuery;
@@ -12,7 +13,9 @@
 use crate::fanout::query::replica_bit;
 use crate::fanout::timer::TimerKind;
 use crate::routing::TargetIndex;
+use crate::slots::CallRank;
 use crate::slots::WaitingCall;
+use crate::slots::turn_taker;
 
 impl FanoutEngine {
     /// Adds a copy of a shard's call to the queue of each replica that may take it.
@@ -25,22 +28,28 @@
     ) {
         running.shards[position].set_state(ShardState::Queued);
         let shard = &running.shards[position];
-        let waiting = WaitingCall {
-            priority: running.plan.priority,
-            deadline: running.plan.deadline,
-            query,
-            position: u32::try_from(position).unwrap_or(u32::MAX),
-            state_version: shard.state_version,
-        };
+        let mut waiting = waiting_call(&running.plan, query);
+        waiting.position = u32::try_from(position).unwrap_or(u32::MAX);
+        waiting.state_version = shard.state_version;
         let mut copies = 0;
         for (replica, target) in running.resolved.shards[position].replicas.iter().enumerate() {
             let is_skipped =
                 (shard.tried_replicas | shard.excluded_replicas) & replica_bit(replica) != 0;
             let is_open = !is_skipped && self.targets.state(*target).accepts_calls(now);
-            if is_open && self.has_queue_room(*target, waiting.priority) {
-                self.targets.state_mut(*target).queue.push(waiting);
-                copies += 1;
+            if !is_open {
+                continue;
             }
+            waiting.turn = self.targets.state(*target).queue.next_turn(waiting.rank, waiting.taker);
+            match self.queue_place(*target, &waiting) {
+                QueuePlace::Free => {}
+                QueuePlace::Of(displaced) => {
+                    self.targets.state_mut(*target).queue.remove(&displaced);
+                    self.displaced.push(displaced);
+                }
+                QueuePlace::None => continue,
+            }
+            self.targets.state_mut(*target).queue.push(waiting);
+            copies += 1;
         }
         if copies == 0 {
             return running.give_up_shard(position, LossCause::Busy);
@@ -67,7 +76,7 @@
     ///
     /// This way a query that can't reach its floor sends no calls at all.
     pub(crate) fn give_up_unservable_shards(&mut self, running: &mut RunningQuery, now: Instant) {
-        let priority = running.plan.priority;
+        let mut waiting = waiting_call(&running.plan, QueryId::MAX);
         let resolved = running.resolved.clone();
         for (position, shard) in resolved.shards.iter().enumerate() {
             let mut cause = Some(LossCause::NoTarget);
@@ -80,7 +89,12 @@
                     cause = cause.map(|cause| cause.max(LossCause::Paused));
                     continue;
                 }
-                if state.window.has_capacity() || self.has_queue_room(*target, priority) {
+                if state.window.has_capacity() {
+                    cause = None;
+                    break;
+                }
+                waiting.turn = state.queue.next_turn(waiting.rank, waiting.taker);
+                if self.queue_place(*target, &waiting) != QueuePlace::None {
                     cause = None;
                     break;
                 }
@@ -97,9 +111,34 @@
         while let Some(target) = self.freed_targets.pop() {
             self.serve_queue(target, now, actions);
         }
+        while let Some(displaced) = self.displaced.pop() {
+            self.give_up_displaced(&displaced, now, actions);
+        }
         self.prune_timers();
     }
 
+    /// Gives up the shard of a call that more urgent ones displaced from the last queue that held it.
+    fn give_up_displaced(
+        &mut self,
+        displaced: &WaitingCall,
+        now: Instant,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        if !self.is_current(displaced) {
+            return;
+        }
+        let position = displaced.position as usize;
+        let Some(mut running) = self.queries.remove(&displaced.query) else { return };
+        let replicas = &running.resolved.shards[position].replicas;
+        let is_held =
+            replicas.iter().any(|target| self.targets.state(*target).queue.holds(displaced));
+        if !is_held {
+            running.give_up_shard(position, LossCause::Busy);
+        }
+        let reason = running.finish_reason(now);
+        self.finish_or_resume(displaced.query, running, reason, now, actions);
+    }
+
     /// Sends the calls queued for a target while it has room.
     fn serve_queue(&mut self, target: TargetIndex, now: Instant, actions: &mut Vec<FanoutAction>) {
         loop {
@@ -135,22 +174,29 @@
         }
     }
 
-    /// Returns whether a target's queue has room. Half of it is reserved for interactive calls.
+    /// Returns where a call finds a place in a target's queue: in its room, half of which is reserved
+    /// for interactive calls, or instead of a less urgent call.
     ///
     /// Removes stale entries before it reports a full queue.
-    fn has_queue_room(&mut self, target: TargetIndex, priority: ClassPriority) -> bool {
-        let limit = match priority {
+    fn queue_place(&mut self, target: TargetIndex, waiting: &WaitingCall) -> QueuePlace {
+        let limit = match waiting.priority {
             ClassPriority::Interactive => self.settings.queue_limit,
             ClassPriority::Deferrable => self.settings.queue_limit / 2,
         };
         if self.targets.state(target).queue.len() < limit {
-            return true;
+            return QueuePlace::Free;
         }
         let queries = &self.queries;
         let queue = &mut self.targets.state_mut(target).queue;
         queue
             .retain(|waiting| is_current_in(queries.get(&waiting.query).map(Box::as_ref), waiting));
-        queue.len() < limit
+        if queue.len() < limit {
+            return QueuePlace::Free;
+        }
+        match waiting.taker {
+            Some(_) => queue.displaceable(waiting).map_or(QueuePlace::None, QueuePlace::Of),
+            None => QueuePlace::None,
+        }
     }
 
     fn is_current(&self, waiting: &WaitingCall) -> bool {
@@ -158,6 +204,31 @@
     }
 }
 
+/// Place of a call in a target's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QueuePlace {
+    /// There is room.
+    Free,
+    /// That of a less urgent call.
+    Of(WaitingCall),
+    /// There is none.
+    None,
+}
+
+/// Returns the waiting call of the first shard of a query, before its first turn.
+fn waiting_call(plan: &FanoutPlan, query: QueryId) -> WaitingCall {
+    WaitingCall {
+        priority: plan.priority,
+        rank: CallRank::of(plan.urgency.as_ref()),
+        turn: 0,
+        deadline: plan.deadline,
+        query,
+        position: 0,
+        state_version: 0,
+        taker: plan.urgency.as_ref().map(turn_taker),
+    }
+}
+
 /// Returns whether a queue entry is current: its query runs and its shard is queued at this state
 /// version.
 fn is_current_in(running: Option<&RunningQuery>, waiting: &WaitingCall) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -201,6 +201,7 @@
 pub use route::WeightedService;
 pub use route::merge_records;
 pub use routing::RoutingPolicy;
+pub use slots::CallUrgency;
 pub use snapshot::ShardEntry;
 pub use snapshot::SnapshotManifest;
 pub use snapshot::TargetPhase;
--- a/crates/policy/src/organisation/table.rs
+++ b/crates/policy/src/organisation/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::CallUrgency;
 use crate::KeyDigest;
 use crate::OrganisationContract;
 use crate::OrganisationId;
@@ -17,6 +18,7 @@
     /// `None` if the configuration names no organisations, so that no request needs a key.
     by_key: Option<HashMap<KeyDigest, Arc<OrganisationContract>>>,
     quotas: HashMap<OrganisationId, RequestQuota>,
+    priorities: HashMap<OrganisationId, u32>,
 }
 
 impl OrganisationTable {
@@ -34,7 +36,11 @@
         let quotas = organisations
             .filter_map(|contract| Some((contract.organisation.clone(), contract.quota?)))
             .collect();
-        OrganisationTable { by_key, quotas }
+        let organisations = configuration.organisations.iter().flatten();
+        let priorities = organisations
+            .filter_map(|contract| Some((contract.organisation.clone(), contract.priority?)))
+            .collect();
+        OrganisationTable { by_key, quotas, priorities }
     }
 
     /// Returns whether any organisation has a quota.
@@ -47,6 +53,24 @@
         self.quotas.get(organisation).copied()
     }
 
+    /// Returns how urgent the calls of a request are that is served on behalf of `organisation`; `None` if the
+    /// configuration names no organisations.
+    ///
+    /// The rank of the route stands in for that of an organisation that has none.
+    pub fn urgency(
+        &self,
+        route: &RouteContract,
+        organisation: Option<&OrganisationId>,
+    ) -> Option<CallUrgency> {
+        self.by_key.as_ref()?;
+        let rank = organisation.and_then(|organisation| self.priorities.get(organisation));
+        Some(CallUrgency {
+            organisation_rank: rank.copied().unwrap_or(route.priority),
+            route_rank: route.priority,
+            organisation: organisation.cloned(),
+        })
+    }
+
     /// Returns on whose behalf a request of `route` with this key is served.
     ///
     /// A public route needs no key, yet a known one tells on whose behalf its caller asks.
--- a/crates/policy/tests/even_load/fleet.rs
+++ b/crates/policy/tests/even_load/fleet.rs
@@ -226,6 +226,7 @@
             coverage_floor_permille: 1_000,
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
+            urgency: None,
             extra_load_permille: 100,
             objective: Some(self.now + DEADLINE / 3),
             attempt_policy: AttemptPolicy::default(),
--- a/crates/policy/tests/fanout/fake_fleet.rs
+++ b/crates/policy/tests/fanout/fake_fleet.rs
@@ -172,6 +172,7 @@
             coverage_floor_permille: 500,
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
+            urgency: None,
             extra_load_permille: self.extra_permille,
             objective: None,
             attempt_policy: AttemptPolicy::default(),
--- a/crates/policy/tests/fanout/main.rs
+++ b/crates/policy/tests/fanout/main.rs
@@ -7,6 +7,7 @@
 mod budget_window;
 mod comparison;
 mod evacuation;
+mod fairness;
 mod fake_fleet;
 mod fake_target;
 mod guarantees;
--- a/crates/policy/tests/limits/fleet.rs
+++ b/crates/policy/tests/limits/fleet.rs
@@ -451,6 +451,7 @@
             coverage_floor_permille: 1_000,
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
+            urgency: None,
             extra_load_permille: 200,
             objective: None,
             attempt_policy: AttemptPolicy::default(),
