--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -166,12 +166,16 @@
 fn fleet_keeps_the_bound_after_a_loss_of_power() {
     for vms in [1, 7, 66, 295] {
         let quota = RequestQuota { requests_per_second: 10.0, burst: 100.0 };
-        let mut fleet = QuotaFleet::new(vms, quota, 80.0, 3);
+        // Its bucket is full when it begins to ask more than its quota.
+        let mut fleet = QuotaFleet::new(vms, quota, 1.0, 3);
         for _ in 0..3 {
-            fleet.run(ms(15_000));
+            fleet.step(QuotaStep::Demand { tenths: 1 });
+            fleet.run(ms(20_000));
+            fleet.step(QuotaStep::Demand { tenths: 200 });
+            fleet.run(ms(1_000));
             fleet.step(QuotaStep::PowerOff { down: ms(900) });
+            fleet.run(ms(6_000));
         }
-        fleet.run(ms(10_000));
         fleet.assert_within_bound();
     }
 }
--- a/crates/policy/tests/quota/fleet.rs
+++ b/crates/policy/tests/quota/fleet.rs
@@ -56,6 +56,8 @@
     Heal,
     /// The quota is raised, in tenths of what it is.
     Raise { tenths: u32 },
+    /// The organisation asks another multiple of its quota, in tenths.
+    Demand { tenths: u32 },
     /// Time passes.
     Wait { time: Duration },
 }
@@ -75,6 +77,7 @@
             1 => vm().prop_map(|vm| QuotaStep::CutOne { vm }),
             1 => Just(QuotaStep::Heal),
             1 => (10..20_u32).prop_map(|tenths| QuotaStep::Raise { tenths }),
+            3 => prop_oneof![Just(3_u32), 5..80_u32].prop_map(|tenths| QuotaStep::Demand { tenths }),
             6 => time(5_000).prop_map(|time| QuotaStep::Wait { time }),
         ]
     }
@@ -507,6 +510,10 @@
                 self.quota.requests_per_second =
                     (self.quota.requests_per_second * factor).min(100.0);
             }
+            QuotaStep::Demand { tenths } => {
+                let factor = f64::from(tenths) / 10.0;
+                self.demand = (self.quota.requests_per_second * factor).clamp(0.1, 300.0);
+            }
             QuotaStep::Wait { time } => self.run(time),
         }
     }
