--- a/crates/policy/tests/even_load/fleet.rs
+++ b/crates/policy/tests/even_load/fleet.rs
@@ -142,6 +142,7 @@
             connection_limit: 8,
             incarnation: 0,
             phase: TargetPhase::Ready,
+            cold_ms: 0,
         };
         let count = load.shards * REPLICAS;
         let specs: Vec<TargetSpec> = (0..count).map(spec).collect();
