--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -62,14 +62,13 @@
     route_latency: Histogram<f64>,
     route_calls: Counter<u64>,
     organisation_requests: Counter<u64>,
-    /// Organisations with counters of their own.
-    organisations: RefCell<HashSet<OrganisationId>>,
     target_notices: Counter<u64>,
     quarantine_steps: Counter<u64>,
     limited_calls: Counter<u64>,
     reach_changes: Counter<u64>,
     relays: Counter<u64>,
     quota_requests: Counter<u64>,
+    /// Organisations with counters of their own.
     counted_organisations: RefCell<HashSet<OrganisationId>>,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
@@ -99,7 +98,6 @@
             route_latency: latency_histogram(&meter, "oleanderwind_route_latency_ms"),
             route_calls: meter.u64_counter("oleanderwind_route_calls").build(),
             organisation_requests: meter.u64_counter("oleanderwind_organisation_requests").build(),
-            organisations: RefCell::default(),
             target_notices: meter.u64_counter("oleanderwind_target_notices").build(),
             reach_changes: meter.u64_counter("oleanderwind_reach_changes").build(),
             relays: meter.u64_counter("oleanderwind_relays").build(),
@@ -162,15 +160,20 @@
     }
 
     /// Records a finished request of an organisation.
-    ///
-    /// The organisations beyond the first [`MAX_COUNTED_ORGANISATIONS`] share the counters of `other`.
     pub(crate) fn record_organisation(&self, organisation: &OrganisationId, outcome: &'static str) {
-        let mut counted = self.organisations.borrow_mut();
+        let labels = [self.organisation_label(organisation), KeyValue::new("outcome", outcome)];
+        self.organisation_requests.add(1, &labels);
+    }
+
+    /// Returns the label of an organisation's counters.
+    ///
+    /// The organisations beyond the first [`MAX_COUNTED_ORGANISATIONS`] share those of [`OTHER_ORGANISATIONS`].
+    fn organisation_label(&self, organisation: &OrganisationId) -> KeyValue {
+        let mut counted = self.counted_organisations.borrow_mut();
         let has_own = counted.contains(organisation)
             || (counted.len() < MAX_COUNTED_ORGANISATIONS && counted.insert(organisation.clone()));
-        let name = if has_own { organisation.clone() } else { "other".into() };
-        let labels = [KeyValue::new("organisation", name), KeyValue::new("outcome", outcome)];
-        self.organisation_requests.add(1, &labels);
+        let name = if has_own { organisation.as_ref() } else { OTHER_ORGANISATIONS };
+        KeyValue::new("organisation", name.to_owned())
     }
 
     /// Records a refusal.
@@ -180,13 +183,7 @@
 
     /// Records a request of an organisation with a quota: `admitted`, `exhausted` or `holder_not_reached`.
     pub(crate) fn record_quota(&self, organisation: &OrganisationId, decision: &'static str) {
-        let mut counted = self.counted_organisations.borrow_mut();
-        let has_room = counted.len() < MAX_COUNTED_ORGANISATIONS;
-        let is_counted =
-            counted.contains(organisation) || (has_room && counted.insert(organisation.clone()));
-        let name = if is_counted { organisation.as_ref() } else { OTHER_ORGANISATIONS };
-        let labels =
-            [KeyValue::new("organisation", name.to_owned()), KeyValue::new("decision", decision)];
+        let labels = [self.organisation_label(organisation), KeyValue::new("decision", decision)];
         self.quota_requests.add(1, &labels);
     }
 
