feat(policy,daemon): routes and organisations with regions go to targets there only

Cause: the regions that a route or an organisation names were read and not kept. Change: the settings name the region of each failure domain; a request goes to targets in its homes only. Shown by home_regions_bind_those_of_the_route_and_of_the_organisation.

--- a/crates/daemon/src/routes/manifests.rs
+++ b/crates/daemon/src/routes/manifests.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 
 use oleanderwind_policy::FailureDomainId;
+use oleanderwind_policy::HomeRegions;
+use oleanderwind_policy::RegionId;
 use oleanderwind_policy::RouteContract;
 use oleanderwind_policy::RouteDestination;
 use oleanderwind_policy::ServiceId;
@@ -22,6 +24,8 @@
 /// cleared whenever the targets or the configuration version change.
 pub(crate) struct ManifestCache {
     directory: Rc<DirectoryService>,
+    /// Region of each failure domain.
+    regions: HashMap<FailureDomainId, RegionId>,
     state: RefCell<CacheState>,
 }
 
@@ -29,9 +33,15 @@
 struct CacheState {
     /// Target change count and configuration version that the other fields are built from.
     built_from: Option<(u64, u64)>,
-    targets: HashMap<ServiceId, Vec<TargetId>>,
+    targets: HashMap<ServiceId, Vec<PlacedTarget>>,
     placement: Rc<ShardPlacement>,
-    manifests: HashMap<(Arc<str>, ServiceId), RouteManifest>,
+    manifests: HashMap<(Arc<str>, ServiceId, HomeRegions), RouteManifest>,
+}
+
+/// A target and its region, if that is known.
+struct PlacedTarget {
+    target: TargetId,
+    region: Option<RegionId>,
 }
 
 /// A route's manifest, with the service of each shard.
@@ -42,12 +52,17 @@
 }
 
 impl ManifestCache {
-    /// Returns an empty cache for the targets and routes in `directory`.
-    pub(crate) fn new(directory: Rc<DirectoryService>) -> ManifestCache {
-        ManifestCache { directory, state: RefCell::new(CacheState::default()) }
+    /// Returns an empty cache for the targets and routes in `directory`; `regions` has the region of
+    /// each failure domain.
+    pub(crate) fn new(
+        directory: Rc<DirectoryService>,
+        regions: HashMap<FailureDomainId, RegionId>,
+    ) -> ManifestCache {
+        ManifestCache { directory, regions, state: RefCell::new(CacheState::default()) }
     }
 
-    /// Returns the manifest for a route and the selected `services`, one per shard.
+    /// Returns the manifest for a route and the selected `services`, one per shard, of targets in
+    /// `homes`.
     ///
     /// # Panics
     ///
@@ -57,14 +72,15 @@
         route: &RouteContract,
         version: u64,
         services: &[&ServiceId],
+        homes: HomeRegions,
     ) -> RouteManifest {
         let mut state = self.state.borrow_mut();
         self.refresh(&mut state, version);
-        let key = (route.name.clone(), services[0].clone());
+        let key = (route.name.clone(), services[0].clone(), homes);
         if let Some(manifest) = state.manifests.get(&key) {
             return manifest.clone();
         }
-        let built = state.build_manifest(route, version, services);
+        let built = state.build_manifest(route, version, services, &key.2);
         state.manifests.insert(key, built.clone());
         built
     }
@@ -85,13 +101,23 @@
             let specs = self.directory.targets();
             *state = CacheState {
                 built_from: Some(built_from),
-                targets: targets_by_service(&specs),
+                targets: self.targets_by_service(&specs),
                 placement: Rc::new(self.count_shard_placement(&specs)),
                 manifests: HashMap::new(),
             };
         }
     }
 
+    fn targets_by_service(&self, specs: &[TargetSpec]) -> HashMap<ServiceId, Vec<PlacedTarget>> {
+        let mut by_service: HashMap<ServiceId, Vec<PlacedTarget>> = HashMap::new();
+        for spec in specs {
+            let region = self.regions.get(&spec.failure_domain).cloned();
+            let placed = PlacedTarget { target: spec.target.clone(), region };
+            by_service.entry(spec.service.clone()).or_default().push(placed);
+        }
+        by_service
+    }
+
     fn count_shard_placement(&self, specs: &[TargetSpec]) -> ShardPlacement {
         let mut placement = ShardPlacement::default();
         let Some(routes) = self.directory.routes() else { return placement };
@@ -114,14 +140,6 @@
     }
 }
 
-fn targets_by_service(specs: &[TargetSpec]) -> HashMap<ServiceId, Vec<TargetId>> {
-    let mut by_service: HashMap<ServiceId, Vec<TargetId>> = HashMap::new();
-    for spec in specs {
-        by_service.entry(spec.service.clone()).or_default().push(spec.target.clone());
-    }
-    by_service
-}
-
 impl CacheState {
     /// Builds a manifest in which each shard counts as one document, so that coverage is the
     /// fraction of answered shards.
@@ -130,11 +148,17 @@
         route: &RouteContract,
         version: u64,
         services: &[&ServiceId],
+        homes: &HomeRegions,
     ) -> RouteManifest {
+        let targets = |service: &ServiceId| {
+            let placed = self.targets.get(service).into_iter().flatten();
+            let at_home = placed.filter(|placed| homes.admits(placed.region.as_ref()));
+            at_home.map(|placed| placed.target.clone()).collect()
+        };
         let entry = |(shard, service): (usize, &&ServiceId)| ShardEntry {
             shard: u32::try_from(shard).unwrap_or(u32::MAX),
             documents: 1,
-            targets: self.targets.get(*service).cloned().unwrap_or_default(),
+            targets: targets(service),
         };
         let manifest = SnapshotManifest {
             // The engine tracks latency by service and provider. The route stands in for the
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -25,6 +25,7 @@
 use oleanderwind_policy::CallerLimits;
 use oleanderwind_policy::ClassPriority;
 use oleanderwind_policy::FanoutPlan;
+use oleanderwind_policy::HomeRegions;
 use oleanderwind_policy::OperationKind;
 use oleanderwind_policy::OrganisationId;
 use oleanderwind_policy::QuotaRefusal;
@@ -122,7 +123,7 @@
             metrics: kernel.metrics()?,
             unanswered: UnansweredLog::default(),
             relays: RelayPool::default(),
-            manifests: ManifestCache::new(directory.clone()),
+            manifests: ManifestCache::new(directory.clone(), settings.domain_regions.clone()),
             directory,
             round_robins: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
@@ -502,7 +503,10 @@
     ) -> FanoutPlan {
         let services = self.select_services(route);
         let version = routes.configuration.version;
-        let route_manifest = self.manifests.get(route, version, &services);
+        let organisation = request.organisation.as_ref();
+        let contract = organisation.and_then(|name| routes.organisations.contract(name));
+        let homes = HomeRegions::of(route, contract);
+        let route_manifest = self.manifests.get(route, version, &services, homes);
         let time_limit = request.timeout.map_or(route.time_limit, |own| own.min(route.time_limit));
         let floor_permille = match &route.destination {
             // Rounded down, since the engine rounds the required number of shards up.
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -1,5 +1,6 @@
 //! Settings after validation.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -13,6 +14,7 @@
 use oleanderwind_policy::HedgePolicy;
 use oleanderwind_policy::LoadNews;
 use oleanderwind_policy::QuotaSettings;
+use oleanderwind_policy::RegionId;
 use oleanderwind_policy::RoutingPolicy;
 use oleanderwind_policy::VmId;
 use xxhash_rust::xxh3::xxh3_64;
@@ -62,6 +64,8 @@
     pub failure_domain: FailureDomainId,
     /// Region of the failure domain.
     pub region: String,
+    /// Region of each failure domain.
+    pub domain_regions: HashMap<FailureDomainId, RegionId>,
     /// Address of the platform's Object API.
     pub platform: SocketAddr,
     /// Listen address for callers; port 0 selects a free port.
@@ -138,6 +142,7 @@
         let settings = DaemonSettings {
             failure_domain: required(&raw.failure_domain, "--failure-domain", &mut findings).into(),
             region: raw.region.clone().unwrap_or_else(|| "region-1".to_owned()),
+            domain_regions: domain_regions(&raw.domain_regions, &mut findings),
             platform: address(&raw.platform, "--platform", "", &mut findings),
             caller_listen: address(
                 &raw.caller_listen,
@@ -252,6 +257,13 @@
         writeln!(f, "vm={}", self.vm)?;
         writeln!(f, "failure-domain={}", self.failure_domain)?;
         writeln!(f, "region={}", self.region)?;
+        let mut regions: Vec<String> = self
+            .domain_regions
+            .iter()
+            .map(|(domain, region)| format!("{domain}:{region}"))
+            .collect();
+        regions.sort_unstable();
+        writeln!(f, "domain-regions={}", regions.join(","))?;
         writeln!(f, "platform={}", self.platform)?;
         writeln!(f, "caller-listen={}", self.caller_listen)?;
         writeln!(f, "admin-listen={}", self.admin_listen)?;
@@ -509,6 +521,26 @@
     }
 }
 
+fn domain_regions(
+    option: &Option<String>,
+    findings: &mut FindingList,
+) -> HashMap<FailureDomainId, RegionId> {
+    let entries = option.iter().flat_map(|text| text.split(',')).filter(|entry| !entry.is_empty());
+    let mut regions = HashMap::new();
+    for entry in entries {
+        match entry.split_once(':') {
+            Some((domain, region)) if !domain.is_empty() && !region.is_empty() => {
+                regions.insert(domain.into(), region.into());
+            }
+            Some(_) | None => {
+                let problem = format!("has \"{entry}\"; give DOMAIN:REGION");
+                findings.add(place("--domain-regions"), problem);
+            }
+        }
+    }
+    regions
+}
+
 fn load_news(option: &Option<String>, findings: &mut FindingList) -> LoadNews {
     let default = FanoutSettings::default().load_news;
     match option.as_deref() {
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -23,6 +23,9 @@
     /// region of the failure domain; default: region-1
     #[argh(option)]
     pub region: Option<String>,
+    /// region of each failure domain, DOMAIN:REGION separated by commas; default: none
+    #[argh(option)]
+    pub domain_regions: Option<String>,
     /// ip:port of the platform's Object API
     #[argh(option)]
     pub platform: Option<String>,
@@ -201,6 +204,7 @@
             ("VM", &mut self.vm),
             ("FAILURE_DOMAIN", &mut self.failure_domain),
             ("REGION", &mut self.region),
+            ("DOMAIN_REGIONS", &mut self.domain_regions),
             ("PLATFORM", &mut self.platform),
             ("CALLER_LISTEN", &mut self.caller_listen),
             ("ADMIN_LISTEN", &mut self.admin_listen),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -25,6 +25,8 @@
         "random",
         "--load-news",
         "fresh",
+        "--domain-regions",
+        "a:east,b",
         "--log-level",
         "loud",
     ]);
@@ -32,6 +34,7 @@
     expect![[r#"
         --vm or OLEANDERWIND_VM: is missing; give it a value
         --failure-domain or OLEANDERWIND_FAILURE_DOMAIN: is missing; give it a value
+        --domain-regions or OLEANDERWIND_DOMAIN_REGIONS: has "b"; give DOMAIN:REGION
         --platform or OLEANDERWIND_PLATFORM: is "nowhere"; give ip:port
         --drain-patience-ms or OLEANDERWIND_DRAIN_PATIENCE_MS: is 600001; give a number from 0 to 600000
         --hedge or OLEANDERWIND_HEDGE: is "often"; give none, fixed:MS or quantile:PERMILLE
@@ -121,6 +124,7 @@
         vm=vm-1
         failure-domain=fd-1
         region=region-1
+        domain-regions=
         platform=127.0.0.1:9
         caller-listen=127.0.0.1:7400
         admin-listen=127.0.0.1:7401
@@ -163,7 +167,7 @@
 fn from_args_explains_every_flag() {
     let help = RawSettings::from_args(&["oleanderwindd"], &["--help"]).unwrap_err().output;
     expect![[r#"
-        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--load-news <load-news>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
+        Usage: oleanderwindd [--vm <vm>] [--failure-domain <failure-domain>] [--region <region>] [--domain-regions <domain-regions>] [--platform <platform>] [--caller-listen <caller-listen>] [--admin-listen <admin-listen>] [--peer-listen <peer-listen>] [--operator-token <operator-token>] [--address-keep-ms <address-keep-ms>] [--leave-notice-ms <leave-notice-ms>] [--seed-peers <seed-peers>] [--drain-patience-ms <drain-patience-ms>] [--hedge <hedge>] [--routing <routing>] [--load-news <load-news>] [--floor-wait <floor-wait>] [--readiness-listen <readiness-listen>] [--address-listen <address-listen>] [--extra-ratio <extra-ratio>] [--extra-slack <extra-slack>] [--extra-window-ms <extra-window-ms>] [--quota-window-ms <quota-window-ms>] [--quota-overage <quota-overage>] [--quota-slack <quota-slack>] [--crossing-cost-ms <crossing-cost-ms>] [--processor-cores <processor-cores>] [--processor-share <processor-share>] [--memory-mb <memory-mb>] [--answer-margin-ms <answer-margin-ms>] [--lapse-hold-ms <lapse-hold-ms>] [--stop-grace-ms <stop-grace-ms>] [--platform-retry-ms <platform-retry-ms>] [--platform-history-ms <platform-history-ms>] [--change-limit-ms <change-limit-ms>] [--leave-limit-ms <leave-limit-ms>] [--first-start <first-start>] [--settings-file <settings-file>] [--log-level <log-level>] [--seed <seed>] [--check]
 
         Serves callers, operators and peers on one VM of an oleanderwind fleet. Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN. A flag overrides the environment. Times are milliseconds, or seconds with the suffix s. SIGTERM starts a graceful shutdown. Exit codes: 0 after a graceful shutdown, 2 for invalid settings, 3 for other failures.
 
@@ -171,6 +175,8 @@
           --vm              name of this VM, unique in the fleet
           --failure-domain  failure domain of the VM
           --region          region of the failure domain; default: region-1
+          --domain-regions  region of each failure domain, DOMAIN:REGION separated by
+                            commas; default: none
           --platform        ip:port of the platform's Object API
           --caller-listen   ip:port for callers; default: 127.0.0.1:7400
           --admin-listen    ip:port for operators; default: 127.0.0.1:7401
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -184,6 +184,7 @@
 pub use reach::ReachState;
 pub use reach::ReachTracker;
 pub use route::CallerLimits;
+pub use route::HomeRegions;
 pub use route::RECORD_BYTES;
 pub use route::RawCallerLimits;
 pub use route::RawRoute;
--- a/crates/policy/src/organisation/table.rs
+++ b/crates/policy/src/organisation/table.rs
@@ -17,40 +17,38 @@
 pub struct OrganisationTable {
     /// `None` if the configuration names no organisations, so that no request needs a key.
     by_key: Option<HashMap<KeyDigest, Arc<OrganisationContract>>>,
-    quotas: HashMap<OrganisationId, RequestQuota>,
-    priorities: HashMap<OrganisationId, u32>,
+    by_name: HashMap<OrganisationId, Arc<OrganisationContract>>,
 }
 
 impl OrganisationTable {
     /// Indexes the organisations of `configuration`.
     pub fn new(configuration: &RouteConfiguration) -> OrganisationTable {
-        let by_key = configuration.organisations.as_ref().map(|organisations| {
-            let contracts = organisations.iter().map(|contract| Arc::new(contract.clone()));
-            let entries = contracts.flat_map(|contract| {
-                let keys = contract.keys.clone().into_iter();
-                keys.map(move |key| (key, contract.clone()))
-            });
-            entries.collect()
-        });
-        let organisations = configuration.organisations.iter().flatten();
-        let quotas = organisations
-            .filter_map(|contract| Some((contract.organisation.clone(), contract.quota?)))
-            .collect();
         let organisations = configuration.organisations.iter().flatten();
-        let priorities = organisations
-            .filter_map(|contract| Some((contract.organisation.clone(), contract.priority?)))
+        let by_name: HashMap<OrganisationId, Arc<OrganisationContract>> = organisations
+            .map(|contract| (contract.organisation.clone(), Arc::new(contract.clone())))
             .collect();
-        OrganisationTable { by_key, quotas, priorities }
+        let by_key = configuration.organisations.as_ref().map(|_| {
+            let entries = by_name
+                .values()
+                .flat_map(|contract| contract.keys.iter().map(move |key| (*key, contract.clone())));
+            entries.collect()
+        });
+        OrganisationTable { by_key, by_name }
     }
 
     /// Returns whether any organisation has a quota.
     pub fn has_quotas(&self) -> bool {
-        !self.quotas.is_empty()
+        self.by_name.values().any(|contract| contract.quota.is_some())
     }
 
     /// Returns the quota of an organisation, if it has one.
     pub fn quota(&self, organisation: &str) -> Option<RequestQuota> {
-        self.quotas.get(organisation).copied()
+        self.contract(organisation)?.quota
+    }
+
+    /// Returns the contract of an organisation, if the configuration names it.
+    pub fn contract(&self, organisation: &str) -> Option<&OrganisationContract> {
+        self.by_name.get(organisation).map(Arc::as_ref)
     }
 
     /// Returns how urgent the calls of a request are that is served on behalf of `organisation`; `None` if the
@@ -63,9 +61,11 @@
         organisation: Option<&OrganisationId>,
     ) -> Option<CallUrgency> {
         self.by_key.as_ref()?;
-        let rank = organisation.and_then(|organisation| self.priorities.get(organisation));
+        let contract = organisation.and_then(|organisation| self.contract(organisation));
         Some(CallUrgency {
-            organisation_rank: rank.copied().unwrap_or(route.priority),
+            organisation_rank: contract
+                .and_then(|contract| contract.priority)
+                .unwrap_or(route.priority),
             route_rank: route.priority,
             organisation: organisation.cloned(),
         })
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod contract;
 mod destination;
+mod homes;
 mod merge;
 mod raw;
 mod table;
@@ -18,6 +19,7 @@
 pub use destination::RouteDestination;
 pub use destination::ShardSet;
 pub use destination::WeightedService;
+pub use homes::HomeRegions;
 pub use merge::RECORD_BYTES;
 pub use merge::merge_records;
 pub use raw::RawCallerLimits;
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -3,8 +3,10 @@
 
 use bytes::Bytes;
 use expect_test::expect;
+use oleanderwind_policy::HomeRegions;
 use oleanderwind_policy::OperationKind;
 use oleanderwind_policy::RawCallerLimits;
+use oleanderwind_policy::RawOrganisation;
 use oleanderwind_policy::RawRoute;
 use oleanderwind_policy::RawRouteConfiguration;
 use oleanderwind_policy::RawShardSet;
@@ -139,3 +141,30 @@
         prop_assert_eq!(merge_records(&parts, record_limit), records.concat());
     }
 }
+
+#[test]
+fn home_regions_bind_those_of_the_route_and_of_the_organisation() {
+    let regions = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
+    let admitted = |route_regions: &[&str], own_regions: &[&str]| {
+        let mut raw = configuration(vec![route("one", "a.example", "/a/")]);
+        raw.routes[0].regions = regions(route_regions);
+        raw.organisations = Some(vec![RawOrganisation {
+            name: "library".to_owned(),
+            keys: Vec::new(),
+            rank: None,
+            requests_per_second: 0.0,
+            burst: 0.0,
+            regions: regions(own_regions),
+        }]);
+        let checked = RouteConfiguration::try_from(&raw).unwrap();
+        let organisations = checked.organisations.unwrap();
+        let homes = HomeRegions::of(&checked.routes[0], organisations.first());
+        let known = [Some("east"), Some("west"), None];
+        known.map(|region| homes.admits(region.map(Into::into).as_ref()))
+    };
+    assert_eq!(admitted(&[], &[]), [true, true, true]);
+    assert_eq!(admitted(&["east"], &[]), [true, false, false]);
+    assert_eq!(admitted(&[], &["west"]), [false, true, false]);
+    assert_eq!(admitted(&["east", "west"], &["west"]), [false, true, false]);
+    assert_eq!(admitted(&["east"], &["west"]), [false, false, false]);
+}
