--- a/crates/policy/src/load/mod.rs
+++ b/crates/policy/src/load/mod.rs
@@ -20,6 +20,10 @@
     pub slots: u32,
     /// Time that work takes on the target's machine at this moment, in percent of the usual; 0 if
     /// it isn't reported.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_unknown")]
     pub pace_percent: u32,
 }
+
+fn is_unknown(pace_percent: &u32) -> bool {
+    *pace_percent == 0
+}
