--- a/crates/daemon/src/routes/mod.rs
+++ b/crates/daemon/src/routes/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod manifests;
+mod quota;
 mod relay;
 mod service;
 mod view;
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -27,8 +27,6 @@
 use oleanderwind_policy::FanoutPlan;
 use oleanderwind_policy::HomeRegions;
 use oleanderwind_policy::OperationKind;
-use oleanderwind_policy::OrganisationId;
-use oleanderwind_policy::QuotaRefusal;
 use oleanderwind_policy::ReachState;
 use oleanderwind_policy::RouteContract;
 use oleanderwind_policy::RouteDestination;
@@ -51,12 +49,11 @@
 use crate::kernel::Kernel;
 use crate::metrics::MetricsService;
 use crate::peers::PeerService;
-use crate::peers::QuotaAdmission;
 use crate::routes::answer::RouteReply;
-use crate::routes::answer::quota_refusal;
 use crate::routes::answer::refusal;
 use crate::routes::answer::route_reply;
 use crate::routes::manifests::ManifestCache;
+use crate::routes::quota::RequestEnd;
 use crate::routes::relay::RELAYED;
 use crate::routes::relay::RelayPool;
 use crate::routes::relay::RelayTerms;
@@ -277,48 +274,7 @@
             self.record_refused_request(&request, "body_too_long");
             return HttpReply::empty(StatusCode::PAYLOAD_TOO_LARGE).closing();
         }
-        // A request that a peer passes on was admitted there.
-        let contract = identity.contract().filter(|_| relayed_attempts.is_none());
-        let quota = contract.and_then(|contract| Some((&contract.organisation, contract.quota?)));
-        let Some((organisation, quota)) = quota else {
-            return self.run(&routes, &route, request, relayed_attempts).await.reply;
-        };
-        let token = match self.peers.admit(organisation, quota).await {
-            QuotaAdmission::Admitted(token) => token,
-            QuotaAdmission::Refused(refusal) => {
-                return self.refuse_over_quota(&route, &request, organisation, &refusal);
-            }
-        };
-        self.metrics.record_quota(organisation, "admitted");
-        let end = self.run(&routes, &route, request, relayed_attempts).await;
-        if end.ran == RunState::No {
-            self.peers.give_back(organisation, token);
-        }
-        end.reply
-    }
-
-    fn refuse_over_quota(
-        &self,
-        route: &RouteContract,
-        request: &OpaqueRequest,
-        organisation: &OrganisationId,
-        refusal: &QuotaRefusal,
-    ) -> HttpReply {
-        let cause = if refusal.is_unreached { "holder_not_reached" } else { "exhausted" };
-        self.metrics.record_refusal("over_quota");
-        self.metrics.record_quota(organisation, cause);
-        log::info!(
-            request = request.id.as_str(),
-            route = route.name.as_ref(),
-            organisation = organisation.as_ref(),
-            outcome = "over_quota",
-            cause = cause,
-            left = refusal.left,
-            left_age_ms = refusal.age.map(milliseconds),
-            retry_after_ms = milliseconds(refusal.retry_after);
-            "request refused"
-        );
-        quota_refusal(refusal.retry_after)
+        self.run_within_quota(&routes, &route, request, &identity, relayed_attempts).await
     }
 
     pub(crate) fn record_refused_request(&self, request: &OpaqueRequest, reason: &'static str) {
@@ -332,28 +288,9 @@
     }
 }
 
-/// End of a request.
-struct RequestEnd {
-    reply: HttpReply,
-    /// Whether a target may have run the request.
-    ran: RunState,
-}
-
-impl RequestEnd {
-    /// Returns the end of a request of which nothing ran.
-    fn not_run(reply: HttpReply) -> RequestEnd {
-        RequestEnd { reply, ran: RunState::No }
-    }
-
-    /// Returns the end of a request that a target or a peer's target may have run.
-    fn unknown(reply: HttpReply) -> RequestEnd {
-        RequestEnd { reply, ran: RunState::Unknown }
-    }
-}
-
 /// Running requests.
 impl RouteService {
-    async fn run(
+    pub(crate) async fn run(
         &self,
         routes: &ActiveRoutes,
         route: &Arc<RouteContract>,
