--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 
 # Deployments of the users that are scored before a landing, see CONTRIBUTING.md.
 REGRESSION_SITES = further/phs-oleander further-grown/phs-oleander-grown \
-	grown/tsog-search-grown grown/haneul-oleander-grown large/haneul-oleander-large
+	grown/tsog-search-grown grown/haneul-oleander-grown large/haneul-oleander-large \
+	demands/skrive-soeg-grown demands/vozilica-pretraga-grown shifted/tsog-search-now-grown
 
 help: ## Lists the commands.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
