--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -5,6 +5,9 @@
 use argh::FromArgs;
 use oleanderwind_policy::FindingList;
 
+/// Start of a placeholder in a template of the settings file.
+const PLACEHOLDER_START: &str = "{{";
+
 /// Serves callers, operators and peers on one VM of an oleanderwind fleet.
 ///
 /// Every option can be given in the environment: --caller-listen is OLEANDERWIND_CALLER_LISTEN.
@@ -150,6 +153,9 @@
 impl RawSettings {
     /// Sets the options that neither a flag nor the environment has set from the settings file.
     ///
+    /// A line with a placeholder that the platform did not fill in counts as missing: it comes from a
+    /// template that names more than the platform knows.
+    ///
     /// # Errors
     ///
     /// Returns a finding for each line that is not `name=value` with a known name, and one if the
@@ -164,7 +170,8 @@
         let mut values = HashMap::new();
         for (index, line) in text.lines().enumerate() {
             let line = line.trim();
-            if line.is_empty() || line.starts_with('#') {
+            let is_unfilled = line.contains(PLACEHOLDER_START);
+            if line.is_empty() || line.starts_with('#') || is_unfilled {
                 continue;
             }
             match line.split_once('=') {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -255,3 +255,15 @@
           --help, help      display usage information
     "#]].assert_eq(&help);
 }
+
+/// A platform that does not know a field of the template leaves its placeholder.
+#[test]
+fn with_file_takes_unfilled_placeholders_as_missing() {
+    let path = std::env::temp_dir().join(format!("oleanderwind-settings-{}", std::process::id()));
+    let text = "vm=vm-1\n{{#bounds.quota_window_s}}\nquota-slack={{bounds.quota_slack}}\n{{/bounds.quota_window_s}}\n";
+    std::fs::write(&path, text).unwrap();
+    let raw = raw_settings(&["--settings-file", path.to_str().unwrap()]).with_file();
+    std::fs::remove_file(&path).unwrap();
+    let raw = raw.unwrap();
+    assert_eq!((raw.vm.as_deref(), raw.quota_slack), (Some("vm-1"), None));
+}
