refactor(http): one piece of code books the bytes of a share

Cause: MemoryLedger::grow booked granted bytes in the same way as charge, written twice. Change: grow calls charge; no change of behaviour.

--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -118,10 +118,7 @@
         let purpose = share.purpose;
         let used = self.used(purpose) - share.bytes + bytes;
         if used <= self.limit(purpose) {
-            self.used[purpose as usize] = used;
-            if let Some(share) = self.shares.get_mut(&id) {
-                share.bytes = bytes;
-            }
+            self.charge(id, bytes);
             return MemoryDecision::Granted;
         }
         let returning = self.returning(purpose);
