fix(policy,daemon): a reply without an id proves nothing on a used connection

Callers could see (no users' target does so): a request that may not be repeated runs several times, or is refused and has run, after a target repeats a refusal late and without the request's id.

Now such a reply counts only on a connection that has carried no other send, where it can't be a late copy.

--- a/crates/daemon/src/fanout/forward.rs
+++ b/crates/daemon/src/fanout/forward.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use oleanderwind_http::ClientReply;
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ConnectionHistory;
 use oleanderwind_policy::FanoutEvent;
 use oleanderwind_policy::LoadReport;
 use oleanderwind_policy::QueryId;
@@ -74,9 +75,9 @@
     };
     // Set by `match_reply`, so that the headers are parsed only once.
     let reply_marks: RefCell<Option<ReplyMetadata>> = RefCell::new(None);
-    let match_reply = |reply: &ClientReply| {
+    let match_reply = |reply: &ClientReply, history: &ConnectionHistory| {
         let marks = dialect.parse_reply_metadata(reply.status, &reply.headers);
-        let is_own = marks.request_id.as_ref().is_none_or(|id| id == request.id.as_bytes());
+        let is_own = history.owns_reply(request.id.as_bytes(), marks.request_id.as_deref());
         let is_final = call.classify(reply.status, &marks) == ReplyUse::Answer;
         reply_marks.replace(Some(marks));
         match (is_own, is_final) {
--- a/crates/daemon/src/targets/pool.rs
+++ b/crates/daemon/src/targets/pool.rs
@@ -269,6 +269,11 @@
         &self.client
     }
 
+    /// Returns what the connection has carried, the send in progress included.
+    pub(crate) fn history(&self) -> &ConnectionHistory {
+        &self.history
+    }
+
     /// Returns the connection to the pool.
     pub(crate) fn release(self) {
         let (pool, connection) = self.into_idle();
--- a/crates/daemon/src/targets/service.rs
+++ b/crates/daemon/src/targets/service.rs
@@ -24,6 +24,7 @@
 use oleanderwind_http::ReplyMemory;
 use oleanderwind_http::probe_listener;
 use oleanderwind_policy::CallId;
+use oleanderwind_policy::ConnectionHistory;
 use oleanderwind_policy::ConnectionShare;
 use oleanderwind_policy::TargetId;
 use oleanderwind_policy::TargetSpec;
@@ -284,7 +285,7 @@
         pooled: PooledRequest,
         is_idempotent: bool,
         may_send: impl Fn() -> bool,
-        match_reply: impl Fn(&ClientReply) -> ReplyMatch,
+        match_reply: impl Fn(&ClientReply, &ConnectionHistory) -> ReplyMatch,
     ) -> ForwardOutcome {
         let Some(pool) = self.pool(target) else { return ForwardOutcome::Unsent };
         if !is_idempotent && let Some(since) = Instant::now().checked_sub(LIVENESS_WINDOW) {
@@ -299,7 +300,7 @@
         }
         let sent_at = Instant::now();
         match timeout(time_until(pooled.deadline), connection.client().send(request)).await {
-            Ok(Ok(reply)) => match match_reply(&reply) {
+            Ok(Ok(reply)) => match match_reply(&reply, connection.history()) {
                 ReplyMatch::Own => {
                     connection.release();
                     ForwardOutcome::Replied(reply)
--- a/crates/policy/src/connection/history.rs
+++ b/crates/policy/src/connection/history.rs
@@ -15,11 +15,14 @@
     sent: Vec<(u64, Instant)>,
     /// Whether a request was left out for want of room, and until when that matters.
     overflow_until: Option<Instant>,
+    /// Number of sends so far.
+    sends: u64,
 }
 
 impl ConnectionHistory {
     /// Records that a request was sent, which may be sent again until `deadline`. `request` is a hash of its id.
     pub fn record_send(&mut self, request: u64, deadline: Instant, now: Instant) {
+        self.sends += 1;
         self.sent.retain(|(_, until)| now < *until);
         if self.sent.len() >= MAX_REMEMBERED_REQUESTS {
             self.overflow_until = self.overflow_until.max(Some(deadline));
@@ -38,4 +41,14 @@
         let is_sent = self.sent.iter().any(|(sent, until)| *sent == request && now < *until);
         !is_sent && self.overflow_until.is_none_or(|until| now >= until)
     }
+
+    /// Returns whether a reply belongs to the send in progress, that of a request with the id `sent_id`.
+    ///
+    /// A reply without an id may be a late copy of one to an earlier send, unless there was none.
+    pub fn owns_reply(&self, sent_id: &[u8], reply_id: Option<&[u8]>) -> bool {
+        match reply_id {
+            Some(reply_id) => reply_id == sent_id,
+            None => self.sends <= 1,
+        }
+    }
 }
--- a/crates/policy/tests/connection.rs
+++ b/crates/policy/tests/connection.rs
@@ -39,6 +39,21 @@
     assert!(history.allows(u64::MAX, start + ms(500)));
 }
 
+/// Guards against a late copy without an id that passes for the reply to another request.
+#[test]
+fn owns_reply_without_an_id_of_the_first_send_only() {
+    let start = Instant::now();
+    let mut history = ConnectionHistory::default();
+    history.record_send(1, start + ms(500), start);
+    assert!(history.owns_reply(b"r-1", None));
+    assert!(history.owns_reply(b"r-1", Some(b"r-1")));
+    assert!(!history.owns_reply(b"r-1", Some(b"r-0")));
+    history.forget(1);
+    history.record_send(2, start + ms(500), start);
+    assert!(!history.owns_reply(b"r-2", None));
+    assert!(history.owns_reply(b"r-2", Some(b"r-2")));
+}
+
 proptest! {
     /// Guards against any order of sends after which a request that was sent is allowed before its deadline.
     #[test]
