fix(policy,daemon): a VM that stops begins no requests that the stop would cut

What callers saw: requests sent after the SIGTERM of a VM were taken, passed on and answered 504 at the end of the grace, also those that may not be repeated, whose outcome is then unknown with nothing at fault but the stop. None was lost without an answer.

Cause: a VM that stops took requests for 0.6 of its grace whatever time they would need, and kept 0.7 s back from a grace of any length. Ruled out: slow writes at the end (replies of requests that end in time arrive), the targets (they answer after the cut).

Change: policy/shutdown. From the signal on a request is begun only if recent requests of its route (nineteen in twenty; all, if it may not be repeated) took no longer than what is left; a route without recent requests is taken at its objective, or at the request's whole time if it may not be repeated. What is not begun is refused with 503 and Retry-After 0, as another VM can run it at once; a VM that passed it on asks another. An eighth of the grace, 0.45 to 0.7 s, is kept for the exit, and at most a tenth of the rest for the last replies. With 6 s of grace the division is as before.

Ways weighed: passing it on to a peer while the caller holds its connection (the answer has to come within the same time, through a VM that ends); the route's time limit alone (kinds with long deadlines lose service in each stop).

--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -121,15 +121,15 @@
     /// Leaves the fleet: redirects callers to other VMs, then finishes open requests.
     pub async fn drain(&self) {
         let settings = self.kernel.live_settings().get();
-        let (notice, drain_timeout) = settings.shutdown_durations();
+        let schedule = settings.shutdown_schedule();
         log::info!(
-            notice_ms = notice.as_millis() as u64,
-            patience_ms = drain_timeout.as_millis() as u64;
+            notice_ms = schedule.notice.as_millis() as u64,
+            patience_ms = schedule.patience.as_millis() as u64;
             "VM is shutting down"
         );
-        self.kernel.announce_leaving();
-        tokio::time::sleep(notice).await;
-        self.kernel.drain(drain_timeout).await;
+        self.kernel.announce_leaving(schedule);
+        tokio::time::sleep(schedule.notice).await;
+        self.kernel.drain(schedule.patience).await;
         log::info!("VM has shut down");
     }
 }
--- a/crates/daemon/src/kernel/registry.rs
+++ b/crates/daemon/src/kernel/registry.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oleanderwind_policy::ShutdownSchedule;
 use tokio::sync::Notify;
 
 use crate::admission::AdmissionService;
@@ -103,9 +104,9 @@
     }
 
     /// Announces to callers and peers that this VM is leaving.
-    pub(crate) fn announce_leaving(&self) {
+    pub(crate) fn announce_leaving(&self, schedule: ShutdownSchedule) {
         for service in self.services.borrow().iter() {
-            service.announce_leaving();
+            service.announce_leaving(schedule);
         }
     }
 
--- a/crates/daemon/src/kernel/service.rs
+++ b/crates/daemon/src/kernel/service.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oleanderwind_policy::ShutdownSchedule;
+
 use crate::admin::AdminService;
 use crate::admission::AdmissionService;
 use crate::directory::DirectoryService;
@@ -101,11 +103,11 @@
     }
 
     /// Announces to callers and peers that this VM is leaving. Requests are still served.
-    pub(crate) fn announce_leaving(&self) {
+    pub(crate) fn announce_leaving(&self, schedule: ShutdownSchedule) {
         match self {
             Service::Directory(directory) => directory.announce_leaving(),
             Service::Front(front) => front.announce_leaving(),
-            Service::Routes(routes) => routes.announce_leaving(),
+            Service::Routes(routes) => routes.announce_leaving(schedule),
             Service::Peers(peers) => peers.announce_leaving(),
             Service::Metrics(_)
             | Service::Outcomes(_)
--- a/crates/daemon/src/routes/mod.rs
+++ b/crates/daemon/src/routes/mod.rs
@@ -5,6 +5,7 @@
 mod quota;
 mod relay;
 mod service;
+mod stopping;
 mod view;
 
 pub(crate) use service::RouteService;
--- a/crates/daemon/src/routes/relay.rs
+++ b/crates/daemon/src/routes/relay.rs
@@ -37,7 +37,7 @@
 const RELAYED_KEY: HeaderName = HeaderName::from_static("oleanderwind-key");
 /// Marks the reply of a VM that does not know the caller's key, which a target's own 401 does not carry.
 const KEY_UNKNOWN: HeaderName = HeaderName::from_static("oleanderwind-key-unknown");
-/// Marks the reply of a VM that reaches no target either.
+/// Marks the reply of a VM that does not serve what was passed on to it, as it reaches no target or stops.
 const CUT_OFF: HeaderName = HeaderName::from_static("oleanderwind-cut-off");
 /// Maximum number of peers that one request is passed on to.
 const MAX_PEERS: usize = 4;
@@ -123,6 +123,16 @@
     reply
 }
 
+/// Returns the reply to a request that a peer passed on and that this VM does not serve, so that the peer asks another VM.
+pub(crate) fn unserved_relay_reply(may_have_run: bool) -> HttpReply {
+    let mut reply = match may_have_run {
+        true => HttpReply::empty(StatusCode::BAD_GATEWAY),
+        false => refusal(Some(CUT_OFF_RETRY_DELAY)),
+    };
+    reply.add_header(CUT_OFF.as_str().as_bytes(), b"1");
+    reply
+}
+
 /// Returns the number of attempts that the VM which passed a request on leaves to this one.
 fn read_relayed_attempts(value: &HeaderValue) -> u8 {
     let attempts = value.to_str().ok().and_then(|text| text.parse().ok());
@@ -274,12 +284,7 @@
             outcome = "cut_off";
             "request of a peer refused, as no target is reached"
         );
-        let mut reply = match may_have_run {
-            true => HttpReply::empty(StatusCode::BAD_GATEWAY),
-            false => refusal(Some(CUT_OFF_RETRY_DELAY)),
-        };
-        reply.add_header(CUT_OFF.as_str().as_bytes(), b"1");
-        reply
+        unserved_relay_reply(may_have_run)
     }
 
     async fn relay(
--- a/crates/daemon/src/routes/service.rs
+++ b/crates/daemon/src/routes/service.rs
@@ -10,7 +10,6 @@
 
 use actix_http::StatusCode;
 use futures_util::FutureExt;
-use futures_util::future::join_all;
 use oleanderwind_http::BodyCheck;
 use oleanderwind_http::CallerGuard;
 use oleanderwind_http::HttpCall;
@@ -32,6 +31,7 @@
 use oleanderwind_policy::RouteDestination;
 use oleanderwind_policy::RunState;
 use oleanderwind_policy::ServiceId;
+use oleanderwind_policy::ShutdownGate;
 use oleanderwind_policy::WeightedRoundRobin;
 use oleanderwind_wire::UnansweredRequest;
 use tokio::sync::watch;
@@ -58,6 +58,8 @@
 use crate::routes::relay::RelayPool;
 use crate::routes::relay::RelayTerms;
 use crate::routes::relay::unknown_key_reply;
+use crate::routes::stopping::cut_by_stop;
+use crate::routes::stopping::time_limit;
 use crate::routes::view::UnansweredLog;
 use crate::settings::DaemonSettings;
 use crate::settings::LiveSettings;
@@ -76,8 +78,6 @@
 const MEMORY_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a request is tried on the targets while this VM seems to be cut off, before a peer serves it.
 const REACH_TRIAL_TIME: Duration = Duration::from_millis(100);
-/// Part of the drain time reserved for sending the final replies.
-const FINAL_REPLY_TIME: Duration = Duration::from_millis(200);
 /// Customer id under which the queries of all routes run.
 const ROUTE_CUSTOMER: &str = "routes";
 /// Thousandths in one.
@@ -86,7 +86,7 @@
 /// Serves callers whose requests are forwarded without being parsed.
 pub(crate) struct RouteService {
     settings: DaemonSettings,
-    live: LiveSettings,
+    pub(crate) live: LiveSettings,
     pub(crate) dialect: Rc<dyn CallerProtocol>,
     pub(crate) directory: Rc<DirectoryService>,
     pub(crate) fanout: Rc<FanoutService>,
@@ -96,9 +96,10 @@
     pub(crate) relays: RelayPool,
     manifests: ManifestCache,
     round_robins: RefCell<HashMap<Arc<str>, WeightedRoundRobin>>,
-    listeners: RefCell<Vec<HttpListener>>,
+    pub(crate) listeners: RefCell<Vec<HttpListener>>,
+    pub(crate) shutdown: RefCell<ShutdownGate>,
     /// Set when the requests still running must be answered immediately.
-    is_stopping: watch::Sender<bool>,
+    pub(crate) is_stopping: watch::Sender<bool>,
 }
 
 impl RouteService {
@@ -125,6 +126,7 @@
             directory,
             round_robins: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
+            shutdown: RefCell::default(),
             is_stopping: watch::Sender::new(false),
             settings,
             live,
@@ -159,32 +161,6 @@
         let listeners = self.listeners.borrow();
         listeners.first().map_or(self.settings.caller_listen, HttpListener::address)
     }
-
-    /// Closes each caller connection after its next reply, so that callers move to other VMs.
-    pub(crate) fn announce_leaving(&self) {
-        if let Some(listener) = self.listeners.borrow().first() {
-            listener.close_after_replies();
-        }
-    }
-
-    /// Finishes the running requests and closes all connections within `timeout`.
-    ///
-    /// Requests that still run shortly before the end are answered with a time-out, which tells the
-    /// caller more than a broken connection.
-    pub(crate) async fn drain(&self, timeout: Duration) {
-        let listeners = self.listeners.borrow().clone();
-        let end = Instant::now() + timeout;
-        let final_replies_at = end.checked_sub(FINAL_REPLY_TIME).unwrap_or(end);
-        let drains = listeners.iter().map(|listener| listener.drain(time_until(final_replies_at)));
-        join_all(drains).await;
-        self.is_stopping.send_replace(true);
-        for listener in listeners {
-            let left = listener.drain(time_until(end)).await;
-            if left > 0 {
-                log::error!(connections = left; "caller connections still open after the drain");
-            }
-        }
-    }
 }
 
 /// Reading calls and refusing requests.
@@ -274,6 +250,9 @@
             self.record_refused_request(&request, "body_too_long");
             return HttpReply::empty(StatusCode::PAYLOAD_TOO_LARGE).closing();
         }
+        if !self.begins_before_stop(&route, &request) {
+            return self.refuse_stopping(&request, relayed_attempts.is_some());
+        }
         self.run_within_quota(&routes, &route, request, &identity, relayed_attempts).await
     }
 
@@ -373,6 +352,9 @@
         let RouteReply { reply, outcome } =
             route_reply(self.dialect.as_ref(), route, &result, replies, failure);
         let latency = arrived.elapsed();
+        if result.ran != RunState::No {
+            self.shutdown.borrow_mut().record(&route.name, latency);
+        }
         self.metrics.record_route(&route.name, outcome, latency, &result);
         if let Some(organisation) = &request.organisation {
             self.metrics.record_organisation(organisation, outcome);
@@ -471,7 +453,6 @@
         let contract = organisation.and_then(|name| routes.organisations.contract(name));
         let homes = HomeRegions::of(route, contract);
         let route_manifest = self.manifests.get(route, version, &services, homes);
-        let time_limit = request.timeout.map_or(route.time_limit, |own| own.min(route.time_limit));
         let floor_permille = match &route.destination {
             // Rounded down, since the engine rounds the required number of shards up.
             RouteDestination::Sharded(shards) => {
@@ -483,7 +464,7 @@
             customer: ROUTE_CUSTOMER.into(),
             class: route.name.clone(),
             manifest: route_manifest.manifest,
-            deadline: arrived + time_limit,
+            deadline: arrived + time_limit(route, request),
             coverage_floor_permille: u32::try_from(floor_permille).unwrap_or(u32::MAX),
             preference: AnswerPreference::Coverage,
             priority: ClassPriority::Interactive,
@@ -514,21 +495,6 @@
     }
 }
 
-/// Returns the reply to a request that is still running when the VM stops.
-fn cut_by_stop(route: &RouteContract, request: &OpaqueRequest) -> HttpReply {
-    log::warn!(
-        request = request.id.as_str(),
-        route = route.name.as_ref(),
-        outcome = "cut_by_stop";
-        "request was still running when the VM stopped"
-    );
-    HttpReply::empty(StatusCode::GATEWAY_TIMEOUT).closing()
-}
-
-fn time_until(end: Instant) -> Duration {
-    end.saturating_duration_since(Instant::now())
-}
-
 /// Returns the limits that apply until the first routes are active.
 fn default_limits() -> HttpLimits {
     HttpLimits { max_connections: MAX_CALLER_CONNECTIONS, ..HttpLimits::default() }
@@ -570,6 +536,7 @@
         let version = Some(in_force.configuration.version);
         if std::mem::replace(&mut last_version, version) != version {
             routes.withdraw_requests(&in_force);
+            routes.forget_old_routes(&in_force.configuration);
         }
         if let Some(listener) = routes.listeners.borrow().first() {
             listener.set_limits(http_limits(&in_force.configuration.limits));
--- a/crates/daemon/src/settings/checked.rs
+++ b/crates/daemon/src/settings/checked.rs
@@ -16,6 +16,7 @@
 use oleanderwind_policy::QuotaSettings;
 use oleanderwind_policy::RegionId;
 use oleanderwind_policy::RoutingPolicy;
+use oleanderwind_policy::ShutdownSchedule;
 use oleanderwind_policy::VmId;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -43,13 +44,8 @@
 /// Suffix of a time that is given in seconds.
 const SECONDS_SUFFIX: char = 's';
 
-/// Part of the shutdown grace period that is reserved for the last message to peers and the exit
-/// of the process.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 /// Time in which any change of the platform's objects takes effect by default, in milliseconds.
 const DEFAULT_NEWS_LIMIT_MS: u32 = 13_000;
-/// Fraction of the shutdown grace period in which requests are still accepted.
-const NOTICE_FRACTION: f64 = 0.6;
 /// The number one, in thousandths.
 const ONE_PERMILLE: f64 = 1_000.0;
 /// The levels of log lines, for findings.
@@ -311,19 +307,17 @@
         self.change_limit.min(self.leave_limit)
     }
 
-    /// Returns how long a shutdown goes on serving, and how long it then waits for open requests.
+    /// Returns how the time of a planned stop is divided.
     ///
     /// Until all VMs know that this one is leaving, callers still get its address, and they use it
-    /// until their cached list expires. A grace period is split so that calls accepted at the end
-    /// of the first part still have time to finish, and the process exits before the period ends.
-    pub fn shutdown_durations(&self) -> (Duration, Duration) {
+    /// until their cached list expires.
+    pub fn shutdown_schedule(&self) -> ShutdownSchedule {
         match self.stop_grace {
-            None => (self.leave_notice + self.address_keep, self.drain_patience),
-            Some(grace) => {
-                let usable = grace.saturating_sub(SHUTDOWN_MARGIN);
-                let notice = usable.mul_f64(NOTICE_FRACTION);
-                (notice, usable - notice)
-            }
+            None => ShutdownSchedule {
+                notice: self.leave_notice + self.address_keep,
+                patience: self.drain_patience,
+            },
+            Some(grace) => ShutdownSchedule::of_grace(grace),
         }
     }
 }
