--- a/crates/policy/src/shutdown/schedule.rs
+++ b/crates/policy/src/shutdown/schedule.rs
@@ -44,7 +44,7 @@
         ShutdownSchedule { notice, patience: usable.saturating_sub(notice) }
     }
 
-    /// Returns the time after which requests that still run are cut, from the begin of the stop on.
+    /// Returns the time after which requests that still run are cut, from the start of the stop.
     pub fn run_time(&self) -> Duration {
         self.notice + self.patience - self.reply_time()
     }
