--- a/crates/http/tests/cut_replies.rs
+++ b/crates/http/tests/cut_replies.rs
@@ -24,16 +24,16 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Replies with a body by length, in chunks, without any body, behind an interim one, and of an earlier version.
 const FRAMED_REPLIES: [&str; 5] = [
-    "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nX-Trailer: t\r\n\r\n",
-    "HTTP/1.1 204 No Content\r\nX-Server-Stamp: s\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nX-Signature: s\r\n\r\n",
     "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
     "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 ];
 /// Replies whose body ends with the connection.
 const UNFRAMED_REPLIES: [&str; 2] = [
-    "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\nbody",
-    "HTTP/1.0 200 OK\r\nX-Server-Stamp: s\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\nbody",
+    "HTTP/1.0 200 OK\r\nX-Signature: s\r\n\r\nbody",
 ];
 
 /// How a server ends a connection.
