--- /dev/null
+++ b/review/standin-2/src/vm.rs
@@ -0,0 +1,113 @@
+//! A VM process, started with the command of the deploy file.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http::call;
+use crate::http::name;
+
+/// Program of the deploy file.
+const PROGRAM: &str = "target/release/oleanderwind-vm";
+/// The settings file, as the template of the deploy file is filled in.
+const SETTINGS: &str = include_str!("../settings.txt");
+/// Time in which a VM becomes ready.
+const READY_TIME: Duration = Duration::from_secs(15);
+
+/// A VM.
+pub(crate) struct Vm {
+    pub(crate) name: String,
+    pub(crate) caller: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Vm {
+    /// Starts a VM on free ports; its settings and its log are written to `folder`.
+    pub(crate) fn start(name: &str, store: SocketAddr, folder: &Path) -> io::Result<Vm> {
+        let listeners: Vec<TcpListener> =
+            (0..5).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+        let addresses: Vec<SocketAddr> =
+            listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+        drop(listeners);
+        let words = ["CALLER", "READINESS", "ADDRESSES", "PEER", "ADMIN"];
+        let mut text = SETTINGS.replace("NAME", name).replace("STORE", &store.to_string());
+        for (word, address) in words.iter().zip(&addresses) {
+            text = text.replace(word, &address.to_string());
+        }
+        let settings = folder.join(format!("{name}.conf"));
+        fs::write(&settings, text.replace("FIRST", "true"))?;
+        let child = spawn(&settings)?;
+        let vm = Vm {
+            name: name.to_owned(),
+            caller: addresses[0],
+            readiness: addresses[1],
+            settings,
+            child,
+        };
+        Ok(vm)
+    }
+
+    /// Starts the process again after it has ended, with the same addresses.
+    pub(crate) fn restart(&mut self) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text.replace("first-start=true", "first-start=false"))?;
+        self.child = spawn(&self.settings)?;
+        Ok(())
+    }
+
+    /// Waits until the VM is ready; returns whether it became so.
+    pub(crate) fn wait_until_ready(&self) -> bool {
+        let request = format!("GET {} HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", name("ready"));
+        let end = Instant::now() + READY_TIME;
+        while Instant::now() < end {
+            let reply = call(self.readiness, request.as_bytes(), Duration::from_secs(1));
+            if reply.ok().flatten().is_some_and(|reply| reply.word(1) == "200") {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    /// Returns the resident memory and its peak, in kB; `None` if the process has ended.
+    pub(crate) fn memory_kb(&self) -> Option<(u64, u64)> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let value = |name: &str| {
+            let line = status.lines().find(|line| line.starts_with(name))?;
+            line.split_whitespace().nth(1)?.parse().ok()
+        };
+        Some((value("VmRSS:")?, value("VmHWM:")?))
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        // Fails if the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(settings: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
+    let errors = log.try_clone()?;
+    let mut command = Command::new(PROGRAM);
+    command.arg("--settings-file").arg(settings).stdin(Stdio::null());
+    command.stdout(log).stderr(errors).spawn()
+}
