test(review): show paths of many parts that hang a VM

Cause: the lookup of a route hashes every prefix of the path, which takes a time that grows with the square of its length.

--- a/review/standin-2/src/heads.rs
+++ b/review/standin-2/src/heads.rs
@@ -59,13 +59,7 @@
 fn play(record: &Record, temporary: &Path, is_troubled: bool) -> Result<Verdict, String> {
     let problem = |error: io::Error| error.to_string();
     let store = Store::start().map_err(problem)?;
-    let mut targets = Vec::new();
-    for number in 0..4 {
-        let target = Target::start(&format!("i-{number}")).map_err(problem)?;
-        let entry = include_str!("../entry.json");
-        store.put("servers", &target.id, &entry.trim().replace("ADDRESS", &target.address.to_string()));
-        targets.push(target);
-    }
+    let targets = Target::start_listed(4, &store).map_err(problem)?;
     store.put("config", "main", include_str!("../config.json").trim());
     let mut broken = 0;
     for machine in 0..MACHINES {
@@ -173,9 +167,7 @@
         if !is_set || stream.write_all(&request[..length]).is_err() {
             continue;
         }
-        if !is_troubled
-            && let Ok(copy) = stream.try_clone()
-        {
+        if !is_troubled && let Ok(copy) = stream.try_clone() {
             // What the answer says is not judged.
             let _ = read_message(&mut BufReader::new(copy));
         }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod heads;
 mod http;
 mod record;
+mod slashes;
 mod store;
 mod target;
 mod vm;
@@ -32,6 +33,7 @@
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
         "heads" => heads::run(&folder, is_troubled),
+        "slashes" => slashes::run(&folder, is_troubled),
         _ => Err(format!("there is no case {case}")),
     };
     match verdict {
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -134,9 +134,12 @@
                 let end = Instant::now() + Duration::from_millis(wait_ms);
                 loop {
                     let newer = state.changes.iter();
-                    let newer = newer.filter(|change| change.kind == kind && change.revision > after);
+                    let newer =
+                        newer.filter(|change| change.kind == kind && change.revision > after);
                     let events: Vec<String> = newer
-                        .map(|change| format!(r#"{{"removed":false,"object":{}}}"#, change.document))
+                        .map(|change| {
+                            format!(r#"{{"removed":false,"object":{}}}"#, change.document)
+                        })
                         .collect();
                     let left = end.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
@@ -174,9 +177,9 @@
             let Some(held) = state.objects.get(&key).cloned() else {
                 return (MISSING, "{}".to_owned());
             };
-            let revision = body.split_once("\"revision\":").map(|(_, rest)| {
-                rest.chars().take_while(char::is_ascii_digit).collect::<String>()
-            });
+            let revision = body
+                .split_once("\"revision\":")
+                .map(|(_, rest)| rest.chars().take_while(char::is_ascii_digit).collect::<String>());
             if revision.is_some_and(|revision| revision != held.revision.to_string()) {
                 return (CONFLICT, document(object, &held));
             }
--- a/review/standin-2/src/target.rs
+++ b/review/standin-2/src/target.rs
@@ -13,21 +13,38 @@
 use crate::http::answer;
 use crate::http::name;
 use crate::http::read_message;
+use crate::store::Store;
 
 /// Body of each answer.
 const BODY: &[u8] = b"a body of 16 byt";
 
 /// A target.
 pub(crate) struct Target {
-    pub(crate) id: String,
-    pub(crate) address: SocketAddr,
+    id: String,
+    address: SocketAddr,
     /// Number of requests that it ran.
     pub(crate) ran: Arc<AtomicU64>,
 }
 
 impl Target {
+    /// Starts a number of targets, which the store lists.
+    pub(crate) fn start_listed(count: usize, store: &Store) -> io::Result<Vec<Target>> {
+        let mut targets = Vec::with_capacity(count);
+        for number in 0..count {
+            let target = Target::start(&format!("i-{number}"))?;
+            let entry = include_str!("../entry.json").trim();
+            store.put(
+                "servers",
+                &target.id,
+                &entry.replace("ADDRESS", &target.address.to_string()),
+            );
+            targets.push(target);
+        }
+        Ok(targets)
+    }
+
     /// Starts a target on a free port.
-    pub(crate) fn start(id: &str) -> io::Result<Target> {
+    fn start(id: &str) -> io::Result<Target> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let ran = Arc::new(AtomicU64::new(0));
--- a/review/standin-2/src/vm.rs
+++ b/review/standin-2/src/vm.rs
@@ -68,11 +68,9 @@
 
     /// Waits until the VM is ready; returns whether it became so.
     pub(crate) fn wait_until_ready(&self) -> bool {
-        let request = format!("GET {} HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", name("ready"));
         let end = Instant::now() + READY_TIME;
         while Instant::now() < end {
-            let reply = call(self.readiness, request.as_bytes(), Duration::from_secs(1));
-            if reply.ok().flatten().is_some_and(|reply| reply.word(1) == "200") {
+            if self.is_ready(Duration::from_secs(1)) {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(50));
@@ -80,6 +78,14 @@
         false
     }
 
+    /// Asks the VM whether it is ready, as the platform does.
+    pub(crate) fn is_ready(&self, patience: Duration) -> bool {
+        let path = name("ready");
+        let request = format!("GET {path} HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
+        let reply = call(self.readiness, request.as_bytes(), patience);
+        reply.ok().flatten().is_some_and(|reply| reply.word(1) == "200")
+    }
+
     /// Returns the resident memory and its peak, in kB; `None` if the process has ended.
     pub(crate) fn memory_kb(&self) -> Option<(u64, u64)> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
