test(review): show a fleet whose watch holders the store turns away

Cause: the watch holders follow from the view of the fleet; one that the store turns away stays a holder, and nobody takes its place.

--- a/review/standin-2/src/heads.rs
+++ b/review/standin-2/src/heads.rs
@@ -59,7 +59,7 @@
 fn play(record: &Record, temporary: &Path, is_troubled: bool) -> Result<Verdict, String> {
     let problem = |error: io::Error| error.to_string();
     let store = Store::start().map_err(problem)?;
-    let targets = Target::start_listed(4, &store).map_err(problem)?;
+    let targets = Target::start_listed("one", 4, &store).map_err(problem)?;
     store.put("config", "main", include_str!("../config.json").trim());
     let mut broken = 0;
     for machine in 0..MACHINES {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,9 +1,12 @@
 //! Stand-ins of the platform, of targets and of callers for the cases of the second review, and the cases
 //! themselves. The names of the platform stand in text files beside the sources.
 
+mod callers;
+mod doors;
 mod heads;
 mod http;
 mod record;
+mod refusal;
 mod slashes;
 mod store;
 mod target;
@@ -32,7 +35,9 @@
     let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
+        "doors" => doors::run(&folder, is_troubled),
         "heads" => heads::run(&folder, is_troubled),
+        "refusal" => refusal::run(&folder, is_troubled),
         "slashes" => slashes::run(&folder, is_troubled),
         _ => Err(format!("there is no case {case}")),
     };
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -1,4 +1,4 @@
-//! The platform's store, with the calls that a VM makes. It is never disturbed.
+//! The platform's store, with the calls that a VM makes. Each VM may have a door of its own, which can be closed.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -10,6 +10,9 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,6 +42,24 @@
     changes: Vec<Change>,
 }
 
+/// Longest time for which a waiting call does not notice that its door was closed.
+const DOOR_INTERVAL: Duration = Duration::from_millis(50);
+
+/// An address of the store, at which it may turn callers away.
+pub(crate) struct Door {
+    pub(crate) address: SocketAddr,
+    pub(crate) state: Arc<DoorState>,
+}
+
+/// State of a door.
+#[derive(Default)]
+pub(crate) struct DoorState {
+    /// Whether all calls are answered 503.
+    pub(crate) is_closed: AtomicBool,
+    /// Number of watch calls that it answered.
+    pub(crate) watches: AtomicU64,
+}
+
 /// The store.
 pub(crate) struct Store {
     pub(crate) address: SocketAddr,
@@ -48,18 +69,14 @@
 impl Store {
     /// Starts a store on a free port.
     pub(crate) fn start() -> io::Result<Store> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
         let shared: Arc<(Mutex<State>, Condvar)> = Arc::default();
-        let own = shared.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = own.clone();
-                // A connection that breaks ends its thread.
-                std::thread::spawn(move || serve(stream, &shared));
-            }
-        });
-        Ok(Store { address, shared })
+        let door = open_door(&shared)?;
+        Ok(Store { address: door.address, shared })
+    }
+
+    /// Opens a further address of the store.
+    pub(crate) fn open_door(&self) -> io::Result<Door> {
+        open_door(&self.shared)
     }
 
     /// Writes an object.
@@ -71,6 +88,21 @@
     }
 }
 
+fn open_door(shared: &Arc<(Mutex<State>, Condvar)>) -> io::Result<Door> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let state: Arc<DoorState> = Arc::default();
+    let (own_shared, own_state) = (shared.clone(), state.clone());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (shared, door) = (own_shared.clone(), own_state.clone());
+            // A connection that breaks ends its thread.
+            std::thread::spawn(move || serve(stream, &shared, &door));
+        }
+    });
+    Ok(Door { address, state })
+}
+
 impl State {
     fn put(&mut self, kind: &str, name: &str, spec: &str) -> String {
         let key = (kind.to_owned(), name.to_owned());
@@ -93,19 +125,27 @@
     format!(r#"{{"meta":{{"name":"{name}","revision":{revision}}},"spec":{spec}}}"#)
 }
 
-fn serve(stream: TcpStream, shared: &(Mutex<State>, Condvar)) -> io::Result<()> {
+fn serve(stream: TcpStream, shared: &(Mutex<State>, Condvar), door: &DoorState) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_message(&mut reader)? {
-        let (status, body) = reply(&request, shared);
+        let (status, body) = reply(&request, shared, door);
         let headers = [("Content-Type", "application/json")];
         writer.write_all(&answer(status, &headers, body.as_bytes()))?;
     }
     Ok(())
 }
 
-fn reply(request: &Message, shared: &(Mutex<State>, Condvar)) -> (&'static str, String) {
+fn reply(
+    request: &Message,
+    shared: &(Mutex<State>, Condvar),
+    door: &DoorState,
+) -> (&'static str, String) {
+    const BUSY: &str = "503 Service Unavailable";
+    if door.is_closed.load(Ordering::Relaxed) {
+        return (BUSY, "{}".to_owned());
+    }
     const OK: &str = "200 OK";
     const MISSING: &str = "404 Not Found";
     const CONFLICT: &str = "409 Conflict";
@@ -132,7 +172,11 @@
             Some(after) => {
                 let wait_ms = parameter("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
                 let end = Instant::now() + Duration::from_millis(wait_ms);
+                door.watches.fetch_add(1, Ordering::Relaxed);
                 loop {
+                    if door.is_closed.load(Ordering::Relaxed) {
+                        return (BUSY, "{}".to_owned());
+                    }
                     let newer = state.changes.iter();
                     let newer =
                         newer.filter(|change| change.kind == kind && change.revision > after);
@@ -147,7 +191,7 @@
                         let (events, revision) = (events.join(","), state.revision);
                         return (OK, format!(r#"{{"events":[{events}],"{position}":{revision}}}"#));
                     }
-                    let waited = changed.wait_timeout(state, left);
+                    let waited = changed.wait_timeout(state, left.min(DOOR_INTERVAL));
                     state = waited.expect("no thread panics with the lock").0;
                 }
             }
--- a/review/standin-2/src/target.rs
+++ b/review/standin-2/src/target.rs
@@ -27,12 +27,16 @@
 }
 
 impl Target {
-    /// Starts a number of targets, which the store lists.
-    pub(crate) fn start_listed(count: usize, store: &Store) -> io::Result<Vec<Target>> {
+    /// Starts a number of targets of a service, which the store lists.
+    pub(crate) fn start_listed(
+        service: &str,
+        count: usize,
+        store: &Store,
+    ) -> io::Result<Vec<Target>> {
         let mut targets = Vec::with_capacity(count);
         for number in 0..count {
-            let target = Target::start(&format!("i-{number}"))?;
-            let entry = include_str!("../entry.json").trim();
+            let target = Target::start(&format!("i-{service}-{number}"))?;
+            let entry = include_str!("../entry.json").trim().replace("SERVICE", service);
             store.put(
                 "servers",
                 &target.id,
