fix(policy,daemon): other VMs watch the store while it refuses the watch holders

Cause: who holds watches followed from the view of the fleet alone. A holder that answers its peers kept the role, whatever the store did with its calls, and nothing told the others.

Ruled out: VMs that hear of the change and do not apply it, and VMs that ask and get old answers.

Change: a VM whose calls fail for a second says so in its record. The holders are chosen among the others, the next eight are told at once, and further ones take over ever more slowly, as the store may be down for all.

Why it works: the role goes by what its holder can do, and the test of it is the call that the role consists of.

--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -98,9 +98,10 @@
         );
         for member in self {
             let lag = if member.is_lagging { "  lags" } else { "" };
+            let refusal = if member.is_refused { "  refused by the platform" } else { "" };
             write_line!(
                 text,
-                "{:<20} {:<20} {:<10} {:>10}{lag}",
+                "{:<20} {:<20} {:<10} {:>10}{lag}{refusal}",
                 member.vm,
                 member.failure_domain,
                 member.phase,
--- a/crates/daemon/src/peers/configuration.rs
+++ b/crates/daemon/src/peers/configuration.rs
@@ -36,6 +36,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         state.contact.record_contact(now);
+        state.refusals.record_answer(now);
         for kind in kinds {
             state.news.record_word(*kind, now);
         }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -13,6 +13,7 @@
 mod server;
 mod service;
 mod view;
+mod watches;
 
 pub(crate) use configuration::configuration_object;
 pub(crate) use limits::PermitAnswer;
--- a/crates/daemon/src/peers/service.rs
+++ b/crates/daemon/src/peers/service.rs
@@ -28,6 +28,7 @@
 use oleanderwind_policy::QuarantineEngine;
 use oleanderwind_policy::ReachState;
 use oleanderwind_policy::ReadinessGate;
+use oleanderwind_policy::RefusalTracker;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -56,6 +57,7 @@
     pub(crate) readiness: ReadinessGate,
     pub(crate) contact: ContactTracker,
     pub(crate) news: NewsTracker,
+    pub(crate) refusals: RefusalTracker,
     pub(crate) drains: DrainTable,
     pub(crate) quarantine: QuarantineEngine,
     pub(crate) limits: LimitTable,
@@ -270,6 +272,7 @@
         caller_address: settings.caller_listen,
         revision: 0,
         processor_millicores: settings.processor_millicores,
+        is_refused: false,
     };
     let mut membership = MembershipSettings::default();
     membership.seed = settings.seed;
@@ -279,6 +282,7 @@
         readiness: ReadinessGate::default(),
         contact: ContactTracker::new(now),
         news: NewsTracker::default(),
+        refusals: RefusalTracker::default(),
         drains: DrainTable::default(),
         quarantine: QuarantineEngine::default(),
         limits: LimitTable::default(),
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -13,7 +13,6 @@
 use oleanderwind_policy::MemberState;
 use oleanderwind_policy::ShardPlacement;
 use oleanderwind_policy::VmId;
-use oleanderwind_policy::WatchPosition;
 use oleanderwind_policy::most_capable;
 use oleanderwind_policy::rank_holders_for_caller;
 use oleanderwind_policy::select_vms_for_caller;
@@ -83,6 +82,7 @@
             phase: phase.to_owned(),
             revision: held,
             is_lagging: held < revision,
+            is_refused: record.is_refused,
             word_ages_ms: BTreeMap::new(),
         };
         let own = state.membership.own();
@@ -136,29 +136,6 @@
         let request = BorrowRequest { vm: self.settings.vm.to_string(), wanted: vec![wanted] };
         self.clients.borrow(address, request).await
     }
-
-    /// Returns whether this VM should hold watches on the platform.
-    ///
-    /// A VM that has lost contact always should, as its view of the fleet may be outdated.
-    pub(crate) fn is_watch_holder(&self) -> bool {
-        self.contact_state() != ContactState::Fresh
-            || self.state.borrow().membership.is_watch_holder()
-    }
-
-    /// Returns whether no other VM that this one hears should hold watches.
-    pub(crate) fn is_only_watch_holder(&self) -> bool {
-        let state = self.state.borrow();
-        !state.news.hears_peers(Instant::now()) || !state.membership.has_other_watch_holders()
-    }
-
-    /// Returns this VM's place among the watch holders, alone while it hears no peer.
-    pub(crate) fn watch_position(&self) -> WatchPosition {
-        let state = self.state.borrow();
-        match state.news.hears_peers(Instant::now()) {
-            true => state.membership.watch_position(),
-            false => WatchPosition::ALONE,
-        }
-    }
 }
 
 /// Queries within this service.
--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -10,10 +10,12 @@
 use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
+use futures_util::FutureExt;
 use futures_util::StreamExt;
 use futures_util::future::try_join;
 use futures_util::future::try_join_all;
 use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::DutyStep;
 use oleanderwind_policy::Era;
 use oleanderwind_policy::MissingObjects;
 use oleanderwind_policy::ObjectKind;
@@ -22,10 +24,12 @@
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WatchBackoff;
+use oleanderwind_policy::WatchDuty;
 use oleanderwind_policy::WatchPace;
 use oleanderwind_policy::era_of;
 use oleanderwind_wire::WatchEvent;
 use oleanderwind_wire::WatchKind;
+use tokio::sync::Notify;
 
 use crate::directory::ChangeSource;
 use crate::directory::DirectoryService;
@@ -79,6 +83,9 @@
     listed_era: Cell<Option<Era>>,
     /// Revision after which the next watch of evacuations starts; `None` while this VM holds no watches.
     evacuation_revision: Cell<Option<Revision>>,
+    duty: Cell<WatchDuty>,
+    /// Wakes the task that tells peers whether the platform refuses this VM.
+    refusal_changes: Notify,
 }
 
 /// Revision after which the next watch of each kind starts.
@@ -101,6 +108,8 @@
             outages: Cell::new(OutageTracker::new(kernel.settings().lapse_hold)),
             listed_era: Cell::new(None),
             evacuation_revision: Cell::new(None),
+            duty: Cell::new(WatchDuty::default()),
+            refusal_changes: Notify::new(),
         };
         let backoff = WatchBackoff::new(
             kernel.settings().seed,
@@ -123,18 +132,27 @@
 }
 
 impl SyncTask {
-    /// Lists and watches until the task is aborted.
-    async fn run(self, mut backoff: WatchBackoff) {
+    /// Lists, watches and tells peers of refusals until the task is aborted.
+    async fn run(self, backoff: WatchBackoff) {
+        tokio::join!(self.follow_platform(backoff), self.follow_refusals());
+    }
+
+    /// Lists and watches while this VM is on duty.
+    async fn follow_platform(&self, mut backoff: WatchBackoff) {
         let mut revisions = None;
         let mut must_list = false;
         tokio::time::sleep_until(backoff.next_call().into()).await;
         self.wait_for_watch_holders().await;
         loop {
-            if self.directory.is_configured() && !self.peers.is_watch_holder() {
+            if self.directory.is_configured() && !self.is_on_duty() {
                 // Gossip keeps the store up to date; the next watch starts at its revision.
                 revisions = None;
                 self.evacuation_revision.set(None);
                 self.peers.forget_platform_words();
+                self.unreachable_since.set(None);
+                if self.peers.is_refused() {
+                    self.refusal_changes.notify_one();
+                }
                 tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
                 continue;
             }
@@ -172,6 +190,40 @@
         }
     }
 
+    /// Returns whether this VM should call the platform now.
+    fn is_on_duty(&self) -> bool {
+        let mut duty = self.duty.get();
+        let refused_vms = self.peers.refused_domain_vms();
+        let step = duty.update(self.peers.watch_role(), refused_vms, Instant::now());
+        self.duty.set(duty);
+        match step {
+            DutyStep::Rest => false,
+            DutyStep::TakeOver => {
+                log::info!(
+                    refused = refused_vms, revision = self.peers.complete_revision();
+                    "the platform refuses watch holders of this failure domain, this VM takes over"
+                );
+                self.update_outages(OutageTracker::record_takeover);
+                true
+            }
+            DutyStep::Hold => true,
+        }
+    }
+
+    /// Tells peers whenever the platform begins or ceases to refuse this VM.
+    async fn follow_refusals(&self) {
+        loop {
+            let change = match self.peers.update_refusal() {
+                Some(due_at) => tokio::time::sleep_until(due_at.into()).left_future(),
+                None => std::future::pending().right_future(),
+            };
+            tokio::select! {
+                () = change => {}
+                () = self.refusal_changes.notified() => {}
+            }
+        }
+    }
+
     /// Waits for configuration from the failure domain's watch holders, if this VM is none of them.
     ///
     /// Gives up after [`PEER_WAIT_TIMEOUT`].
@@ -433,12 +485,17 @@
             );
         }
         self.peers.record_platform_word(kinds);
+        if self.peers.is_refused() {
+            self.refusal_changes.notify_one();
+        }
         self.update_outages(|outages| outages.record_contact(Instant::now()));
     }
 
     /// Records that a call to the platform failed; each outage is logged once.
     fn record_outage(&self, error: &PlatformError, backoff: &WatchBackoff) {
         self.update_outages(OutageTracker::record_failure);
+        self.peers.record_platform_failure();
+        self.refusal_changes.notify_one();
         if self.unreachable_since.get().is_some() {
             return;
         }
--- a/crates/policy/src/lapse/outage.rs
+++ b/crates/policy/src/lapse/outage.rs
@@ -51,6 +51,12 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Records that this VM takes over from others that the store turned away: it may have been away for
+    /// all.
+    pub fn record_takeover(&mut self) {
+        self.failures = self.failures.max(OUTAGE_FAILURES);
+    }
+
     /// Records an answer of the store, which ends an outage.
     pub fn record_contact(&mut self, now: Instant) {
         if self.is_away() {
--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -1,6 +1,7 @@
 //! Heartbeats, failure detection and the gossip of member records.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +24,7 @@
 use crate::ProbePlan;
 use crate::VmId;
 use crate::WatchPosition;
+use crate::WatchRole;
 use crate::membership::update_queue::UpdateQueue;
 use crate::most_capable;
 use crate::watch_holders;
@@ -33,6 +35,9 @@
 /// Longest delay of the next heartbeat after one was received, in periods.
 const MAX_HEARTBEAT_DELAY_PERIODS: u32 = 4;
 
+/// Minimum number of VMs of its failure domain that a VM notifies of a refusal, if there are as many.
+const MIN_REFUSAL_NOTICES: usize = 8;
+
 /// A network call for the driver to make.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MembershipAction {
@@ -131,25 +136,41 @@
         std::iter::once(next.clone()).chain(others.cloned()).take(count).collect()
     }
 
-    /// Returns whether this VM should hold watches on the platform.
-    pub fn is_watch_holder(&self) -> bool {
-        self.own_domain_holders().contains(&self.own.vm)
+    /// Returns this VM's part in the watches on the platform.
+    pub fn watch_role(&self) -> WatchRole {
+        let domain_vms: Vec<&MemberRecord> =
+            std::iter::once(&self.own).chain(self.domain_peers()).collect();
+        let is_own = |vm: &VmId| *vm == self.own.vm;
+        if capable_watch_holders(&self.own.failure_domain, &domain_vms).iter().any(is_own) {
+            return WatchRole::Regular;
+        }
+        match self.answered_domain_holders().iter().any(is_own) {
+            true => WatchRole::Substitute,
+            false => WatchRole::None,
+        }
     }
 
-    /// Returns whether other VMs should hold watches, of any failure domain.
+    /// Returns whether other VMs should hear of changes from the platform, of any failure domain.
     pub fn has_other_watch_holders(&self) -> bool {
-        // Every failure domain with a serving VM has a holder.
-        let mut serving = self.serving_members();
-        serving.any(|record| record.failure_domain != self.own.failure_domain)
-            || self.own_domain_holders().iter().any(|vm| *vm != self.own.vm)
+        // Every failure domain with a serving VM that the platform answers has a holder.
+        let mut answered = self.serving_members().filter(|record| !record.is_refused);
+        answered.any(|record| record.failure_domain != self.own.failure_domain)
+            || self.answered_domain_holders().iter().any(|vm| *vm != self.own.vm)
+    }
+
+    /// Returns how many VMs of this VM's failure domain the platform refuses.
+    pub fn refused_domain_vms(&self) -> usize {
+        let domain_vms = std::iter::once(&self.own).chain(self.domain_peers());
+        domain_vms.filter(|record| record.is_refused).count()
     }
 
     /// Returns this VM's place among the watch holders of all failure domains.
     ///
-    /// A VM that should hold no watch is in the place of the first.
+    /// A VM that should hold no watch, or that the platform refuses, is in the place of the first.
     pub fn watch_position(&self) -> WatchPosition {
         let mut domains: BTreeMap<&FailureDomainId, Vec<&MemberRecord>> = BTreeMap::new();
-        for record in self.serving_members().chain([&self.own]) {
+        let vms = self.serving_members().chain([&self.own]);
+        for record in vms.filter(|record| !record.is_refused) {
             domains.entry(&record.failure_domain).or_default().push(record);
         }
         let holders_of = |(domain, vms): (&FailureDomainId, Vec<&MemberRecord>)| {
@@ -178,11 +199,19 @@
         self.vms_by_state(|state| state == MemberState::Serving)
     }
 
-    /// Returns the watch holders of this VM's failure domain.
-    fn own_domain_holders(&self) -> Vec<VmId> {
-        let vms: Vec<&MemberRecord> =
-            std::iter::once(&self.own).chain(self.domain_peers()).collect();
-        capable_watch_holders(&self.own.failure_domain, &vms)
+    /// Returns the VMs of this VM's failure domain that should hear of changes from the platform: its
+    /// watch holders, with others in the place of those that the platform refuses.
+    fn answered_domain_holders(&self) -> Vec<VmId> {
+        self.domain_holders_except(&BTreeSet::new())
+    }
+
+    /// Returns the VMs that take the place of those in `excluded` and of those that the platform refuses.
+    fn domain_holders_except(&self, excluded: &BTreeSet<VmId>) -> Vec<VmId> {
+        let domain_vms = std::iter::once(&self.own).chain(self.domain_peers());
+        let is_candidate =
+            |record: &&MemberRecord| !record.is_refused && !excluded.contains(&record.vm);
+        let candidates: Vec<&MemberRecord> = domain_vms.filter(is_candidate).collect();
+        capable_watch_holders(&self.own.failure_domain, &candidates)
     }
 
     /// Returns the members whose state satisfies `predicate`.
@@ -233,6 +262,30 @@
         self.notify(Self::NOTIFY_FANOUT, summary)
     }
 
+    /// Records whether the platform refuses this VM, and notifies the VMs that hold watches because of
+    /// it, before or from now on, and at least [`MIN_REFUSAL_NOTICES`] that are next after them: holders
+    /// that are refused at the same moment would tell only each other, and views of who is next differ.
+    pub fn announce_refusal(
+        &mut self,
+        is_refused: bool,
+        summary: ObjectSummary,
+    ) -> Vec<MembershipAction> {
+        let mut holders: BTreeSet<VmId> = self.answered_domain_holders().into_iter().collect();
+        self.own.is_refused = is_refused;
+        self.republish_own();
+        holders.extend(self.answered_domain_holders());
+        holders.insert(self.own.vm.clone());
+        while holders.len() <= MIN_REFUSAL_NOTICES {
+            let next = self.domain_holders_except(&holders);
+            if next.is_empty() {
+                break;
+            }
+            holders.extend(next);
+        }
+        holders.remove(&self.own.vm);
+        holders.into_iter().filter_map(|vm| self.build_heartbeat(vm, summary)).collect()
+    }
+
     /// Returns an unscheduled heartbeat to a VM that seems not to answer.
     pub fn probe(&mut self, vm: &VmId, summary: ObjectSummary) -> Option<MembershipAction> {
         self.build_heartbeat(vm.clone(), summary)
--- a/crates/policy/src/membership/member.rs
+++ b/crates/policy/src/membership/member.rs
@@ -7,7 +7,7 @@
 use crate::VmId;
 
 /// Upper bound of the bytes of a record's tags, lengths and flags in the peer protocol.
-const RECORD_OVERHEAD_BYTES: usize = 18;
+const RECORD_OVERHEAD_BYTES: usize = 20;
 
 /// Lifecycle phase that a VM reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -59,6 +59,8 @@
     pub revision: Revision,
     /// Processor limit, in thousandths of a core; 0 if unknown.
     pub processor_millicores: u32,
+    /// Whether the platform answers none of its calls, as it reports itself.
+    pub is_refused: bool,
 }
 
 impl MemberRecord {
@@ -126,6 +128,7 @@
             caller_address: listed.caller_address,
             revision: 0,
             processor_millicores: listed.processor_millicores,
+            is_refused: false,
         }
     }
 }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -9,12 +9,14 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use oleanderwind_policy::ConfigurationObject;
+use oleanderwind_policy::DutyStep;
 use oleanderwind_policy::EvacuationRecord;
 use oleanderwind_policy::EvacuationTable;
 use oleanderwind_policy::ExchangeMessage;
@@ -30,10 +32,12 @@
 use oleanderwind_policy::ObjectListing;
 use oleanderwind_policy::ObjectPull;
 use oleanderwind_policy::PlatformVm;
+use oleanderwind_policy::RefusalTracker;
 use oleanderwind_policy::Revision;
 use oleanderwind_policy::VmId;
 use oleanderwind_policy::WatchBackoff;
-use oleanderwind_policy::watch_holders;
+use oleanderwind_policy::WatchDuty;
+use oleanderwind_policy::WatchRole;
 use oleanderwind_wire::peer;
 use prost::Message;
 use rand::RngExt;
@@ -46,11 +50,14 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of peers to which a VM relays an evacuation.
 const RELAY_FANOUT: usize = 3;
-/// Interval at which a VM checks whether it has become a watch holder.
-const HOLDER_CHECK_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which other VMs must have been the watch holders before a VM closes its watches.
+const RELEASE_DELAY: Duration = Duration::from_secs(2);
+/// Longest wait of a VM after a failed call to the platform.
+const PLATFORM_RETRY: Duration = Duration::from_secs(10);
 
 enum Event {
     Tick { node: usize, generation: u64 },
+    Refusal { node: usize, generation: u64 },
     Chase { node: usize, generation: u64 },
     Request { from: usize, to: usize, message: ExchangeMessage, evacuations: Vec<EvacuationRecord> },
     Reply { from: usize, to: usize, message: ExchangeMessage, evacuations: Vec<EvacuationRecord> },
@@ -76,12 +83,21 @@
     watching_until: Option<Instant>,
     /// Whether the open watch brings nothing more.
     pub(crate) is_watch_lost: bool,
-    next_holder_check: Instant,
+    refusals: RefusalTracker,
+    duty: WatchDuty,
+    /// Since when the node should no longer hold the watches that it holds.
+    idle_since: Option<Instant>,
+    /// Number of times that the node has taken over watches.
+    pub(crate) takeovers: usize,
 }
 
 #[derive(Default)]
 pub(crate) struct Platform {
     pub(crate) is_down: bool,
+    /// VMs whose calls it turns away.
+    pub(crate) refused: BTreeSet<usize>,
+    /// VMs that called it while it turned them away or was down.
+    pub(crate) turned_away: BTreeSet<usize>,
     pub(crate) revision: Revision,
     pub(crate) vms: Vec<PlatformVm>,
     /// Number of calls by second of virtual time.
@@ -135,8 +151,12 @@
 
     /// Returns a fleet whose VMs are spread over `domains` failure domains.
     pub(crate) fn with_domains(size: usize, domains: usize, settings: MembershipSettings) -> Fleet {
-        let start = Instant::now();
-        let vms: Vec<PlatformVm> = (0..size).map(|number| platform_vm(number, domains)).collect();
+        Fleet::with_vms((0..size).map(|number| platform_vm(number, domains)).collect(), settings)
+    }
+
+    /// Returns a fleet of these VMs.
+    pub(crate) fn with_vms(vms: Vec<PlatformVm>, settings: MembershipSettings) -> Fleet {
+        let (start, size) = (Instant::now(), vms.len());
         let mut fleet = Fleet {
             nodes: Vec::new(),
             now: start,
@@ -181,10 +201,13 @@
             bytes: 0,
             generation,
             is_chasing: false,
-            backoff: WatchBackoff::new(seed, Duration::from_secs(10), self.now),
+            backoff: WatchBackoff::new(seed, PLATFORM_RETRY, self.now),
             watching_until: None,
             is_watch_lost: false,
-            next_holder_check: self.now,
+            refusals: RefusalTracker::default(),
+            duty: WatchDuty::default(),
+            idle_since: None,
+            takeovers: 0,
         }
     }
 
@@ -218,7 +241,9 @@
     }
 
     fn can_reach_platform(&self, node: usize) -> bool {
-        !self.platform.is_down && self.partition.is_none_or(|partition| node < partition)
+        !self.platform.is_down
+            && !self.platform.refused.contains(&node)
+            && self.partition.is_none_or(|partition| node < partition)
     }
 
     /// Counts the bytes of a message at both ends.
@@ -284,10 +309,26 @@
     pub(crate) fn set_platform_down(&mut self, is_down: bool) {
         self.platform.is_down = is_down;
         for number in 0..self.nodes.len() {
-            if self.nodes[number].watching_until.take().is_some() {
-                let now = self.now;
-                self.nodes[number].backoff.record_failure(now);
-            }
+            self.cut_watch(number);
+        }
+    }
+
+    /// Makes the platform turn away exactly these VMs from now on.
+    pub(crate) fn set_refused(&mut self, refused: BTreeSet<usize>) {
+        for number in refused.difference(&self.platform.refused.clone()) {
+            self.cut_watch(*number);
+        }
+        self.platform.refused = refused;
+    }
+
+    /// Makes the open watch of a node fail.
+    fn cut_watch(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        if node.watching_until.take().is_some() {
+            node.backoff.record_failure(now);
+            node.refusals.record_failure(now);
+            self.update_refusal(number);
         }
     }
 
@@ -327,6 +368,12 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick { node, generation } => self.tick(node, generation),
+            Event::Refusal { node, generation } => {
+                let is_current = self.nodes[node].generation == generation;
+                if is_current && self.nodes[node].alive {
+                    self.update_refusal(node);
+                }
+            }
             Event::Chase { node, generation } => self.chase(node, generation),
             Event::Request { from, to, message, evacuations } => {
                 let known = self.known_evacuations(to);
@@ -399,18 +446,46 @@
         self.send_membership(number, actions);
         self.schedule_tick(number);
         self.watch(number);
+        self.update_refusal(number);
     }
 
-    /// Opens the platform's watches if the node is a watch holder and has none open.
-    fn watch(&mut self, number: usize) {
+    /// Notifies peers if the platform begins or ceases to refuse the node.
+    fn update_refusal(&mut self, number: usize) {
         let now = self.now;
+        let node = &mut self.nodes[number];
+        let is_refused = node.refusals.update(node.members.watch_role(), now);
+        if is_refused != node.members.own().is_refused {
+            let summary = node.gossip.store().summary();
+            let actions = node.members.announce_refusal(is_refused, summary);
+            self.send_membership(number, actions);
+        }
         let node = &self.nodes[number];
+        let due_at = node.refusals.due_at(node.members.watch_role());
+        if let Some(at) = due_at.filter(|at| *at > now) {
+            self.schedule(at, Event::Refusal { node: number, generation: node.generation });
+        }
+    }
+
+    /// Opens the platform's watches if the node is on duty and has none open.
+    fn watch(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
         let is_open = node.watching_until.is_some_and(|until| now < until);
-        if is_open || now < node.backoff.next_call() || now < node.next_holder_check {
+        if is_open {
+            let is_idle = node.members.watch_role() == WatchRole::None;
+            node.idle_since = is_idle.then(|| node.idle_since.unwrap_or(now));
+            if node.idle_since.is_some_and(|since| now >= since + RELEASE_DELAY) {
+                node.watching_until = None;
+            }
             return;
         }
-        if !self.is_watch_holder(number) {
-            self.nodes[number].next_holder_check = now + HOLDER_CHECK_INTERVAL;
+        let refused_vms = node.members.refused_domain_vms();
+        match node.duty.update(node.members.watch_role(), refused_vms, now) {
+            DutyStep::Rest => return,
+            DutyStep::TakeOver => node.takeovers += 1,
+            DutyStep::Hold => {}
+        }
+        if now < node.backoff.next_call() {
             return;
         }
         let is_reachable = self.can_reach_platform(number);
@@ -421,9 +496,13 @@
         if !is_reachable {
             node.watching_until = None;
             node.backoff.record_failure(now);
+            node.refusals.record_failure(now);
+            self.platform.turned_away.insert(number);
+            self.update_refusal(number);
             return;
         }
         node.backoff.record_success(now);
+        node.refusals.record_answer(now);
         node.is_watch_lost = false;
         node.watching_until = Some(now + node.backoff.watch_duration());
         let after = node.gossip.store().summary().complete_revision;
@@ -433,17 +512,6 @@
         self.schedule(at, Event::Watched { node: number, objects, revision });
     }
 
-    fn is_watch_holder(&self, number: usize) -> bool {
-        let members = &self.nodes[number].members;
-        let domain = &members.own().failure_domain;
-        let peers = members.table().iter().filter(|(record, state)| {
-            *state == MemberState::Serving && record.failure_domain == *domain
-        });
-        let mut vms: Vec<VmId> = peers.map(|(record, _)| record.vm.clone()).collect();
-        vms.push(members.own().vm.clone());
-        watch_holders(domain, &vms).contains(&members.own().vm)
-    }
-
     /// Returns the live nodes with an open watch.
     pub(crate) fn watchers(&self) -> Vec<usize> {
         let is_open = |number: &usize| {
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -161,6 +161,7 @@
         caller_address: vm.caller_address,
         revision: 0,
         processor_millicores: 0,
+        is_refused: false,
     }
 }
 
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -282,6 +282,7 @@
         caller_address: "127.0.0.1:2".parse().unwrap(),
         revision: 1,
         processor_millicores,
+        is_refused: false,
     }
 }
 
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -116,6 +116,9 @@
     pub revision: Revision,
     /// Whether `revision` is below that of the responding VM.
     pub is_lagging: bool,
+    /// Whether the platform answers none of the VM's calls, so that other VMs hold its watches.
+    #[serde(default)]
+    pub is_refused: bool,
     /// Age of the platform's last word by kind of object, in milliseconds, of the responding VM if
     /// it watches the platform. A VM knows only its own.
     #[serde(default)]
--- a/crates/wire/src/peer/convert.rs
+++ b/crates/wire/src/peer/convert.rs
@@ -40,6 +40,7 @@
             revision: record.revision,
             suspected: record.suspected,
             processor_millicores: record.processor_millicores,
+            refused_by_platform: record.is_refused,
         }
     }
 }
@@ -73,6 +74,7 @@
             caller_address,
             revision: record.revision,
             processor_millicores: record.processor_millicores,
+            is_refused: record.refused_by_platform,
         })
     }
 }
--- a/crates/wire/src/peer/oleanderwind.peer.v1.rs
+++ b/crates/wire/src/peer/oleanderwind.peer.v1.rs
@@ -28,6 +28,9 @@
     /// Processor limit of the VM, in thousandths of a core; 0 if unknown.
     #[prost(uint32, tag = "10")]
     pub processor_millicores: u32,
+    /// Whether the platform answers none of its calls, so that other VMs hold its watches.
+    #[prost(bool, tag = "11")]
+    pub refused_by_platform: bool,
 }
 /// Request rate of one customer, requested or lent.
 #[derive(Clone, PartialEq, ::prost::Message)]
