fix(http,policy): a status that ends no exchange of HTTP is no answer

What callers saw: a target that answered 101, or 600 to 999, was passed on with its signature, and the connection was kept. 000 and other statuses that are no number of HTTP were refused before.

Cause: the client took whatever the HTTP library reads for the head of a response. The library reads any three digits from 100 on, and 101 ends an exchange, though no request of a VM asks for an upgrade.

Ruled out: that only forwarding is concerned; targets, health checks, relays and the users' store share the client.

Change: the client fails with `Broken` and closes the connection; the decision on replies has the same bound for any status that reaches it.

Why it works: what such a status says of the request can't be known, so the request counts as one that may have run, on every path.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -71,7 +71,7 @@
 pub enum ClientError {
     /// No byte of the request was sent.
     NotConnected,
-    /// The connection broke after part of the request may have been sent.
+    /// The connection broke after part of the request may have been sent, or the reply was none of HTTP.
     Broken,
     /// The reply was longer than it may be, in its head, its framing or its body, or there was no memory
     /// for it. The connection is closed.
@@ -273,6 +273,9 @@
             }
         })?;
         let (head, body) = response.into_parts();
+        if !is_final(head.status) {
+            return Err(ClientError::Broken);
+        }
         self.meter.begin(FRAMING_BYTES);
         if let Some(observe) = &state.context.head_observer {
             observe(head.status, &head.headers);
@@ -316,6 +319,14 @@
     }
 }
 
+/// Returns whether a status ends an exchange of HTTP.
+///
+/// No request asks for another protocol, so 101 does not, and there are no classes above 5xx (RFC 9110, section 15). After
+/// either the two ends may not agree on what the next bytes are.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns how long the connection may stay idle after a reply with these headers.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/crates/policy/src/outcome/reply.rs
+++ b/crates/policy/src/outcome/reply.rs
@@ -4,8 +4,6 @@
 
 /// Statuses that tell a caller that the request has not run and never will.
 const PROMISE_STATUSES: [u16; 4] = [408, 421, 429, 503];
-/// First status of the class of errors of servers.
-const FIRST_SERVER_ERROR: u16 = 500;
 
 /// Returns whether a status tells a caller that the request has not run.
 pub fn is_promise(status: u16) -> bool {
@@ -26,7 +24,8 @@
 /// | other 5xx | no | another target is asked, in the end the reply | the reply | no part, another target is asked |
 /// | any other | no | the reply | the reply | no part, another target is asked |
 ///
-/// A reply without a signature, or with an encoded body, counts as none. 502 becomes 504 if the time is over.
+/// A reply without a signature, or with an encoded body, counts as none. So does one with a status that ends no exchange of
+/// HTTP, below 200 or above 599, whatever it says of the request. 502 becomes 504 if the time is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetReply {
     /// HTTP status.
@@ -56,6 +55,9 @@
     /// Returns what the reply may be used for. `is_gathered` is whether the answers of several shards, or of a set that
     /// happens to have one, are merged.
     pub fn use_for(&self, is_idempotent: bool, is_gathered: bool) -> ReplyUse {
+        if !(200..600).contains(&self.status) {
+            return ReplyUse::Nothing;
+        }
         if self.is_misdirected {
             return ReplyUse::Refusal(RefusalCause::Draining);
         }
@@ -67,7 +69,7 @@
             200..300 => ReplyUse::Answer,
             _ if is_gathered => ReplyUse::Nothing,
             status if !is_idempotent && is_promise(status) => ReplyUse::Nothing,
-            FIRST_SERVER_ERROR.. => ReplyUse::Failure,
+            500.. => ReplyUse::Failure,
             _ => ReplyUse::Answer,
         }
     }
--- a/crates/policy/tests/outcome.rs
+++ b/crates/policy/tests/outcome.rs
@@ -64,6 +64,15 @@
         }
     }
 
+    /// Guards against a status that ends no exchange of HTTP and is passed on as an answer.
+    #[test]
+    fn use_for_takes_no_status_without_a_class(status in prop_oneof![0..200_u16, 600..1_000_u16], is_not_run in any::<bool>()) {
+        let reply = reply(status, is_not_run);
+        for (is_idempotent, is_gathered) in [(true, false), (false, false), (true, true)] {
+            prop_assert_eq!(reply.use_for(is_idempotent, is_gathered), ReplyUse::Nothing);
+        }
+    }
+
     /// Guards against a failure that is merged as a part, whatever the number of shards.
     #[test]
     fn use_for_merges_no_failure(status in 200..600_u16, is_not_run in any::<bool>()) {
