fix(http): the number of chunks of a reply is bounded

What callers saw: nothing wrong; a target that sends a body in short chunks without end cost the VM up to 65 ms of processor time a request, which other callers of a small machine wait for. Memory was bounded already.

Cause: the bounds of a reply count bytes, and a chunk costs about the same processor time whatever its length. Chunks of 5 bytes were read up to the length of the longest body, 209,715 of them.

Ruled out: tasks that do not give way; ordinary requests had a p99 under 7 ms with the bound and without.

Change: a body in chunks may have 2,048 pieces and one more for each 64 bytes.

Why it works: the bound is on what costs. Bodies up to 2 KB are read in any chunks.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -53,6 +53,11 @@
 /// chunk sizes and extensions, trailers.
 const FRAMING_BYTES: usize = 32 * 1_024;
 
+/// Pieces of a body in chunks that are read whatever their length.
+const MIN_BODY_PIECES: usize = 2_048;
+/// Bytes of a body in chunks for each further piece. A piece costs about the same processor time whatever its length.
+const BODY_BYTES_PER_PIECE: usize = 64;
+
 /// Settings of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientSettings {
@@ -73,8 +78,8 @@
     NotConnected,
     /// The connection broke after part of the request may have been sent, or the reply was none of HTTP.
     Broken,
-    /// The reply was longer than it may be, in its head, its framing or its body, or there was no memory
-    /// for it. The connection is closed.
+    /// The reply was longer than it may be, in its head, its framing or its body, came in too many chunks,
+    /// or there was no memory for it. The connection is closed.
     OverLimit,
 }
 
@@ -280,7 +285,8 @@
         if let Some(observe) = &state.context.head_observer {
             observe(head.status, &head.headers);
         }
-        let body = self.read_body(body, state).await?;
+        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        let body = self.read_body(body, is_chunked, state).await?;
         // Allows the head of the next reply.
         self.meter.begin(MAX_HEAD_BYTES);
         self.usable_until = Instant::now() + idle_time(&head.headers);
@@ -293,16 +299,23 @@
     async fn read_body(
         &self,
         mut incoming: Incoming,
+        is_chunked: bool,
         state: &ClientState,
     ) -> Result<Bytes, ClientError> {
         let mut body = BytesMut::new();
+        let mut pieces = 0_usize;
         let mut reservation = ReplyReservation::new(state.context.memory.clone());
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| self.reply_error())?;
             let Ok(data) = frame.into_data() else { continue };
             self.meter.extend(data.len().saturating_mul(WIRE_BYTES_PER_BODY_BYTE));
             let length = body.len() + data.len();
-            if length > state.settings.max_body_bytes || !reservation.grow_to(length) {
+            pieces += 1;
+            let max_pieces = MIN_BODY_PIECES + length / BODY_BYTES_PER_PIECE;
+            if length > state.settings.max_body_bytes
+                || is_chunked && pieces > max_pieces
+                || !reservation.grow_to(length)
+            {
                 return Err(ClientError::OverLimit);
             }
             body.extend_from_slice(&data);
--- a/crates/http/tests/floods.rs
+++ b/crates/http/tests/floods.rs
@@ -149,6 +149,40 @@
     server.expect_close().await;
 }
 
+/// Answers one request with a whole reply whose body comes in chunks of this length.
+async fn read_in_chunks(body_bytes: usize, chunk_bytes: usize) -> Result<ClientReply, ClientError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), SETTINGS, Rc::default());
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 4_096]).await.unwrap() > 0);
+        let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "a".repeat(chunk_bytes));
+        let reply = format!("{CHUNKED}{}0\r\n\r\n", chunk.repeat(body_bytes / chunk_bytes));
+        // The client may have closed the connection.
+        let _ = stream.write_all(reply.as_bytes()).await;
+        let _ = stream.read(&mut [0; 4_096]).await;
+    });
+    get(&client).await
+}
+
+/// Guards against chunks that each cost as much processor time as a long one, in a body of legal length.
+#[actix_rt::test]
+async fn reply_in_very_many_chunks_fails() {
+    for (body_bytes, chunk_bytes) in [(3_000, 1), (20_000, 4), (50_000, 5), (60_000, 16)] {
+        let read = read_in_chunks(body_bytes, chunk_bytes).await;
+        let place = format!("{body_bytes} bytes in chunks of {chunk_bytes}");
+        assert_eq!(read.err(), Some(ClientError::OverLimit), "{place}");
+    }
+}
+
+#[actix_rt::test]
+async fn reply_in_short_chunks_is_read() {
+    for (body_bytes, chunk_bytes) in [(2_000, 1), (40_000, 16), (64_000, 64), (64_000, 4_000)] {
+        let body = read_in_chunks(body_bytes, chunk_bytes).await.unwrap().body;
+        assert_eq!(body.len(), body_bytes, "chunks of {chunk_bytes}");
+    }
+}
+
 #[actix_rt::test]
 async fn reply_with_an_endless_chunk_extension_fails() {
     expect_refused(CHUNKED, "1;a").await;
