--- a/crates/policy/src/membership/engine.rs
+++ b/crates/policy/src/membership/engine.rs
@@ -263,8 +263,8 @@
     }
 
     /// Records whether the platform refuses this VM, and notifies the VMs that hold watches because of
-    /// it, before or from now on, and at least [`MIN_REFUSAL_NOTICES`] that are next after them: holders
-    /// that are refused at the same moment would tell only each other, and views of who is next differ.
+    /// it, before or from now on, and several that are next after them: holders that are refused at the
+    /// same moment would tell only each other, and views of who is next differ.
     pub fn announce_refusal(
         &mut self,
         is_refused: bool,
--- a/crates/policy/src/news/refusal.rs
+++ b/crates/policy/src/news/refusal.rs
@@ -17,7 +17,7 @@
 /// Decides from the results of a VM's calls whether the platform refuses it.
 ///
 /// Regular watch holders call the platform all the time. Any other VM calls it only in their place, so
-/// that its first failure decides, and it is not tried again for [`REST_TIME`].
+/// that its first failure decides, and it is not tried again for half a minute.
 ///
 /// # Examples
 ///
