--- a/crates/daemon/src/sync/mod.rs
+++ b/crates/daemon/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration sync from the platform, on the VMs that hold its watches.
 
+mod duty;
 mod evacuations;
 mod registration;
 
@@ -10,12 +11,10 @@
 use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
-use futures_util::FutureExt;
 use futures_util::StreamExt;
 use futures_util::future::try_join;
 use futures_util::future::try_join_all;
 use oleanderwind_policy::ConfigurationObject;
-use oleanderwind_policy::DutyStep;
 use oleanderwind_policy::Era;
 use oleanderwind_policy::MissingObjects;
 use oleanderwind_policy::ObjectKind;
@@ -48,9 +47,6 @@
 
 /// Interval at which a VM checks whether it should hold watches.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which other VMs must have been the watch holders before a VM closes its watches. It is
-/// two heartbeat rounds, so that a short suspicion causes no calls to the platform.
-const RELEASE_DELAY: Duration = Duration::from_secs(2);
 /// Time in which the VMs of a new fleet register: they start within 0.3 s of one another and
 /// register 0.3 s after their start.
 const REGISTRATION_TIME: Duration = Duration::from_millis(700);
@@ -150,6 +146,7 @@
                 self.evacuation_revision.set(None);
                 self.peers.forget_platform_words();
                 self.unreachable_since.set(None);
+                // The role, by which a refusal ends, may have changed.
                 if self.peers.is_refused() {
                     self.refusal_changes.notify_one();
                 }
@@ -190,40 +187,6 @@
         }
     }
 
-    /// Returns whether this VM should call the platform now.
-    fn is_on_duty(&self) -> bool {
-        let mut duty = self.duty.get();
-        let refused_vms = self.peers.refused_domain_vms();
-        let step = duty.update(self.peers.watch_role(), refused_vms, Instant::now());
-        self.duty.set(duty);
-        match step {
-            DutyStep::Rest => false,
-            DutyStep::TakeOver => {
-                log::info!(
-                    refused = refused_vms, revision = self.peers.complete_revision();
-                    "the platform refuses watch holders of this failure domain, this VM takes over"
-                );
-                self.update_outages(OutageTracker::record_takeover);
-                true
-            }
-            DutyStep::Hold => true,
-        }
-    }
-
-    /// Tells peers whenever the platform begins or ceases to refuse this VM.
-    async fn follow_refusals(&self) {
-        loop {
-            let change = match self.peers.update_refusal() {
-                Some(due_at) => tokio::time::sleep_until(due_at.into()).left_future(),
-                None => std::future::pending().right_future(),
-            };
-            tokio::select! {
-                () = change => {}
-                () = self.refusal_changes.notified() => {}
-            }
-        }
-    }
-
     /// Waits for configuration from the failure domain's watch holders, if this VM is none of them.
     ///
     /// Gives up after [`PEER_WAIT_TIMEOUT`].
@@ -259,55 +222,6 @@
         objects.iter().any(|object| *object.key.name == *self.vm)
     }
 
-    /// Waits until other VMs have been the watch holders for [`RELEASE_DELAY`].
-    async fn wait_for_other_holders(&self) {
-        let mut since = Instant::now();
-        while since.elapsed() < RELEASE_DELAY {
-            tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
-            if !self.directory.is_configured() || self.peers.is_watch_holder() {
-                since = Instant::now();
-            }
-        }
-    }
-
-    /// Waits until a list has to show which of the entries that vanished in an outage are back.
-    async fn wait_for_removal_check(&self) {
-        match self.outages.get().check_due_at() {
-            Some(at) => tokio::time::sleep_until(at.into()).await,
-            None => std::future::pending().await,
-        }
-    }
-
-    /// Waits until this VM hears no peer, and the platform has been silent for longer than the calls
-    /// of a lone VM wait. Its open calls may wait longer, as they began among peers.
-    async fn wait_for_lone_silence(&self) {
-        let limit = self.pace.lone_silence_limit();
-        while !(self.peers.is_only_watch_holder() && self.peers.is_platform_silent(limit)) {
-            tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
-        }
-        log::info!(
-            silent_ms = self.word_age_ms();
-            "no word from the platform and no peer to ask, the watches begin anew"
-        );
-    }
-
-    /// Waits until peers hold changes that this VM's watches should have brought.
-    async fn wait_for_lead_of_peers(&self) {
-        loop {
-            if let Some(revision) = self.peers.begin_watch_check() {
-                let held = self.peers.complete_revision();
-                log::info!(
-                    revision = revision,
-                    held = held,
-                    silent_ms = self.word_age_ms();
-                    "peers are ahead of the watches, which begin anew"
-                );
-                return;
-            }
-            tokio::time::sleep(HOLDER_POLL_INTERVAL).await;
-        }
-    }
-
     /// Returns whether entries of an earlier era of the store are kept, as it was restored from a copy recently.
     fn holds_earlier_eras(&self) -> bool {
         self.outages.get().missing_objects(Instant::now()) == MissingObjects::KeepEarlierEras
--- a/crates/policy/src/objects/watch.rs
+++ b/crates/policy/src/objects/watch.rs
@@ -28,9 +28,9 @@
 
 /// Returns the VMs of a failure domain that hold watches.
 ///
-/// `vms` are the domain's serving VMs in the view of the calling VM, less those that can't do it. VMs with different views may
-/// open a watch too many or, until a suspicion has propagated, one too few. The domain's other
-/// holder and the other domains cover the latter.
+/// `vms` are the domain's serving VMs in the view of the calling VM, less those that can't do it. VMs
+/// with different views may open a watch too many or, until a suspicion has propagated, one too few.
+/// The domain's other holder and the other domains cover the latter.
 pub fn watch_holders(domain: &FailureDomainId, vms: &[VmId]) -> Vec<VmId> {
     if vms.len() <= SMALL_DOMAIN_VMS {
         return vms.to_vec();
