--- a/review/standin-3/src/changes.rs
+++ b/review/standin-3/src/changes.rs
@@ -47,13 +47,17 @@
 }
 
 impl Deployment {
-    /// Starts the searchers of all services, one in each zone, and writes the first version.
-    pub fn start(record: &Record, domains: &[&str]) -> Deployment {
+    /// Starts the searchers of all services, `replicas` in each of two zones, and writes the first version.
+    pub fn start(record: &Record, domains: &[&str], replicas: usize) -> Deployment {
         let store = Store::default();
         let mut searchers = Vec::new();
         for service in SERVICES {
-            for domain in domains.iter().take(2) {
-                let id = format!("i-{service}-{domain}");
+            let places = domains
+                .iter()
+                .take(2)
+                .flat_map(|domain| (0..replicas).map(move |own| (domain, own)));
+            for (domain, replica) in places {
+                let id = format!("i-{service}-{domain}-{replica}");
                 let searcher = Searcher::start(&id, service, domain, WORK, None);
                 store.put(wire::name("target_list"), &id, &searcher.entry(Duration::ZERO));
                 searchers.push(searcher);
@@ -75,6 +79,11 @@
         deployment
     }
 
+    /// Returns the addresses of all searchers.
+    pub fn searcher_addresses(&self) -> Vec<SocketAddr> {
+        self.searchers.iter().map(|searcher| searcher.address).collect()
+    }
+
     /// Writes the next version, which moves all requests to the next service.
     pub fn change(&mut self) {
         let version = self.versions.len() + 1;
@@ -99,14 +108,16 @@
     pub fn send_requests(&mut self, vm: &Vm) {
         let (name, address) = (vm.name.clone(), vm.caller);
         let (sent, is_over) = (self.sent.clone(), self.is_over.clone());
+        let client = self.threads.len();
         self.threads.push(std::thread::spawn(move || {
             for number in 0.. {
                 if is_over.load(Ordering::Relaxed) {
                     return;
                 }
-                let (id, at) = (format!("{name}-{number}"), Instant::now());
+                let (id, at) = (format!("{name}-{client}-{number}"), Instant::now());
                 let headers = [("X-Request-Id", id.as_str()), (wire::name("deadline"), "1000")];
-                let reply = http::call(address, "/r/x", &headers, Duration::from_secs(1));
+                let path = format!("/r/{id}");
+                let reply = http::call(address, &path, &headers, Duration::from_secs(1));
                 let status = reply.map_or(0, |reply| reply.status());
                 sent.lock().unwrap().push(Sent { id, vm: name.clone(), at, status });
                 std::thread::sleep(REQUEST_INTERVAL);
@@ -136,6 +147,45 @@
         }
     }
 
+    /// Ends the clients; returns whether a VM went back: a request that was sent to it more than `slack` after a searcher
+    /// had run a request sent to it by a later version was run by a service that only an earlier version allows.
+    pub fn judge_rollback(mut self, slack: Duration) -> bool {
+        self.is_over.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        let mut runs: HashMap<String, (usize, Instant)> = HashMap::new();
+        for searcher in &self.searchers {
+            let version = SERVICES.iter().position(|own| *own == searcher.service);
+            let Some(version) = version.map(|place| place + 1) else { continue };
+            for run in searcher.runs() {
+                runs.insert(run.id, (version, run.at));
+            }
+        }
+        let sent = self.sent.lock().unwrap();
+        let run_of = |request: &Sent| runs.get(&request.id).copied();
+        let mut count = 0;
+        for request in sent.iter() {
+            let service = run_of(request).map_or("none", |(version, _)| SERVICES[version - 1]);
+            let Sent { id, vm, at, status } = request;
+            let line = format!("{id} sent to {vm}: status {status}, run by {service}");
+            self.record.line_at(*at, &line);
+            let Some((version, _)) = run_of(request) else { continue };
+            let shown = sent.iter().filter(|other| other.vm == *vm).filter_map(&run_of);
+            let earlier = shown.filter(|(other, ran_at)| *other > version && *ran_at + slack < *at);
+            if let Some(first) = earlier.map(|(_, ran_at)| ran_at).min() {
+                count += 1;
+                let late = at.duration_since(first).as_secs_f64();
+                self.record.line_at(*at, &format!(
+                    "{id} was run by {service}, {late:.2} s after a searcher had run a request of {vm} by a later \
+                     version"
+                ));
+            }
+        }
+        self.record.line(&format!("requests by which a VM went back: {count}"));
+        count > 0
+    }
+
     /// Ends the clients; returns whether a request was run by an older service than the version that had been
     /// acknowledged `limit` before it was sent allows.
     pub fn judge(mut self, limit: Duration) -> bool {
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,6 +7,8 @@
 mod cold;
 mod http;
 mod json;
+mod link;
+mod passed_on;
 mod record;
 mod replaced;
 mod searcher;
@@ -54,6 +56,7 @@
 
 fn run(case: &str, record: &Record, folder: &Path, has_trouble: bool) -> Verdict {
     match case {
+        "passed-on" => passed_on::run(record, folder, has_trouble),
         "replaced" => replaced::run(record, folder, has_trouble),
         "survivors" => survivors::run(record, folder, has_trouble),
         "cold" => cold::run(record, folder, has_trouble),
--- a/review/standin-3/src/replaced.rs
+++ b/review/standin-3/src/replaced.rs
@@ -29,7 +29,7 @@
 const VERSION_INTERVAL: Duration = Duration::from_secs(11);
 
 pub fn run(record: &Record, folder: &Path, has_trouble: bool) -> Verdict {
-    let mut deployment = Deployment::start(record, &DOMAINS);
+    let mut deployment = Deployment::start(record, &DOMAINS, 1);
     let address = deployment.store.open_door().address;
     let mut vms = Vec::new();
     for (number, domain) in MACHINES.iter().enumerate() {
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -41,13 +43,27 @@
 #[derive(Clone)]
 pub struct Door {
     pub address: SocketAddr,
-    held_at: Arc<Mutex<Option<Instant>>>,
+    view: Arc<DoorView>,
+}
+
+#[derive(Default)]
+struct DoorView {
+    held_at: Mutex<Option<Instant>>,
+    /// Whether calls get no answer.
+    is_silent: AtomicBool,
+    /// Addresses that are other ones behind this door, as the VM's links lead through proxies.
+    links: Vec<(String, String)>,
 }
 
 impl Door {
+    /// Sets whether calls get no answer.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.view.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+
     /// Returns whether a call that waits for changes came by within `time`.
     pub fn has_watched(&self, time: Duration) -> bool {
-        self.held_at.lock().unwrap().is_some_and(|at| at.elapsed() < time)
+        self.view.held_at.lock().unwrap().is_some_and(|at| at.elapsed() < time)
     }
 }
 
@@ -95,18 +111,31 @@
 
     /// Opens an address for one VM.
     pub fn open_door(&self) -> Door {
-        let held_at: Arc<Mutex<Option<Instant>>> = Arc::default();
-        let (store, held) = (self.clone(), held_at.clone());
-        let address = http::listen(move |stream| store.serve(stream, &held));
-        Door { address, held_at }
+        self.open_door_with(Vec::new())
     }
 
-    fn serve(&self, stream: TcpStream, held_at: &Mutex<Option<Instant>>) {
+    /// Opens an address for one VM, whose links to these addresses lead through others.
+    pub fn open_door_with(&self, links: Vec<(String, String)>) -> Door {
+        let view = Arc::new(DoorView { links, ..DoorView::default() });
+        let (store, own) = (self.clone(), view.clone());
+        let address = http::listen(move |stream| store.serve(stream, &own));
+        Door { address, view }
+    }
+
+    fn serve(&self, stream: TcpStream, view: &DoorView) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let _ = writer.set_nodelay(true);
         let mut reader = BufReader::new(stream);
         while let Some(call) = http::read(&mut reader) {
-            let (status, body) = self.answer(&call, held_at);
+            let (status, body) = self.answer(&call, &view.held_at);
+            if view.is_silent.load(Ordering::Relaxed) {
+                while view.is_silent.load(Ordering::Relaxed) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                return;
+            }
+            let links = view.links.iter();
+            let body = links.fold(body, |body, (real, own)| body.replace(real, own));
             let reply = http::reply(status, &[("Content-Type", "application/json")], &body);
             if writer.write_all(reply.as_bytes()).is_err() {
                 return;
--- a/review/standin-3/src/survivors.rs
+++ b/review/standin-3/src/survivors.rs
@@ -27,7 +27,7 @@
 const WATCH_TIME: Duration = Duration::from_secs(12);
 
 pub fn run(record: &Record, folder: &Path, has_trouble: bool) -> Verdict {
-    let mut deployment = Deployment::start(record, &DOMAINS);
+    let mut deployment = Deployment::start(record, &DOMAINS, 1);
     let doors: Vec<_> = (0..VMS).map(|_| deployment.store.open_door()).collect();
     let mut vms = Vec::new();
     for (number, door) in doors.iter().enumerate() {
